--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+VENV ?= .venv
+PYTHON ?= python3.11
+PY := $(VENV)/bin/python
+SRC := packages/common/src packages/daemon/src packages/yuccactl/src packages/testkit/src
+ROOT := $(CURDIR)
+export PYTHONPATH := $(ROOT)/packages/common/src:$(ROOT)/packages/daemon/src:$(ROOT)/packages/yuccactl/src:$(ROOT)/packages/testkit/src
+PROTO := packages/common/src/yuccarouter_common/proto
+
+.PHONY: setup test lint format demo demo-serve bench load soak proto
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements/dev.txt
+	test -x $(PY) || $(PYTHON) -m venv $(VENV)
+	$(PY) -m pip install --quiet --require-hashes -r requirements/dev.txt
+	$(PY) -m pip install --quiet --no-deps --no-build-isolation \
+		-e packages/common -e packages/daemon -e packages/yuccactl -e packages/testkit
+	touch $@
+
+test: setup
+	$(PY) -m pytest -n 4
+
+lint: setup
+	$(VENV)/bin/ruff format --check packages
+	$(VENV)/bin/flake8 packages
+	$(VENV)/bin/mypy $(SRC)
+	$(VENV)/bin/lint-imports
+
+format: setup
+	$(VENV)/bin/ruff format packages
+
+demo: setup
+	$(PY) -m yuccarouter_testkit.demo
+
+demo-serve: setup
+	$(PY) -m yuccarouter_testkit.demo --serve
+
+bench: setup
+	$(PY) -m yuccarouter_testkit.bench
+
+proto: setup
+	$(PY) -m grpc_tools.protoc -I packages/common/src --python_out=packages/common/src \
+		--grpc_python_out=packages/common/src --pyi_out=packages/common/src \
+		packages/common/src/yuccarouter_common/proto/router.proto
--- /dev/null
+++ b/packages/common/src/yuccarouter_common/__init__.py
@@ -0,0 +1,1 @@
+"""Code shared by the processes of yuccarouter."""
--- /dev/null
+++ b/packages/common/src/yuccarouter_common/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: log, VM list, ratings and weight store."""
--- /dev/null
+++ b/packages/common/src/yuccarouter_common/platform/log.py
@@ -0,0 +1,151 @@
+"""Client of the platform's append-only log."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, Final, TypeVar
+
+import aiohttp
+import attrs
+import cattrs
+import orjson
+
+from yuccarouter_common import records
+from yuccarouter_common.platform import errors
+
+_APPEND_TIMEOUT_S: Final = 2.0
+_READ_MARGIN_S: Final = 2.0
+_HTTP_OK: Final = 200
+_DEFAULT_LIMIT: Final = 1000
+
+_Answer = TypeVar('_Answer')
+
+
+@attrs.frozen
+class Appended:
+    """Where the log has put a record, by the log's own clock."""
+
+    offset: int
+    time_ms: int
+
+
+@attrs.frozen
+class Entry:
+    """One record of a stream."""
+
+    offset: int
+    time_ms: int
+    append_id: str
+    payload: Any
+
+
+@attrs.frozen
+class Batch:
+    """Records read from a stream.
+
+    ``first_offset`` is the oldest offset that the log still keeps and
+    ``end_offset`` the offset that the next append will get.
+    """
+
+    records: list[Entry]
+    first_offset: int
+    end_offset: int
+
+
+@attrs.frozen
+class Client:
+    """Access to the log at one URL over a shared HTTP session."""
+
+    session: aiohttp.ClientSession
+    url: str
+
+    async def append(
+        self,
+        stream: str,
+        append_id: str,
+        payload: Any,
+        timeout_s: float = _APPEND_TIMEOUT_S,
+    ) -> Appended:
+        """Append one record.
+
+        Raises ``UnavailableError`` when nothing took effect and
+        ``AnswerLostError`` when that is not known; ``find`` then tells.
+        """
+        body = orjson.dumps({'append_id': append_id, 'payload': payload})
+        try:
+            async with self.session.post(
+                f'{self.url}/streams/{stream}/records',
+                data=body,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                answer = await response.read()
+                if response.status != _HTTP_OK:
+                    raise errors.UnavailableError(
+                        f'log answered {response.status} to an append'
+                    )
+        except aiohttp.ClientConnectorError as fault:
+            raise errors.UnavailableError('log is unreachable') from fault
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as fault:
+            raise errors.AnswerLostError('append answer lost') from fault
+        return _structure(answer, Appended)
+
+    async def read(
+        self,
+        stream: str,
+        start: int,
+        *,
+        limit: int = _DEFAULT_LIMIT,
+        wait_ms: int = 0,
+    ) -> Batch:
+        """Read records from ``start`` on, waiting up to ``wait_ms`` for one.
+
+        Raises ``UnavailableError`` when the log can't be read.
+        """
+        query = {
+            'from': str(start),
+            'limit': str(limit),
+            'wait_ms': str(wait_ms),
+        }
+        timeout_s = wait_ms / 1000 + _READ_MARGIN_S
+        try:
+            async with self.session.get(
+                f'{self.url}/streams/{stream}/records',
+                params=query,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                answer = await response.read()
+                if response.status != _HTTP_OK:
+                    raise errors.UnavailableError(
+                        f'log answered {response.status} to a read'
+                    )
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as fault:
+            raise errors.UnavailableError('log can not be read') from fault
+        return _structure(answer, Batch)
+
+    async def find(
+        self,
+        stream: str,
+        append_id: str,
+        start: int,
+    ) -> Appended | None:
+        """Return where the record with ``append_id`` is, from ``start`` on.
+
+        ``None`` means that it is not in the log up to its present end.
+        """
+        while True:
+            batch = await self.read(stream, start)
+            for entry in batch.records:
+                if entry.append_id == append_id:
+                    return Appended(entry.offset, entry.time_ms)
+            if not batch.records:
+                return None
+            start = batch.records[-1].offset + 1
+
+
+def _structure(answer: bytes, kind: type[_Answer]) -> _Answer:
+    try:
+        return records.converter.structure(orjson.loads(answer), kind)
+    except (ValueError, cattrs.BaseValidationError) as fault:
+        raise errors.BadAnswerError(
+            f'bad answer of the log: {fault}'
+        ) from fault
--- /dev/null
+++ b/packages/common/src/yuccarouter_common/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated protobuf and gRPC code."""
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/__init__.py
@@ -0,0 +1,1 @@
+"""The yuccarouter daemon, with the roles entry and agent."""
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of work to one endpoint."""
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/billing/__init__.py
@@ -0,0 +1,1 @@
+"""Usage records, bill rows and their confirmation."""
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Following the configuration stream and exchanging it with peers."""
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs and endpoints are live, leaving or cold."""
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/request_path/__init__.py
@@ -0,0 +1,1 @@
+"""Caller-facing HTTP and the forwarding of requests to agents."""
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, the roll-out controller and its sequential test."""
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of version and endpoint, retries and hedging."""
--- /dev/null
+++ b/packages/testkit/src/yuccarouter_testkit/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of outside systems, load tool, demo and benchmarks."""
