--- /dev/null
+++ b/packages/common/src/yuccarouter_common/telemetry.py
@@ -0,0 +1,118 @@
+"""Traces, logs and metrics that every process sets up alike."""
+
+from __future__ import annotations
+
+import collections
+import sys
+import threading
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+import eliot
+from opentelemetry import context, propagate, trace
+from opentelemetry.sdk import resources
+from opentelemetry.sdk import trace as sdk_trace
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+_KEPT_TRACES: Final = 2000
+_TRACE_ID_FORMAT: Final = '032x'
+_SPAN_ID_FORMAT: Final = '016x'
+_NS_PER_MS: Final = 1_000_000
+
+
+@attrs.frozen
+class Span:
+    """A finished span as it is shown to operators; times in Unix ms."""
+
+    name: str
+    trace_id: str
+    span_id: str
+    parent_id: str
+    start_ms: float
+    duration_ms: float
+    attributes: dict[str, Any]
+
+
+class SpanStore(sdk_trace.SpanProcessor):
+    """Keeps the spans of the newest traces for ``/traces/{trace_id}``."""
+
+    def __init__(self, kept_traces: int = _KEPT_TRACES) -> None:
+        super().__init__()
+        self._kept_traces = kept_traces
+        self._lock = threading.Lock()
+        self._traces: collections.OrderedDict[str, list[Span]] = (
+            collections.OrderedDict()
+        )
+
+    def on_end(self, span: sdk_trace.ReadableSpan) -> None:
+        """Keep a finished span and drop the oldest trace beyond the bound."""
+        kept = _span_of(span)
+        if kept is None:
+            return
+        with self._lock:
+            self._traces.setdefault(kept.trace_id, []).append(kept)
+            if len(self._traces) > self._kept_traces:
+                self._traces.popitem(last=False)
+
+    def spans_of(self, trace_id: str) -> list[Span]:
+        """Return the finished spans of a trace, in order of their end."""
+        with self._lock:
+            return list(self._traces.get(trace_id, ()))
+
+
+def start_tracing(name: str) -> SpanStore:
+    """Set up tracing for this process and return its store of spans."""
+    store = SpanStore()
+    provider = sdk_trace.TracerProvider(
+        resource=resources.Resource({'service.name': name})
+    )
+    provider.add_span_processor(store)
+    trace.set_tracer_provider(provider)
+    return store
+
+
+def start_logging() -> None:
+    """Write eliot's messages to standard error, one JSON object a line."""
+    eliot.to_file(sys.stderr)
+
+
+def tracer() -> trace.Tracer:
+    """Return the tracer of this process."""
+    return trace.get_tracer('yuccarouter')
+
+
+def traceparent(span: trace.Span) -> str:
+    """Return the W3C ``traceparent`` value that names ``span`` as parent."""
+    carrier: dict[str, str] = {}
+    propagate.inject(carrier, context=trace.set_span_in_context(span))
+    return carrier.get('traceparent', '')
+
+
+def parent_context(headers: Mapping[str, str]) -> context.Context:
+    """Return the trace context that ``traceparent`` in ``headers`` names."""
+    return propagate.extract(
+        {'traceparent': headers.get('traceparent', '')},
+    )
+
+
+def trace_id(span: trace.Span) -> str:
+    """Return the trace id of a span in hexadecimal digits."""
+    return format(span.get_span_context().trace_id, _TRACE_ID_FORMAT)
+
+
+def _span_of(span: sdk_trace.ReadableSpan) -> Span | None:
+    identity = span.get_span_context()
+    if identity is None or span.start_time is None or span.end_time is None:
+        return None
+    parent = span.parent
+    return Span(
+        name=span.name,
+        trace_id=format(identity.trace_id, _TRACE_ID_FORMAT),
+        span_id=format(identity.span_id, _SPAN_ID_FORMAT),
+        parent_id=format(parent.span_id, _SPAN_ID_FORMAT) if parent else '',
+        start_ms=span.start_time / _NS_PER_MS,
+        duration_ms=(span.end_time - span.start_time) / _NS_PER_MS,
+        attributes=dict(span.attributes or {}),
+    )
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/billing/cover.py
@@ -0,0 +1,129 @@
+"""Usage that an agent keeps until the entry has billed it."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Final
+
+import attrs
+import eliot
+import mode
+
+from yuccarouter.billing import errors
+from yuccarouter_common import billing_rows
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccarouter.billing import ledger
+    from yuccarouter_common import model
+    from yuccarouter_common.proto import router_pb2
+
+_CHECK_INTERVAL_S: Final = 0.5
+_MS_PER_S: Final = 1000
+_MAX_HELD_ATTEMPTS: Final = 50_000
+
+
+@attrs.frozen
+class _Held:
+    row: billing_rows.BillRow
+    due_s: float
+
+
+class UsageCover(mode.Service):
+    """Writes the bill row of an attempt that its entry has not settled.
+
+    An entry settles each attempt: billed when the row is in the log, or
+    discarded when another attempt gave the answer. When neither comes within
+    ``cover_after_ms``, the entry's VM is taken as lost and the row is written
+    here. Readers keep the first row of a request id, so a late settlement does
+    no harm.
+    """
+
+    def __init__(
+        self,
+        rows: ledger.Ledger,
+        configuration: Callable[[], model.Configuration],
+        cover_after_ms: int,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__()
+        self._rows = rows
+        self._configuration = configuration
+        self._cover_after_s = cover_after_ms / _MS_PER_S
+        self._clock = clock
+        self._held: dict[str, _Held] = {}
+
+    @property
+    def held_attempts(self) -> int:
+        """Number of attempts that are neither settled nor covered."""
+        return len(self._held)
+
+    def completed(
+        self,
+        request: router_pb2.RunRequest,
+        usage: router_pb2.Usage,
+        whole: bool,
+    ) -> None:
+        """Keep the usage of an attempt whose answer is whole.
+
+        An attempt that was cut gave no answer. Its request is repeated by the
+        entry or the caller and billed then.
+        """
+        if not whole or len(self._held) >= _MAX_HELD_ATTEMPTS:
+            return
+        self._held[request.attempt_id] = _Held(
+            row=self._row(request, usage),
+            due_s=self._clock() + self._cover_after_s,
+        )
+
+    def settle(self, request: router_pb2.SettleRequest) -> None:
+        """Forget the attempts that the entry has billed or discarded."""
+        for settlement in request.settlements:
+            self._held.pop(settlement.attempt_id, None)
+
+    def cover_due(self) -> int:
+        """Hand the rows of overdue attempts to the ledger; return how many."""
+        now_s = self._clock()
+        due = [
+            attempt_id
+            for attempt_id, held in self._held.items()
+            if held.due_s <= now_s
+        ]
+        for attempt_id in due:
+            try:
+                self._rows.add(self._held[attempt_id].row)
+            except errors.LedgerFullError:
+                return 0
+            self._held.pop(attempt_id)
+        return len(due)
+
+    @mode.Service.task
+    async def _cover_regularly(self) -> None:
+        while not self.should_stop:
+            await self.sleep(_CHECK_INTERVAL_S)
+            covered = self.cover_due()
+            if covered:
+                eliot.log_message('bill_rows_covered', attempts=covered)
+
+    def _row(
+        self, request: router_pb2.RunRequest, usage: router_pb2.Usage
+    ) -> billing_rows.BillRow:
+        versions = self._configuration().versions
+        version = versions.get(f'{request.model}@{request.version}')
+        cost = billing_rows.cost_microcents(
+            version, usage.prompt_tokens, usage.completion_tokens
+        )
+        return billing_rows.BillRow(
+            request_id=request.request_id,
+            organisation=request.organisation,
+            model=request.model,
+            version=request.version,
+            kind=request.kind,
+            prompt_tokens=usage.prompt_tokens,
+            completion_tokens=usage.completion_tokens,
+            cost_microcents=cost + request.price_microcents,
+            entry=request.entry,
+            attempt_id=request.attempt_id,
+            time_ms=int(time.time() * _MS_PER_S),
+        )
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/billing/ledger.py
@@ -0,0 +1,145 @@
+"""Writing bill rows to the log in batches, exactly once by request id."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import uuid
+from typing import TYPE_CHECKING, Final
+
+import eliot
+import mode
+import prometheus_client
+
+from yuccarouter.billing import errors
+from yuccarouter_common import billing_rows
+from yuccarouter_common.platform import errors as platform_errors
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from yuccarouter_common.platform import log
+
+    Written = Callable[[list[billing_rows.BillRow]], Awaitable[None]]
+
+# An entry that carries 13.5 requests/s, its share at the target scale, fills
+# this in two hours of log outage; the rows take about 30 MB.
+_MAX_HELD_ROWS: Final = 100_000
+_MAX_BATCH_ROWS: Final = 500
+_RETRY_DELAY_S: Final = 0.5
+_MS_PER_S: Final = 1000
+
+_ROWS = prometheus_client.Counter(
+    'yuccarouter_bill_rows',
+    'Bill rows that are in the log',
+)
+_HELD = prometheus_client.Gauge(
+    'yuccarouter_bill_rows_held',
+    'Bill rows that are not yet in the log',
+)
+
+
+class Ledger(mode.Service):
+    """Holds bill rows until the log has them.
+
+    ``written`` is called with the rows of each batch that is in the log. A
+    batch keeps its append id until it is known to be in, so that a lost
+    answer never makes a row count twice.
+    """
+
+    def __init__(
+        self,
+        client: log.Client,
+        interval_ms: int,
+        written: Written,
+        max_held_rows: int = _MAX_HELD_ROWS,
+    ) -> None:
+        super().__init__()
+        self._client = client
+        self._interval_s = interval_ms / _MS_PER_S
+        self._written = written
+        self._max_held_rows = max_held_rows
+        self._held: collections.deque[billing_rows.BillRow] = (
+            collections.deque()
+        )
+        self._is_log_down = False
+        # Every append of this process is at or after this offset.
+        self._search_from: int | None = None
+
+    @property
+    def held_rows(self) -> int:
+        """Number of rows that are not yet known to be in the log."""
+        return len(self._held)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether new requests must be refused, since rows can't be held."""
+        return len(self._held) >= self._max_held_rows
+
+    def add(self, row: billing_rows.BillRow) -> None:
+        """Take a row for the next batch.
+
+        Raises ``LedgerFullError`` when no more rows can be held.
+        """
+        if self.is_full:
+            raise errors.LedgerFullError('too many bill rows wait for the log')
+        self._held.append(row)
+        _HELD.set(len(self._held))
+
+    async def flush(self) -> None:
+        """Write all held rows, as far as the log is up."""
+        while self._held:
+            size = min(len(self._held), _MAX_BATCH_ROWS)
+            batch = [self._held[index] for index in range(size)]
+            await self._write(batch)
+            for _ in batch:
+                self._held.popleft()
+            _ROWS.inc(len(batch))
+            _HELD.set(len(self._held))
+            await self._written(batch)
+
+    @mode.Service.task
+    async def _flush_regularly(self) -> None:
+        while not self.should_stop:
+            await self.sleep(self._interval_s)
+            await self.flush()
+
+    async def _write(self, batch: list[billing_rows.BillRow]) -> None:
+        append_id = uuid.uuid4().hex
+        payload = billing_rows.payload_of(batch)
+        may_be_in = False
+        while True:
+            try:
+                if not (may_be_in and await self._is_in(append_id)):
+                    await self._note_end()
+                    await self._client.append(
+                        billing_rows.STREAM, append_id, payload
+                    )
+            except platform_errors.AnswerLostError:
+                may_be_in = True
+            except platform_errors.PlatformError as fault:
+                await self._wait_for_log(fault)
+            else:
+                self._note_log_up()
+                return
+
+    async def _note_end(self) -> None:
+        if self._search_from is None:
+            batch = await self._client.read(billing_rows.STREAM, 0, limit=1)
+            self._search_from = batch.end_offset
+
+    async def _is_in(self, append_id: str) -> bool:
+        start = self._search_from or 0
+        found = await self._client.find(billing_rows.STREAM, append_id, start)
+        return found is not None
+
+    async def _wait_for_log(self, fault: platform_errors.PlatformError) -> None:
+        if not self._is_log_down:
+            self._is_log_down = True
+            eliot.log_message('billing_log_down', reason=fault.message)
+        await asyncio.sleep(_RETRY_DELAY_S)
+
+    def _note_log_up(self) -> None:
+        if self._is_log_down:
+            self._is_log_down = False
+            eliot.log_message('billing_log_up', held_rows=len(self._held))
