--- /dev/null
+++ b/packages/daemon/src/yuccarouter/membership/channels.py
@@ -0,0 +1,67 @@
+"""Channels to the other daemons."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+from grpc import aio
+
+from yuccarouter_common import peer_auth
+from yuccarouter_common.proto import router_pb2_grpc
+
+# Broken connections are noticed by keepalive pings within a few seconds, and
+# a returning agent is reached again at once rather than after a long backoff.
+_OPTIONS: Final = (
+    ('grpc.keepalive_time_ms', 10_000),
+    ('grpc.keepalive_timeout_ms', 3000),
+    ('grpc.keepalive_permit_without_calls', 1),
+    ('grpc.http2.max_pings_without_data', 0),
+    ('grpc.initial_reconnect_backoff_ms', 100),
+    ('grpc.min_reconnect_backoff_ms', 100),
+    ('grpc.max_reconnect_backoff_ms', 1000),
+    ('grpc.max_receive_message_length', 16_777_216),
+    ('grpc.enable_http_proxy', 0),
+)
+
+
+@attrs.frozen
+class Daemon:
+    """A channel to one daemon with the stubs of both services."""
+
+    address: str
+    channel: aio.Channel
+    stub: router_pb2_grpc.AgentStub
+    peer: router_pb2_grpc.PeerStub
+
+
+class Channels:
+    """Channels by address, opened on first use."""
+
+    def __init__(self, peer_key: str) -> None:
+        self.metadata = peer_auth.metadata(peer_key)
+        self._daemons: dict[str, Daemon] = {}
+
+    def at(self, address: str) -> Daemon:
+        """Return the channel to ``host:port``."""
+        known = self._daemons.get(address)
+        if known is None:
+            channel = aio.insecure_channel(address, options=_OPTIONS)
+            known = Daemon(
+                address,
+                channel,
+                router_pb2_grpc.AgentStub(channel),
+                router_pb2_grpc.PeerStub(channel),
+            )
+            self._daemons[address] = known
+        return known
+
+    async def keep_only(self, addresses: set[str]) -> None:
+        """Close the channels to daemons that are gone."""
+        gone = [address for address in self._daemons if address not in addresses]
+        for address in gone:
+            await self._daemons.pop(address).channel.close()
+
+    async def close(self) -> None:
+        """Close all channels."""
+        await self.keep_only(set())
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/membership/directory.py
@@ -0,0 +1,85 @@
+"""The daemons of the fleet, from the platform's lagging VM list."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import eliot
+import mode
+import prometheus_client
+
+from yuccarouter_common import errors
+from yuccarouter_common.platform import vms
+
+LIVE: Final = 'live'
+_MS_PER_S: Final = 1000
+
+_LISTED = prometheus_client.Gauge(
+    'yuccarouter_vms_listed',
+    'VMs in the newest VM list',
+    ('role',),
+)
+
+Listener = Callable[[list[vms.Vm]], Awaitable[None]]
+
+
+class Directory(mode.Service):
+    """Keeps the newest VM list and tells listeners of each one.
+
+    While the list can't be read the last one stays in use: it only says whom
+    to ask, and what is asked answers for itself.
+    """
+
+    def __init__(
+        self,
+        fetch: Callable[[], Awaitable[list[vms.Vm]]],
+        interval_ms: int,
+    ) -> None:
+        super().__init__()
+        self._fetch = fetch
+        self._interval_s = interval_ms / _MS_PER_S
+        self._vms: list[vms.Vm] = []
+        self._listeners: list[Listener] = []
+        self._is_down = False
+
+    def vms(self, role: str = '') -> list[vms.Vm]:
+        """Return the listed VMs, of one role if ``role`` is given."""
+        return [vm for vm in self._vms if role in {'', vm.role}]
+
+    def live(self, role: str) -> list[vms.Vm]:
+        """Return the VMs of a role that are not leaving."""
+        return [vm for vm in self.vms(role) if vm.state == LIVE]
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call ``listener`` with each list."""
+        self._listeners.append(listener)
+
+    async def refresh(self) -> None:
+        """Read the list once."""
+        try:
+            listed = await self._fetch()
+        except errors.RouterError as fault:
+            self._note(is_down=True, reason=fault.message)
+            return
+        self._note(is_down=False, reason='')
+        self._vms = listed
+        for role in ('entry', 'agent'):
+            _LISTED.labels(role).set(len(self.vms(role)))
+        for listener in self._listeners:
+            await listener(listed)
+
+    async def on_start(self) -> None:
+        """Read the first list before anything depends on it."""
+        await self.refresh()
+
+    @mode.Service.task
+    async def _refresh_regularly(self) -> None:
+        while not self.should_stop:
+            await self.sleep(self._interval_s)
+            await self.refresh()
+
+    def _note(self, *, is_down: bool, reason: str) -> None:
+        if is_down is not self._is_down:
+            self._is_down = is_down
+            eliot.log_message('vm_list', is_down=is_down, reason=reason)
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/request_path/attempt.py
@@ -0,0 +1,128 @@
+"""One attempt of a request at one agent."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+import attrs
+import grpc
+from grpc import aio
+
+from yuccarouter.request_path import errors
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from yuccarouter.membership import channels
+    from yuccarouter_common.proto import router_pb2
+
+_CONNECT_TIMEOUT_S: Final = 1.0
+_MS_PER_S: Final = 1000
+
+
+@attrs.frozen
+class Piece:
+    """A part of the answer; whole events where the answer is a stream."""
+
+    data: bytes
+
+
+@attrs.frozen
+class Finished:
+    """The answer is whole."""
+
+    status: int
+    content_type: str
+    finish_reason: str
+    prompt_tokens: int
+    completion_tokens: int
+
+
+Event = Piece | Finished
+
+
+async def run(
+    daemon: channels.Daemon,
+    metadata: tuple[tuple[str, str], ...],
+    request: router_pb2.RunRequest,
+) -> AsyncIterator[Event]:
+    """Run an attempt and yield its answer in order.
+
+    The last event is ``Finished``. Raises ``AttemptRefusedError`` when the
+    endpoint has certainly not seen the attempt and ``AttemptLostError``
+    otherwise. Closing the iterator cancels the attempt at the agent.
+    """
+    # A call that fails on a channel that never became ready was not sent;
+    # later failures can't be told from a lost answer.
+    await _connect(daemon)
+    timeout_s = request.deadline_ms / _MS_PER_S
+    call = daemon.stub.Run(request, metadata=metadata, timeout=timeout_s)
+    expected_sequence = 0
+    try:
+        async for event in call:
+            if event.attempt_id != request.attempt_id:
+                raise errors.AttemptLostError('event of another attempt')
+            kind = event.WhichOneof('event')
+            if kind == 'refused':
+                raise errors.AttemptRefusedError(
+                    event.refused.message,
+                    code=event.refused.code,
+                    retry_after_ms=event.refused.retry_after_ms,
+                )
+            if kind == 'failed':
+                raise _failed(event.failed)
+            if kind == 'done':
+                yield _finished(event.done)
+                return
+            if kind == 'chunk':
+                if event.chunk.sequence != expected_sequence:
+                    raise errors.AttemptLostError('a chunk is missing')
+                expected_sequence += 1
+                yield Piece(event.chunk.data)
+    except aio.AioRpcError as fault:
+        raise _converted(fault) from fault
+    finally:
+        call.cancel()
+    raise errors.AttemptLostError('the agent ended the attempt early')
+
+
+async def _connect(daemon: channels.Daemon) -> None:
+    if daemon.channel.get_state() is grpc.ChannelConnectivity.READY:
+        return
+    try:
+        await asyncio.wait_for(
+            daemon.channel.channel_ready(), _CONNECT_TIMEOUT_S
+        )
+    except asyncio.TimeoutError as fault:
+        raise errors.AttemptRefusedError(
+            f'agent {daemon.address} is unreachable', code='no_endpoint'
+        ) from fault
+
+
+def _failed(failed: router_pb2.Failed) -> errors.AttemptError:
+    if failed.outcome == 'not_run':
+        return errors.AttemptRefusedError(failed.message, code=failed.code)
+    return errors.AttemptLostError(failed.message, code=failed.code)
+
+
+def _converted(fault: aio.AioRpcError) -> errors.AttemptError:
+    if fault.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+        return errors.AttemptLostError(
+            'the attempt took too long', code='deadline_exceeded'
+        )
+    if fault.code() is grpc.StatusCode.UNAUTHENTICATED:
+        return errors.AttemptRefusedError(
+            'the agent has another peer key', code='no_endpoint'
+        )
+    return errors.AttemptLostError(f'the call broke: {fault.code().name}')
+
+
+def _finished(done: router_pb2.Done) -> Finished:
+    return Finished(
+        status=done.status,
+        content_type=done.content_type,
+        finish_reason=done.finish_reason,
+        prompt_tokens=done.usage.prompt_tokens,
+        completion_tokens=done.usage.completion_tokens,
+    )
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/request_path/authentication.py
@@ -0,0 +1,53 @@
+"""Finding the organisation that a bearer token belongs to."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, Final
+
+from yuccarouter_common import model, refusals
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_SCHEME: Final = 'bearer '
+
+
+def digest(key: str) -> str:
+    """Return the form of an organisation key that the configuration holds."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def authenticator(
+    current: Callable[[], model.Configuration],
+) -> Callable[[str], model.Organisation]:
+    """Return a function from an ``Authorization`` header to its organisation.
+
+    The function raises ``RefusalError`` with the code ``unauthenticated``. Its
+    index is rebuilt when the configuration has moved on.
+    """
+    position = model.Position()
+    index: dict[str, model.Organisation] = {}
+
+    def authenticate(header: str) -> model.Organisation:  # noqa: WPS430
+        nonlocal position, index  # noqa: WPS420
+        configuration = current()
+        if configuration.position != position:
+            position = configuration.position
+            index = {
+                key: organisation
+                for organisation in configuration.organisations.values()
+                for key in organisation.key_digests
+            }
+        if not header.lower().startswith(_SCHEME):
+            raise refusals.RefusalError(
+                'unauthenticated', 'a bearer token is required'
+            )
+        found = index.get(digest(header[len(_SCHEME) :].strip()))
+        if found is None:
+            raise refusals.RefusalError(
+                'unauthenticated', 'the bearer token is not known'
+            )
+        return found
+
+    return authenticate
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/request_path/claims.py
@@ -0,0 +1,96 @@
+"""Claims and session pins, asked of the owners of registry partitions."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, Final
+
+from grpc import aio
+
+from yuccarouter.registry import partitions
+from yuccarouter.request_path import errors
+from yuccarouter_common.proto import router_pb2
+
+if TYPE_CHECKING:
+    from yuccarouter.request_path import router
+
+# Owners that are asked for one claim; the log decides whoever is asked.
+_MAX_OWNERS: Final = 2
+_MARGIN_S: Final = 0.5
+_MS_PER_S: Final = 1000
+_UNAVAILABLE: Final = 'unavailable'
+
+
+def request_key(organisation: str, idempotency_key: str) -> str:
+    """Return the registry key of a caller's idempotency key."""
+    return f'request/{organisation}/{idempotency_key}'
+
+
+def session_key(organisation: str, session_id: str) -> str:
+    """Return the registry key of a caller-chosen session id."""
+    return f'session/{organisation}/{session_id}'
+
+
+def request_id(key: str) -> str:
+    """Return the request id that every repeat with a key gets."""
+    return f'r-{hashlib.sha256(key.encode()).hexdigest()[:32]}'
+
+
+async def claim(
+    shared: router.Router, request: router_pb2.ClaimRequest
+) -> router_pb2.ClaimReply:
+    """Claim a key and return whose it is.
+
+    Raises ``RegistryUnavailableError`` when no owner can tell. The same
+    attempt may ask several owners: it holds the key if any of them says so.
+    """
+    timing = shared.conf.timing
+    request.partition = partitions.partition_of(
+        request.key, shared.conf.registry_partitions
+    )
+    request.window_ms = timing.claim_window_ms
+    request.timeout_ms = timing.claim_timeout_ms
+    for address in _owners(shared, request.partition):
+        try:
+            reply: router_pb2.ClaimReply = await shared.daemons.at(
+                address
+            ).stub.Claim(
+                request,
+                metadata=shared.daemons.metadata,
+                timeout=timing.claim_timeout_ms / _MS_PER_S + _MARGIN_S,
+            )
+        except aio.AioRpcError:
+            continue
+        if reply.state != _UNAVAILABLE:
+            return reply
+    raise errors.RegistryUnavailableError(
+        'the registry of claims can not be reached'
+    )
+
+
+async def release(
+    shared: router.Router, claimed: router_pb2.ClaimReply, key: str, holder: str
+) -> None:
+    """Give up a claim of an attempt that certainly has not run."""
+    request = router_pb2.RecordRequest(
+        partition=claimed.partition,
+        key=key,
+        attempt_id=holder,
+        item='release',
+    )
+    for address in _owners(shared, claimed.partition):
+        try:
+            reply = await shared.daemons.at(address).stub.Record(
+                request,
+                metadata=shared.daemons.metadata,
+                timeout=shared.conf.timing.claim_timeout_ms / _MS_PER_S,
+            )
+        except aio.AioRpcError:
+            continue
+        if reply.recorded:
+            return
+
+
+def _owners(shared: router.Router, partition: int) -> list[str]:
+    addresses = [vm.address for vm in shared.known.live('agent')]
+    return partitions.preferred_agents(partition, addresses)[:_MAX_OWNERS]
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/request_path/completions.py
@@ -0,0 +1,151 @@
+"""Chat completions: from a checked request to its answer."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING, Final
+
+import attrs
+from aiohttp import web
+
+from yuccarouter.request_path import (
+    bills,
+    cascading,
+    chat,
+    freshness,
+    intake,
+    plan,
+    prefixes,
+    replies,
+    sender,
+    session_versions,
+    streaming,
+)
+from yuccarouter.routing import allowed, sessions
+from yuccarouter.routing import errors as routing_errors
+from yuccarouter_common import refusals
+
+if TYPE_CHECKING:
+    from yuccarouter.request_path import router
+    from yuccarouter_common import model
+
+_EVENT_STREAM: Final = 'text/event-stream'
+
+
+async def complete(
+    shared: router.Router,
+    request: web.Request,
+    organisation: model.Organisation,
+    progress: plan.Progress,
+) -> web.StreamResponse:
+    """Answer ``POST /v1/chat/completions``.
+
+    Raises ``RefusalError`` as long as no part of the answer has been sent.
+    """
+    body = await intake.read_body(request, shared.conf.limits)
+    asked = chat.parse(body)
+    planned = intake.make_plan(shared, request, organisation, body)
+    planned = attrs.evolve(planned, is_stream=asked.is_stream)
+    bills.check_room(shared)
+    freshness.check(shared, organisation)
+    held = _held(shared, planned)
+    if held is not None:
+        return replies.whole(shared, planned, held)
+    try:
+        planned, resolution = await _resolve(
+            shared, request, planned, asked, progress
+        )
+    except routing_errors.RoutingError as fault:
+        raise sender.refusal(fault, progress) from fault
+    work = cascading.Work(
+        planned, resolution, progress, prefixes.of_prompt(asked.prompt)
+    )
+    if asked.is_stream:
+        return await _stream(shared, request, work)
+    answer = await cascading.answer(shared, work, asked.prompt)
+    _close(shared, planned, answer, progress)
+    return replies.whole(shared, planned, answer)
+
+
+async def _resolve(
+    shared: router.Router,
+    request: web.Request,
+    planned: plan.Plan,
+    asked: chat.ChatRequest,
+    progress: plan.Progress,
+) -> tuple[plan.Plan, allowed.Resolution]:
+    organisation = planned.organisation
+    header = request.headers.get('X-Session-Id', '')
+    if not header:
+        resolution = allowed.resolve(
+            shared.store.current(),
+            organisation,
+            asked.model,
+            planned.request_id,
+            planned.kind.name,
+        )
+        progress.explain(
+            'resolve',
+            asked=asked.model,
+            versions=[version.name for version in resolution.versions],
+        )
+        return planned, resolution
+    session = sessions.read(
+        (shared.session_key,), organisation.name, header
+    )
+    found = await session_versions.version_for(
+        shared, organisation, session, asked.model, progress
+    )
+    return (
+        attrs.evolve(planned, session=session),
+        allowed.Resolution((found.version,)),
+    )
+
+
+async def _stream(
+    shared: router.Router, request: web.Request, work: cascading.Work
+) -> web.StreamResponse:
+    """Stream the answer; refusals before its first event are plain JSON."""
+    planned = work.request
+    sending = cascading.streaming_attempt(shared, work)
+    state = streaming.StreamState()
+    response = web.StreamResponse(
+        headers={
+            **replies.headers_of(shared, planned, sending.target),
+            'Content-Type': _EVENT_STREAM,
+            'Cache-Control': 'no-cache',
+        }
+    )
+    events = streaming.stream(shared, sending, state)
+    async with contextlib.aclosing(events):
+        first = await anext(events, b'')
+        await response.prepare(request)
+        try:
+            await response.write(first)
+            async for data in events:
+                await response.write(data)
+        except refusals.RefusalError as fault:
+            progress_note = fault.code
+            work.progress.explain('stream_cut', code=progress_note)
+            await response.write(replies.refusal_event(fault))
+    if state.answer is not None:
+        _close(shared, planned, state.answer, work.progress)
+    await response.write_eof()
+    return response
+
+
+def _held(shared: router.Router, planned: plan.Plan) -> plan.Answer | None:
+    if not planned.idempotency_key:
+        return None
+    return shared.answers.find(planned.request_id, planned.body_digest)
+
+
+def _close(
+    shared: router.Router,
+    planned: plan.Plan,
+    answer: plan.Answer,
+    progress: plan.Progress,
+) -> None:
+    bills.bill(shared, planned, answer, progress)
+    if planned.idempotency_key:
+        shared.answers.keep(planned.request_id, planned.body_digest, answer)
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/request_path/freshness.py
@@ -0,0 +1,26 @@
+"""Refusing organisations that prefer no answer to an old configuration."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccarouter_common import model, refusals
+
+if TYPE_CHECKING:
+    from yuccarouter.request_path import router
+
+
+def check(shared: router.Router, organisation: model.Organisation) -> None:
+    """Raise ``RefusalError`` when the configuration is too old to be used.
+
+    It is old when neither the log nor a peer has confirmed it lately.
+    """
+    if organisation.stale_policy != model.REFUSE:
+        return
+    age_ms = shared.store.freshness.age_ms()
+    if age_ms > organisation.stale_limit_ms:
+        raise refusals.RefusalError(
+            'configuration_stale',
+            'neither the log nor a peer has confirmed the configuration',
+            retry_after_ms=organisation.stale_limit_ms,
+        )
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/request_path/router.py
@@ -0,0 +1,110 @@
+"""The state of an entry that all its requests share."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+import time
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from yuccarouter_common import refusals
+
+if TYPE_CHECKING:
+    from yuccarouter.billing import ledger
+    from yuccarouter.configuration import store
+    from yuccarouter.membership import channels, directory
+    from yuccarouter.request_path import (
+        answers,
+        explanations,
+        session_versions,
+        settlements,
+    )
+    from yuccarouter.routing import latency, retry_budget, views
+    from yuccarouter_common import model, settings
+
+_MS_PER_S: Final = 1000
+_BUSY_RETRY_MS: Final = 500
+
+
+@attrs.define
+class Load:
+    """Requests in progress, in all and by organisation."""
+
+    max_requests: int
+    total: int = 0
+    by_organisation: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+    is_draining: bool = False
+    idle: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def enter(self, organisation: model.Organisation) -> None:
+        """Count a request in.
+
+        Raises ``RefusalError``: ``shutting_down``, ``overloaded`` or
+        ``organisation_limit``.
+        """
+        if self.is_draining:
+            raise refusals.RefusalError(
+                'shutting_down',
+                'this process is shutting down',
+                retry_after_ms=_BUSY_RETRY_MS,
+            )
+        if self.total >= self.max_requests:
+            raise refusals.RefusalError(
+                'overloaded',
+                'too many requests are in progress',
+                retry_after_ms=_BUSY_RETRY_MS,
+            )
+        running = self.by_organisation[organisation.name]
+        if running >= organisation.max_concurrent:
+            raise refusals.RefusalError(
+                'organisation_limit',
+                f'{running} requests of the organisation are in progress',
+                retry_after_ms=_BUSY_RETRY_MS,
+            )
+        self.total += 1
+        self.by_organisation[organisation.name] += 1
+        self.idle.clear()
+
+    def leave(self, organisation: model.Organisation) -> None:
+        """Count a request out."""
+        self.total -= 1
+        self.by_organisation[organisation.name] -= 1
+        if not self.by_organisation[organisation.name]:
+            self.by_organisation.pop(organisation.name)
+        if not self.total:
+            self.idle.set()
+
+
+@attrs.frozen
+class Router:
+    """What the request path works with."""
+
+    conf: settings.Settings
+    store: store.Store
+    fleet: views.Fleet
+    daemons: channels.Channels
+    known: directory.Directory
+    ledger: ledger.Ledger
+    settlements: settlements.Settlements
+    budget: retry_budget.RetryBudget
+    latencies: latency.Latencies
+    answers: answers.HeldAnswers
+    explanations: explanations.Explanations
+    load: Load
+    pins: session_versions.KnownPins
+    rng: random.Random = attrs.field(factory=random.Random)
+
+    @property
+    def session_key(self) -> bytes:
+        """The key that signs session tokens."""
+        return self.conf.secrets.session_key.encode()
+
+
+def now_ms() -> float:
+    """Return the monotonic time in milliseconds."""
+    return time.monotonic() * _MS_PER_S
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/request_path/streaming.py
@@ -0,0 +1,125 @@
+"""Streaming an answer, resumed elsewhere when an attempt breaks."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from yuccarouter.request_path import (
+    attempt,
+    errors,
+    events,
+    plan,
+    retries,
+    sender,
+)
+
+if TYPE_CHECKING:
+    from yuccarouter.request_path import router
+
+_EVENT_STREAM: Final = 'text/event-stream'
+
+
+@attrs.define
+class StreamState:
+    """What the caller has received of a stream.
+
+    ``answer`` is set when the stream is whole.
+    """
+
+    text: str = ''
+    stream_id: str = ''
+    has_opened: bool = False
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    # Tokens that the present attempt has sent; its engine's own count replaces
+    # them when it ends well.
+    attempt_tokens: int = 0
+    parts: list[bytes] = attrs.field(factory=list)
+    answer: plan.Answer | None = None
+
+
+async def stream(
+    shared: router.Router, first: sender.Sending, state: StreamState
+) -> AsyncIterator[bytes]:
+    """Yield the events for the caller without a gap or a repetition.
+
+    A broken attempt is resumed by another one of the same version, which gets
+    the text sent so far and continues after it. Raises ``RefusalError``.
+    """
+    sending = first
+    while state.answer is None:
+        try:
+            async for data in _attempt(shared, sending, state):
+                yield data
+        except errors.AttemptError as fault:
+            state.completion_tokens += state.attempt_tokens
+            await retries.may_repeat(
+                shared, sending.request, sending.progress, fault
+            )
+            sending = attrs.evolve(
+                sending,
+                attempt_id=sender.new_attempt_id(),
+                resume_text=state.text,
+            )
+    shared.budget.succeeded()
+
+
+async def _attempt(
+    shared: router.Router, sending: sender.Sending, state: StreamState
+) -> AsyncIterator[bytes]:
+    is_done = False
+    state.attempt_tokens = 0
+    running = sender.run(shared, sending)
+    async with contextlib.aclosing(running):
+        async for event in running:
+            if isinstance(event, attempt.Finished):
+                _finish(sending, event, state, is_done)
+                return
+            for part in events.split(event.data):
+                is_done = is_done or part.is_done
+                data = _pass_on(part, state)
+                if data:
+                    state.parts.append(data)
+                    yield data
+
+
+def _pass_on(event: events.StreamEvent, state: StreamState) -> bytes:
+    """Return the event as the caller gets it; empty if it is a repetition."""
+    if event.document is None:
+        return event.raw
+    if not state.stream_id:
+        state.stream_id = str(event.document.get('id', ''))
+    if event.is_opening:
+        if state.has_opened:
+            return b''
+        state.has_opened = True
+    text = event.text
+    if text:
+        state.text += text
+        state.attempt_tokens += 1
+    return events.with_id(event, state.stream_id).raw
+
+
+def _finish(
+    sending: sender.Sending,
+    end: attempt.Finished,
+    state: StreamState,
+    is_done: bool,
+) -> None:
+    if not is_done:
+        raise errors.AttemptLostError('the stream ended without its last event')
+    state.prompt_tokens = state.prompt_tokens or end.prompt_tokens
+    state.completion_tokens += end.completion_tokens
+    state.answer = plan.Answer(
+        status=end.status,
+        body=b''.join(state.parts),
+        content_type=end.content_type or _EVENT_STREAM,
+        target=sending.target,
+        prompt_tokens=state.prompt_tokens,
+        completion_tokens=state.completion_tokens,
+        attempt_id=sending.attempt_id,
+    )
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/roles/__init__.py
@@ -0,0 +1,1 @@
+"""The two roles of the daemon, each a tree of services."""
