Add test doubles of the log, the engines and the plain services

Cause: the daemon can't be run or tested without the systems around it. Change: aiohttp applications for the log, an engine with continuous batching, prefix cache, cold start and resumable deterministic answers, and the desk and ledger apps. POST /faults injects faults into each; unknown faults are refused.

--- /dev/null
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/completions.py
@@ -0,0 +1,265 @@
+"""Chat completions of the engine emulator, as JSON and as an event stream."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections.abc import AsyncIterator
+from typing import Any, Final
+
+import attrs
+import orjson
+from aiohttp import web
+
+from yuccarouter_testkit.stand_ins import batch, engine_state, faults, texts
+
+_DONE: Final = b'data: [DONE]\n\n'
+
+
+@attrs.frozen
+class _Call:
+    """A request that has been checked."""
+
+    model: str
+    prompt: str
+    stream: bool
+    priority: int
+    max_tokens: int | None
+    resume_text: str
+
+
+@attrs.define(eq=False)
+class _Run:
+    """A request that runs; ``usage`` counts this attempt's new tokens."""
+
+    engine: engine_state.Engine
+    request: web.Request
+    call: _Call
+    served: engine_state.Served
+    stream: batch.Stream
+    finish_reason: str
+
+    @property
+    def usage(self) -> dict[str, int]:
+        prompt_tokens = self.served.prompt_tokens
+        completion_tokens = self.served.completion_tokens
+        return {
+            'prompt_tokens': prompt_tokens,
+            'completion_tokens': completion_tokens,
+            'total_tokens': prompt_tokens + completion_tokens,
+        }
+
+    def is_cut(self) -> bool:
+        """Return whether a fault or the caller has ended the connection."""
+        injected = self.engine.injector.current
+        limit = injected.die_after_tokens
+        if injected.down:
+            return True
+        if limit is not None and self.served.completion_tokens >= limit:
+            return True
+        transport = self.request.transport
+        return transport is None or transport.is_closing()
+
+    def end(self, state: str) -> None:
+        self.served.state = state
+        self.engine.streams.pop(self.stream.stream_id, None)
+        self.engine.batching.remove(self.stream)
+        if state == engine_state.COMPLETED:
+            self.engine.complete()
+        self.engine.note_load()
+
+
+async def complete(
+    engine: engine_state.Engine,
+    request: web.Request,
+) -> web.StreamResponse:
+    """Answer one chat completion.
+
+    The stream's id for ``POST /streams/{id}/cancel`` is the caller's
+    ``X-Attempt-Id`` or else one that ``X-Stream-Id`` of the answer names.
+    """
+    try:
+        call = _parse(await request.read())
+    except (ValueError, TypeError, KeyError, AttributeError) as bad:
+        return faults.error_response(400, 'invalid_request', repr(bad))
+    if call.model not in engine.versions:
+        return faults.error_response(404, 'model_not_found', call.model)
+    if engine.batching.waiting >= engine.settings.max_queued:
+        return faults.error_response(503, 'overloaded', 'the queue is full')
+    try:
+        run = _start(engine, request, call)
+    except ValueError as bad:
+        return faults.error_response(400, 'invalid_resume_text', str(bad))
+    if engine.is_cold_overloaded():
+        run.served.over_cold_limit = True
+        run.end(engine_state.FAILED)
+        return faults.error_response(500, 'overloaded', 'the engine is cold')
+    engine.streams[run.stream.stream_id] = run.stream
+    engine.batching.add(run.stream)
+    engine.note_load()
+    return await _answer(run)
+
+
+def _parse(body: bytes) -> _Call:
+    document = orjson.loads(body)
+    max_tokens = document.get('max_tokens')
+    return _Call(
+        model=str(document['model']),
+        prompt=texts.prompt_text(document['messages']),
+        stream=bool(document.get('stream', False)),
+        priority=int(document.get('priority', 0)),
+        max_tokens=None if max_tokens is None else int(max_tokens),
+        resume_text=str(document.get('resume_text', '')),
+    )
+
+
+def _start(
+    engine: engine_state.Engine,
+    request: web.Request,
+    call: _Call,
+) -> _Run:
+    left, is_whole = _remaining(engine, call)
+    attempt_id = request.headers.get('X-Attempt-Id', '')
+    prefixes = texts.prefix_hashes(call.prompt)
+    missing = len(prefixes) - engine.cache.use(prefixes)
+    served = engine_state.Served(
+        stream_id=attempt_id or uuid.uuid4().hex,
+        attempt_id=attempt_id,
+        idempotency_key=request.headers.get('Idempotency-Key', ''),
+        model=call.model,
+        stream=call.stream,
+        resumed=bool(call.resume_text),
+        prompt_tokens=texts.count_tokens(call.prompt),
+        time_ms=time.time_ns() // 1_000_000,
+    )
+    engine.served.append(served)
+    stream = batch.Stream(
+        served.stream_id,
+        call.priority,
+        left,
+        # The rest of the prompt after the last whole block is never cached.
+        (missing + 1) * engine.settings.timing.prefill_ms,
+    )
+    reason = 'stop' if is_whole else 'length'
+    return _Run(engine, request, call, served, stream, reason)
+
+
+def _remaining(
+    engine: engine_state.Engine,
+    call: _Call,
+) -> tuple[list[str], bool]:
+    now, own = engine.qualities(call.model)
+    # A stream that started before a fault of quality goes on as it began.
+    for quality in (now, own):
+        whole = texts.answer_tokens(call.prompt, call.model, quality)
+        tokens = whole[: call.max_tokens]
+        if ''.join(tokens).startswith(call.resume_text):
+            left = texts.remaining_tokens(tokens, call.resume_text)
+            return left, len(tokens) == len(whole)
+    raise ValueError('resume_text is not the start of the answer')
+
+
+async def _answer(run: _Run) -> web.StreamResponse:
+    state = engine_state.BROKEN
+    try:
+        if run.call.stream:
+            response = await _answer_events(run)
+        else:
+            response = await _answer_json(run)
+        if response is not None:
+            state = engine_state.COMPLETED
+            if run.stream.cancelled:
+                state = engine_state.CANCELLED
+    except ConnectionError:
+        response = None
+    finally:
+        run.end(state)
+    return faults.drop_connection(run.request) if response is None else response
+
+
+async def _tokens(run: _Run) -> AsyncIterator[str]:
+    token = await run.stream.arrived.get()
+    while token is not None:
+        yield token
+        token = await run.stream.arrived.get()
+    if run.stream.cancelled:
+        run.finish_reason = 'cancelled'
+
+
+async def _answer_json(run: _Run) -> web.Response | None:
+    parts: list[str] = []
+    async for token in _tokens(run):
+        if run.is_cut():
+            return None
+        parts.append(token)
+        run.served.completion_tokens += 1
+    message = {'role': 'assistant', 'content': ''.join(parts)}
+    response = faults.json_response(
+        {
+            **_head(run, 'chat.completion'),
+            'choices': [
+                {
+                    'index': 0,
+                    'message': message,
+                    'finish_reason': run.finish_reason,
+                }
+            ],
+            'usage': run.usage,
+        }
+    )
+    response.headers['X-Stream-Id'] = run.stream.stream_id
+    return response
+
+
+async def _answer_events(run: _Run) -> web.StreamResponse | None:
+    response = web.StreamResponse(
+        headers={
+            'Content-Type': 'text/event-stream',
+            'Cache-Control': 'no-cache',
+            'X-Stream-Id': run.stream.stream_id,
+        }
+    )
+    sends = not run.request.get('lose_answer', False)
+    if sends:
+        await response.prepare(run.request)
+        await response.write(_event(run, {'role': 'assistant', 'content': ''}))
+    async for token in _tokens(run):
+        if run.is_cut():
+            return None
+        run.served.completion_tokens += 1
+        if sends:
+            await response.write(_event(run, {'content': token}))
+    if not sends:
+        return response
+    await response.write(_event(run, {}, run.finish_reason))
+    usage = {
+        **_head(run, 'chat.completion.chunk'),
+        'choices': [],
+        'usage': run.usage,
+    }
+    await response.write(_frame(usage))
+    await response.write(_DONE)
+    await response.write_eof()
+    return response
+
+
+def _event(
+    run: _Run,
+    delta: dict[str, Any],
+    finish_reason: str | None = None,
+) -> bytes:
+    choice = {'index': 0, 'delta': delta, 'finish_reason': finish_reason}
+    return _frame({**_head(run, 'chat.completion.chunk'), 'choices': [choice]})
+
+
+def _head(run: _Run, kind: str) -> dict[str, Any]:
+    return {
+        'id': run.stream.stream_id,
+        'object': kind,
+        'created': run.served.time_ms // 1000,
+        'model': run.call.model,
+    }
+
+
+def _frame(document: dict[str, Any]) -> bytes:
+    return b'data: %b\n\n' % orjson.dumps(document)
--- /dev/null
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/engine_state.py
@@ -0,0 +1,255 @@
+"""State of the engine emulator: versions, cold start, reports, faults."""
+
+from __future__ import annotations
+
+import collections
+import time
+from typing import Any, Final
+
+import attrs
+
+from yuccarouter_testkit.stand_ins import batch, faults
+
+_MAX_SERVED: Final = 200_000
+_MAX_EVENTS: Final = 20_000
+
+RUNNING: Final = 'running'
+COMPLETED: Final = 'completed'
+CANCELLED: Final = 'cancelled'
+BROKEN: Final = 'broken'
+FAILED: Final = 'failed'
+
+
+@attrs.frozen
+class Settings:
+    """What the engine serves and how much load it takes.
+
+    ``versions`` maps ``model@version`` names to their quality from 0 to 1.
+    ``capacity`` is the largest batch; ``max_queued`` further requests wait and
+    the next ones get 503. A cold engine bears ``cold_limit`` concurrent
+    requests, fails those above and is warm after ``warm_after`` completed
+    ones. ``load_ms`` is the time to load a version.
+    """
+
+    versions: dict[str, float] = attrs.field(factory=dict)
+    capacity: int = 16
+    max_queued: int = 64
+    cold: bool = False
+    cold_limit: int = 1
+    warm_after: int = 8
+    checks_fencing: bool = False
+    load_ms: float = 50
+    cache_blocks: int = 1024
+    timing: batch.Timing = batch.Timing()
+
+
+@attrs.frozen
+class EngineFaults(faults.Faults):
+    """Faults of an engine.
+
+    ``lag_ms`` is the age of load reports and cache events. ``gap_share`` is
+    the share of cache events that are never published. ``die_after_tokens``
+    breaks the connection of each answer after that many tokens. ``quality``
+    overrides the quality of versions. ``cold`` makes the engine cold or warm
+    once.
+    """
+
+    lag_ms: float = 0
+    gap_share: float = 0
+    die_after_tokens: int | None = None
+    quality: dict[str, float] = attrs.field(factory=dict)
+    cold: bool | None = None
+
+
+@attrs.define(eq=False)
+class Served:
+    """A request that the engine started, for checks of invariants."""
+
+    stream_id: str
+    attempt_id: str
+    idempotency_key: str
+    model: str
+    stream: bool
+    resumed: bool
+    prompt_tokens: int
+    time_ms: int
+    state: str = RUNNING
+    completion_tokens: int = 0
+    over_cold_limit: bool = False
+
+
+@attrs.frozen
+class Order:
+    """An order and whether the engine accepted it."""
+
+    order: str
+    model: str = ''
+    version: str = ''
+    adapter: str = ''
+    role: str = ''
+    fencing_number: int = 0
+
+
+@attrs.frozen
+class _Report:
+    taken_s: float
+    in_flight: int
+    cold: bool
+    kv_used: float
+    versions: tuple[str, ...]
+
+
+@attrs.frozen
+class _CacheEvent:
+    offset: int
+    event: str
+    prefix: int
+    time_s: float
+
+
+@attrs.define(eq=False)
+class Engine:
+    """The emulated engine."""
+
+    settings: Settings
+    versions: dict[str, float] = attrs.field(init=False)
+    cold: bool = attrs.field(init=False)
+    injector: faults.Injector = attrs.field(init=False)
+    cache: batch.PrefixCache = attrs.field(init=False)
+    served: collections.deque[Served] = attrs.field(init=False)
+    batching: batch.Batch = attrs.field(init=False)
+    orders: list[dict[str, Any]] = attrs.field(factory=list)
+    streams: dict[str, batch.Stream] = attrs.field(factory=dict)
+    highest_fencing_number: int = -1
+    role: str = ''
+    cold_overloads: int = 0
+    max_in_flight: int = 0
+    max_in_flight_cold: int = 0
+    # 0 while the engine is warm.
+    cold_since_ms: int = 0
+    _warm_progress: int = 0
+    _reports: collections.deque[_Report] = attrs.field(
+        factory=collections.deque
+    )
+    _events: collections.deque[_CacheEvent] = attrs.field(init=False)
+    _next_event: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Build the parts that depend on the settings."""
+        self.versions = dict(self.settings.versions)
+        self.switch_cold(self.settings.cold)
+        self.served = collections.deque(maxlen=_MAX_SERVED)
+        self._events = collections.deque(maxlen=_MAX_EVENTS)
+        self.injector = faults.Injector(
+            EngineFaults(),
+            self._on_fault,
+            frozenset(('/served',)),
+        )
+        self.batching = batch.Batch(
+            self.settings.capacity,
+            self.settings.timing,
+            lambda: self.cold,
+            lambda: self.injector.current.hang,
+        )
+        self.cache = batch.PrefixCache(
+            self.settings.cache_blocks, self._on_cache_event
+        )
+        self.note_load()
+
+    def qualities(self, version: str) -> tuple[float, float]:
+        """Return a version's quality as faults have it now, and its own."""
+        own = self.versions[version]
+        override: dict[str, float] = self.injector.current.quality
+        return override.get(version, own), own
+
+    def is_cold_overloaded(self) -> bool:
+        """Return whether a cold engine is given one more than it bears."""
+        if not self.cold:
+            return False
+        if self.batching.in_flight < self.settings.cold_limit:
+            return False
+        self.cold_overloads += 1
+        self._warm_progress = 0
+        return True
+
+    def complete(self) -> None:
+        """Count a completed request towards the end of the cold start."""
+        self._warm_progress += 1
+        if self.cold and self._warm_progress >= self.settings.warm_after:
+            self.switch_cold(False)
+
+    def switch_cold(self, cold: bool) -> None:
+        """Start or end a cold start."""
+        self.cold = cold
+        self.cold_since_ms = time.time_ns() // 1_000_000 if cold else 0
+        self._warm_progress = 0
+
+    def note_load(self) -> None:
+        """Remember the present load for reports that lag."""
+        in_flight = self.batching.in_flight
+        self.max_in_flight = max(self.max_in_flight, in_flight)
+        if self.cold:
+            self.max_in_flight_cold = max(self.max_in_flight_cold, in_flight)
+        self._reports.append(
+            _Report(
+                time.monotonic(),
+                in_flight,
+                self.cold,
+                self.cache.used_share,
+                tuple(sorted(self.versions)),
+            )
+        )
+        self._drop_old_reports()
+
+    def report(self) -> dict[str, Any]:
+        """Return the load as it was ``lag_ms`` ago."""
+        self._drop_old_reports()
+        seen = self._reports[0]
+        return {
+            'in_flight': seen.in_flight,
+            'capacity': self.settings.capacity,
+            'cold': seen.cold,
+            'kv_used': seen.kv_used,
+            'age_ms': int(self.injector.current.lag_ms),
+            'versions': list(seen.versions),
+        }
+
+    def cache_events(self, start: int) -> dict[str, Any]:
+        """Return the published cache events from an offset on."""
+        lag_s = self.injector.current.lag_ms / 1000
+        horizon_s = time.monotonic() - lag_s
+        old = [event for event in self._events if event.time_s <= horizon_s]
+        end = old[-1].offset + 1 if old else 0
+        return {
+            'events': [
+                {
+                    'offset': event.offset,
+                    'event': event.event,
+                    'prefix': event.prefix,
+                }
+                for event in old
+                if event.offset >= start
+            ],
+            'end_offset': end,
+        }
+
+    def _on_cache_event(self, event: str, prefix: int) -> None:
+        offset = self._next_event
+        self._next_event += 1
+        if self.injector.chance(self.injector.current.gap_share):
+            return
+        self._events.append(
+            _CacheEvent(offset, event, prefix, time.monotonic())
+        )
+
+    def _on_fault(self, given: dict[str, Any]) -> None:
+        if given.get('cold') is not None:
+            self.switch_cold(given['cold'])
+            self.note_load()
+
+    def _drop_old_reports(self) -> None:
+        # Keeps the newest report that is older than the lag as the first.
+        horizon_s = time.monotonic() - self.injector.current.lag_ms / 1000
+        reports = self._reports
+        while len(reports) > 1 and reports[1].taken_s <= horizon_s:
+            reports.popleft()
--- /dev/null
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/serving.py
@@ -0,0 +1,70 @@
+"""Running a double as a process."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from collections.abc import Callable
+from typing import Final, TypeVar
+
+import cattrs
+import orjson
+from absl import flags
+from aiohttp import web
+
+from yuccarouter_testkit.stand_ins import faults
+
+_BAD_USAGE: Final = 2
+_SHUTDOWN_S: Final = 1.0
+
+_Settings = TypeVar('_Settings')
+
+
+def main(
+    make_app: Callable[[_Settings], web.Application],
+    settings_type: type[_Settings],
+) -> None:
+    """Serve a double until SIGTERM or SIGINT.
+
+    Flags: ``--host``, ``--port`` (0 chooses a free one) and ``--settings``, a
+    JSON object with fields of the double's settings. The port is printed as
+    the only line of standard output.
+    """
+    try:
+        flag_values = _parse_flags(sys.argv)
+        settings = faults.converter.structure(
+            orjson.loads(flag_values.settings), settings_type
+        )
+    except (flags.Error, ValueError, cattrs.BaseValidationError) as bad:
+        sys.stderr.write(f'{bad!r}\n')
+        sys.exit(_BAD_USAGE)
+    asyncio.run(_serve(make_app(settings), flag_values.host, flag_values.port))
+
+
+def _parse_flags(arguments: list[str]) -> flags.FlagValues:
+    # Own flag values: the doubles are also imported beside the daemon, whose
+    # flags have some of the same names.
+    parsed = flags.FlagValues()  # type: ignore[no-untyped-call]
+    flags.DEFINE_string('host', '127.0.0.1', 'address', flag_values=parsed)
+    flags.DEFINE_integer('port', 0, 'port; 0 chooses one', flag_values=parsed)
+    flags.DEFINE_string(
+        'settings', '{}', 'settings as a JSON object', flag_values=parsed
+    )
+    parsed(arguments)
+    return parsed
+
+
+async def _serve(app: web.Application, host: str, port: int) -> None:
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=_SHUTDOWN_S)
+    await runner.setup()
+    site = web.TCPSite(runner, host, port)
+    await site.start()
+    sys.stdout.write(f'{runner.addresses[0][1]}\n')
+    sys.stdout.flush()
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
+    await runner.cleanup()
