--- /dev/null
+++ b/packages/common/src/yuccarouter_common/platform/exchanges.py
@@ -0,0 +1,100 @@
+"""One HTTP exchange with a platform service, with its errors converted."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final, TypeVar
+
+import aiohttp
+import attrs
+import cattrs
+import orjson
+
+from yuccarouter_common import records
+from yuccarouter_common.platform import errors
+
+_HTTP_OK: Final = 200
+_HTTP_TOO_MANY: Final = 429
+# Used when a 429 has no Retry-After that is a number of seconds.
+_DEFAULT_RETRY_MS: Final = 1000
+
+_Answer = TypeVar('_Answer')
+
+
+@attrs.frozen
+class Exchange:
+    """What to send to a service.
+
+    ``has_effect`` says that a lost answer leaves open whether the call took
+    effect.
+    """
+
+    service: str
+    method: str
+    url: str
+    timeout_s: float
+    body: bytes | None = None
+    query: dict[str, str] = attrs.field(factory=dict)
+    has_effect: bool = False
+
+
+async def send(session: aiohttp.ClientSession, exchange: Exchange) -> bytes:
+    """Return the body of a 200.
+
+    Raises ``RateLimitedError`` for 429, ``UnavailableError`` for another
+    status or when nothing took effect, and ``AnswerLostError`` when that is
+    not known.
+    """
+    try:
+        async with session.request(
+            exchange.method,
+            exchange.url,
+            data=exchange.body,
+            params=exchange.query,
+            timeout=aiohttp.ClientTimeout(total=exchange.timeout_s),
+        ) as response:
+            return await _read(exchange, response)
+    except aiohttp.ClientConnectorError as fault:
+        raise errors.UnavailableError(
+            f'{exchange.service} is unreachable'
+        ) from fault
+    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as fault:
+        if exchange.has_effect:
+            raise errors.AnswerLostError(
+                f'answer of {exchange.service} lost'
+            ) from fault
+        raise errors.UnavailableError(
+            f'{exchange.service} does not answer'
+        ) from fault
+
+
+def structure(service: str, answer: bytes, kind: type[_Answer]) -> _Answer:
+    """Parse an answer; raises ``BadAnswerError``."""
+    try:
+        return records.converter.structure(orjson.loads(answer), kind)
+    except (ValueError, TypeError, cattrs.BaseValidationError) as fault:
+        raise errors.BadAnswerError(
+            f'bad answer of {service}: {fault}'
+        ) from fault
+
+
+async def _read(
+    exchange: Exchange,
+    response: aiohttp.ClientResponse,
+) -> bytes:
+    answer = await response.read()
+    if response.status == _HTTP_OK:
+        return answer
+    if response.status == _HTTP_TOO_MANY:
+        raise errors.RateLimitedError(
+            f'{exchange.service} limits the rate',
+            _retry_after_ms(response),
+        )
+    raise errors.UnavailableError(
+        f'{exchange.service} answered {response.status}'
+    )
+
+
+def _retry_after_ms(response: aiohttp.ClientResponse) -> int:
+    seconds = response.headers.get('Retry-After', '')
+    return int(seconds) * 1000 if seconds.isdecimal() else _DEFAULT_RETRY_MS
