--- /dev/null
+++ b/packages/daemon/tests/routing/test_choice.py
@@ -0,0 +1,164 @@
+"""Tests of the choice of an endpoint."""
+
+from __future__ import annotations
+
+import collections
+import random
+from typing import Any
+
+import pytest
+from yuccarouter_common import model
+
+from yuccarouter.routing import choice, errors, views
+
+_VERSION = 'clue@1'
+
+
+def _fleet(reports: list[views.EndpointView], now_ms: float = 0) -> views.Fleet:
+    fleet = views.Fleet(lambda: now_ms, random.Random(1).random)
+    for report in reports:
+        fleet.update(report)
+    return fleet
+
+
+def _view(name: str, **fields: Any) -> views.EndpointView:
+    return views.EndpointView(
+        **{
+            'endpoint': name,
+            'vm': name,
+            'data_centre': 'a',
+            'pool': 'p',
+            'address': '127.0.0.1:1',
+            'versions': (_VERSION,),
+            'limit': 8,
+            'service_time_ms': 400.0,
+            'first_token_ms': 100.0,
+            **fields,
+        }
+    )
+
+
+def _configuration(**weights: float) -> model.Configuration:
+    return model.Configuration(
+        pools={'p': model.Pool('p', weights=model.Weights(**weights))},
+        data_centres={
+            'a': model.DataCentre('a', 'south'),
+            'b': model.DataCentre('b', 'south'),
+            'c': model.DataCentre('c', 'north'),
+            'out': model.DataCentre('out', 'south', model.OUT_OF_SERVICE),
+        },
+    )
+
+
+_REQUEST = choice.Request('p', _VERSION, 'a')
+
+
+@pytest.mark.parametrize(
+    ('worse', 'better', 'weights', 'request_fields'),
+    [
+        ({'in_flight': 8}, {'in_flight': 1}, {}, {}),
+        ({'queued': 20}, {'data_centre': 'c'}, {}, {}),
+        ({'data_centre': 'b'}, {}, {}, {}),
+        ({'data_centre': 'c'}, {'data_centre': 'b'}, {}, {}),
+        ({'state': 'cold'}, {'in_flight': 7}, {}, {}),
+        ({}, {'state': 'cold', 'data_centre': 'a'}, {'cold': -1}, {}),
+        ({}, {'prefixes': frozenset([5])}, {}, {'prefixes': (5,)}),
+        (
+            {'prefixes': frozenset([5])},
+            {'in_flight': 1},
+            {'cache': -1},
+            {'prefixes': (5,)},
+        ),
+        ({}, {}, {}, {'session_endpoint': 'better'}),
+        ({}, {'in_flight': 8}, {}, {'excluded': frozenset(['worse'])}),
+        ({'data_centre': 'out'}, {'queued': 50}, {}, {}),
+        ({'versions': ('clue@2',)}, {'queued': 50}, {}, {}),
+        ({'state': 'leaving'}, {'queued': 50}, {}, {}),
+        ({'state': 'down'}, {'queued': 50}, {}, {}),
+        ({'pool': 'q'}, {'queued': 50}, {}, {}),
+        # A cold endpoint at its limit is the last resort.
+        ({'state': 'cold', 'limit': 1, 'in_flight': 1}, {'queued': 90}, {}, {}),
+    ],
+)
+def test_order(
+    worse: dict[str, Any],
+    better: dict[str, Any],
+    weights: dict[str, float],
+    request_fields: dict[str, Any],
+) -> None:
+    """Guards against a part of the score or a condition being ignored."""
+    fleet = _fleet([_view('worse', **worse), _view('better', **better)])
+    request = choice.Request('p', _VERSION, 'a', **request_fields)
+    for seed in range(20):
+        chosen = choice.choose(
+            fleet,
+            request,
+            _configuration(**weights),
+            0,
+            random.Random(seed).random,
+        )
+        assert chosen.endpoint == 'better'
+
+
+@pytest.mark.parametrize('source', ['session', 'prefix'])
+def test_affinity_does_not_revive(source: str) -> None:
+    """Guards against affinity that ignores a data centre taken out."""
+    fleet = _fleet([_view('e', data_centre='out', prefixes=frozenset([5]))])
+    request = choice.Request('p', _VERSION, 'a', 'e', (5,))
+    with pytest.raises(errors.RoutingError) as raised:
+        choice.choose(fleet, request, _configuration(), 0, random.random)
+    assert raised.value.code == 'no_endpoint'
+    assert raised.value.retry_after_ms > 0
+
+
+def test_failures_count_by_weight() -> None:
+    """Guards against an endpoint that fails fast looking the least loaded."""
+    fleet = _fleet([_view('bad'), _view('good', in_flight=4)])
+    for _ in range(20):
+        fleet.started('bad')
+        fleet.finished('bad', ok=False)
+    chosen = choice.choose(
+        fleet, _REQUEST, _configuration(exposure=1.0), 0, random.random
+    )
+    assert chosen.endpoint == 'good'
+
+
+def test_reasons_explain_the_choice() -> None:
+    """Guards against reasons that don't add up to the decision."""
+    fleet = _fleet([_view(f'e{n}', in_flight=n) for n in range(8)])
+    chosen = choice.choose(fleet, _REQUEST, _configuration(), 0, random.random)
+    scores = [candidate.score for candidate in chosen.candidates]
+    assert scores == sorted(scores)
+    assert chosen.candidates[0].endpoint == chosen.endpoint
+    assert chosen.candidates[0].load == fleet.load(chosen.endpoint)
+
+
+@pytest.mark.parametrize('prefixes', [(), (5,)])
+def test_no_herding_on_one_report(prefixes: tuple[int, ...]) -> None:
+    """Guards against many entries following the same old report.
+
+    Each entry has the same reports, in which one endpoint is idle, and makes
+    five choices before the next report. Always taking the least loaded one
+    sends all first choices to the idle endpoint.
+    """
+    reports = [
+        _view(
+            f'e{n}',
+            in_flight=4 * (n > 0),
+            prefixes=frozenset([5]) if n < 10 else frozenset(),
+        )
+        for n in range(40)
+    ]
+    counts: collections.Counter[str] = collections.Counter()
+    rng = random.Random(3)
+    request = choice.Request('p', _VERSION, 'a', prefixes=prefixes)
+    for _ in range(100):
+        fleet = _fleet(reports)
+        for _ in range(5):
+            chosen = choice.choose(
+                fleet, request, _configuration(), 0, rng.random
+            )
+            fleet.started(chosen.endpoint)
+            counts[chosen.endpoint] += 1
+    # The share of the idle endpoint in the samples bounds its share of work.
+    assert counts['e0'] <= 0.25 * 500
