Run attempts at the endpoint from the agent's gRPC service

Entries need a Run call to build the request path on. Run checks the agent's own configuration, waits for a slot (a fixed limit and a first-come queue for now), calls the engine or plain service over one aiohttp session and writes Accepted, Chunk, Done, Refused or Failed.

aiohttp repeats GET, PUT and DELETE calls when a kept connection breaks.

--- /dev/null
+++ b/packages/daemon/src/yuccarouter/admission/calls.py
@@ -0,0 +1,154 @@
+"""HTTP calls to the endpoint, with what is known of their effect."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from types import SimpleNamespace
+from typing import Any, Final
+
+import aiohttp
+import attrs
+import orjson
+
+from yuccarouter.admission import errors
+from yuccarouter_common.proto import router_pb2
+
+_CONNECT_TIMEOUT_S: Final = 1.0
+_CANCEL_TIMEOUT_S: Final = 2.0
+# Shorter than the idle timeout of common HTTP servers, so that a call is
+# rarely sent on a connection that the endpoint is closing.
+_KEEPALIVE_S: Final = 4.0
+_COMPLETIONS_PATH: Final = '/v1/chat/completions'
+_JSON: Final = 'application/json'
+
+
+@attrs.define
+class Exchange:
+    """Progress of one call; ``on_sent`` runs as its headers go out.
+
+    ``sent`` turns true before the first byte leaves, so a call whose ``sent``
+    is false has certainly not run.
+    """
+
+    on_sent: Callable[[], Awaitable[None]] | None = None
+    sent: bool = False
+
+
+def new_session() -> aiohttp.ClientSession:
+    """Return the session that all calls to the endpoint share.
+
+    The agent's gate bounds concurrency, so the connector does not.
+    """
+    tracing = aiohttp.TraceConfig()
+    tracing.on_connection_create_start.append(_on_connection)
+    tracing.on_connection_reuseconn.append(_on_connection)
+    tracing.on_request_headers_sent.append(_on_headers_sent)
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=_KEEPALIVE_S),
+        trace_configs=[tracing],
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=_CONNECT_TIMEOUT_S
+        ),
+        auto_decompress=False,
+    )
+
+
+@contextlib.asynccontextmanager
+async def opened(
+    session: aiohttp.ClientSession,
+    url: str,
+    request: router_pb2.RunRequest,
+    exchange: Exchange,
+) -> AsyncIterator[aiohttp.ClientResponse]:
+    """Send an attempt to the endpoint and hold its response open.
+
+    Raises ``NotConnectedError`` when nothing was sent, and
+    ``BrokenCallError`` when the call broke later.
+    """
+    path = request.path if request.service else _COMPLETIONS_PATH
+    try:
+        async with session.request(
+            request.method or 'POST',
+            f'{url}/{path.lstrip("/")}',
+            data=_body(request),
+            headers=_headers(request),
+            allow_redirects=False,
+            trace_request_ctx=exchange,
+        ) as response:
+            yield response
+    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as fault:
+        if exchange.sent:
+            raise errors.BrokenCallError(f'call broke: {fault}') from fault
+        raise errors.NotConnectedError(f'not connected: {fault}') from fault
+
+
+async def cancel(
+    session: aiohttp.ClientSession, url: str, attempt_id: str
+) -> bool:
+    """Ask the engine to cancel a stream; return whether it agreed."""
+    try:
+        async with session.post(
+            f'{url}/streams/{attempt_id}/cancel',
+            timeout=aiohttp.ClientTimeout(total=_CANCEL_TIMEOUT_S),
+        ) as response:
+            return response.ok
+    except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+        return False
+
+
+def engine_body(request: router_pb2.RunRequest) -> bytes:
+    """Return the body for an engine, naming the version to run.
+
+    Raises ``ValueError`` when the request's body is not a JSON object.
+    """
+    document: Any = orjson.loads(request.body)
+    if not isinstance(document, dict):
+        raise ValueError('the body is not a JSON object')
+    document['model'] = f'{request.model}@{request.version}'
+    document['stream'] = request.stream
+    document['priority'] = request.priority
+    if request.stream:
+        # Billing needs the usage event of each stream.
+        document['stream_options'] = {'include_usage': True}
+    if request.resume_text:
+        document['resume_text'] = request.resume_text
+    return orjson.dumps(document)
+
+
+def _body(request: router_pb2.RunRequest) -> bytes:
+    return request.body if request.service else engine_body(request)
+
+
+def _headers(request: router_pb2.RunRequest) -> dict[str, str]:
+    headers = {'X-Request-Id': request.attempt_id}
+    if request.traceparent:
+        headers['traceparent'] = request.traceparent
+    if not request.service:
+        return {**headers, 'Content-Type': _JSON}
+    if request.idempotency_key:
+        headers['Idempotency-Key'] = request.idempotency_key
+    if request.content_type:
+        headers['Content-Type'] = request.content_type
+    return headers
+
+
+async def _on_connection(
+    session: aiohttp.ClientSession, context: SimpleNamespace, details: Any
+) -> None:
+    exchange: Exchange | None = context.trace_request_ctx
+    # aiohttp repeats GET, PUT and DELETE calls on a new connection when a
+    # kept one breaks. A repeat could run a non-idempotent call twice.
+    if exchange is not None and exchange.sent:
+        raise aiohttp.ClientConnectionError('connection lost')
+
+
+async def _on_headers_sent(
+    session: aiohttp.ClientSession, context: SimpleNamespace, details: Any
+) -> None:
+    exchange: Exchange | None = context.trace_request_ctx
+    if exchange is not None:
+        exchange.sent = True
+        if exchange.on_sent is not None:
+            await exchange.on_sent()
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/admission/cancellable.py
@@ -0,0 +1,52 @@
+"""Running an attempt that may be cancelled or repeated."""
+
+from __future__ import annotations
+
+import asyncio
+
+from yuccarouter.admission import attempt as attempts
+from yuccarouter.admission import errors, relay
+
+
+async def run(caller: attempts.Caller, attempt: attempts.Attempt) -> None:
+    """Run an attempt; cancelling this task stops the work at the engine."""
+    attempt.exchange.on_sent = attempt.accept
+    answer: relay.Answer | None = None
+    try:
+        async with asyncio.timeout(caller.remaining_s(attempt)):
+            answer = await caller.call(attempt)
+    except errors.AdmissionError as fault:
+        await attempt.tell(fault)
+    except TimeoutError:
+        await attempt.give_up()
+    finally:
+        if answer is None:
+            _abort(caller, attempt)
+    if answer is not None:
+        attempt.slot.leave(served=True)
+        caller.parts.usage.completed(
+            attempt.request, answer.done.usage, whole=True
+        )
+        await attempt.tell(answer)
+
+
+def _abort(caller: attempts.Caller, attempt: attempts.Attempt) -> None:
+    if not attempt.exchange.sent:
+        attempt.slot.leave(served=True)
+        return
+    if attempt.reader is not None and attempt.reader.has_text:
+        caller.parts.usage.completed(
+            attempt.request, attempt.reader.usage, whole=False
+        )
+    caller.background.spawn(_cancel_at_engine(caller, attempt))
+
+
+async def _cancel_at_engine(
+    caller: attempts.Caller, attempt: attempts.Attempt
+) -> None:
+    # The slot stays taken until the engine has stopped the work.
+    try:
+        if not attempt.request.service:
+            await caller.cancel(attempt)
+    finally:
+        attempt.slot.leave(served=False)
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/admission/once.py
@@ -0,0 +1,117 @@
+"""Running a non-idempotent call, which is sent at most once."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+from typing import Final
+
+import grpc
+
+from yuccarouter.admission import attempt as attempts
+from yuccarouter.admission import errors, relay
+from yuccarouter_common import errors as common_errors
+from yuccarouter_common.proto import router_pb2
+
+_OUTCOME: Final = 'outcome'
+_RELEASE: Final = 'release'
+# Recording waits for the log; the caller's answer waits no longer than this.
+_RECORD_S: Final = 3.0
+
+
+async def run(caller: attempts.Caller, attempt: attempts.Attempt) -> None:
+    """Run a call that finishes once it is sent.
+
+    Cancelling this task, or its deadline, ends the wait for the answer. The
+    call goes on and its outcome is recorded.
+    """
+    sent: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+    attempt.exchange.on_sent = functools.partial(_note_sent, sent)
+    call = caller.background.spawn(_call(caller, attempt))
+    call.add_done_callback(functools.partial(_note_ended, sent))
+    try:
+        async with asyncio.timeout(caller.remaining_s(attempt)):
+            if await asyncio.shield(sent):
+                await attempt.accept()
+            ended = await asyncio.shield(call)
+    except TimeoutError:
+        if not attempt.exchange.sent:
+            call.cancel()
+        await attempt.give_up()
+    except asyncio.CancelledError:
+        if not attempt.exchange.sent:
+            call.cancel()
+            release(caller, attempt.request)
+        raise
+    else:
+        await attempt.tell(ended)
+
+
+def release(caller: attempts.Caller, request: router_pb2.RunRequest) -> None:
+    """Release the claim of a request that never runs.
+
+    Only for a call that the entry has cancelled: after a refusal the entry
+    may move the claim to another agent.
+    """
+    if request.HasField('claim'):
+        caller.background.spawn(_record(caller, _record_of(request, _RELEASE)))
+
+
+async def _note_sent(sent: asyncio.Future[bool]) -> None:
+    # The waiting side may have been cancelled with its future.
+    if not sent.done():
+        sent.set_result(True)
+
+
+def _note_ended(
+    sent: asyncio.Future[bool], call: asyncio.Task[attempts.Ended]
+) -> None:
+    if not sent.done():
+        sent.set_result(False)
+
+
+async def _call(
+    caller: attempts.Caller, attempt: attempts.Attempt
+) -> attempts.Ended:
+    served = False
+    try:
+        answer = await caller.call(attempt)
+        served = True
+    except errors.AdmissionError as fault:
+        return fault
+    finally:
+        attempt.slot.leave(served=served)
+    # The outcome is recorded before the answer is given, so that a repeated
+    # request never finds less than its caller has seen.
+    await _record(caller, _record_of(attempt.request, _OUTCOME, answer))
+    caller.parts.usage.completed(attempt.request, answer.done.usage, whole=True)
+    return answer
+
+
+async def _record(
+    caller: attempts.Caller, record: router_pb2.RecordRequest
+) -> None:
+    try:
+        async with asyncio.timeout(_RECORD_S):
+            await caller.parts.registry.record(record)
+    except (common_errors.RouterError, grpc.RpcError, OSError):
+        # Without a record a repeated request gets outcome_unknown.
+        return
+
+
+def _record_of(
+    request: router_pb2.RunRequest,
+    item: str,
+    answer: relay.Answer | None = None,
+) -> router_pb2.RecordRequest:
+    record = router_pb2.RecordRequest(
+        partition=request.claim.partition,
+        key=request.request_id,
+        attempt_id=request.attempt_id,
+        item=item,
+    )
+    if answer is not None:
+        record.status = answer.done.status
+        record.content_type = answer.done.content_type
+        record.body = answer.body
+    return record
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/admission/relay.py
@@ -0,0 +1,111 @@
+"""Relaying the endpoint's answer to the entry."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import aiohttp
+import attrs
+import orjson
+
+from yuccarouter.admission import errors, events, slots, stream
+from yuccarouter_common.proto import router_pb2
+
+_CHUNK_BYTES: Final = 64 * 1024
+# Bounds the memory that one buffered answer takes.
+_MAX_BODY_BYTES: Final = 8 * 1024 * 1024
+_OK: Final = 200
+_TOO_MANY_REQUESTS: Final = 429
+_SERVER_ERROR: Final = 500
+_GATEWAY_ERRORS: Final = frozenset((502, 503, 504))
+
+
+@attrs.frozen
+class Answer:
+    """A complete answer of the endpoint.
+
+    ``body`` is empty for a stream, whose events have been passed on already.
+    """
+
+    done: router_pb2.Done
+    body: bytes = b''
+
+
+async def engine_stream(
+    response: aiohttp.ClientResponse,
+    out: events.Events,
+    slot: slots.Slot,
+    reader: stream.EventReader,
+) -> Answer:
+    """Pass an engine's events on as they arrive.
+
+    Raises ``BrokenCallError`` when the stream ends before its last event.
+    """
+    if response.status != _OK:
+        return await whole_answer(response, engine=True)
+    async for received in response.content.iter_any():
+        payload = reader.feed(received)
+        if reader.has_text:
+            slot.first_token()
+        if payload:
+            await out.chunk(payload)
+    if not reader.done:
+        raise errors.BrokenCallError('the stream ended before its last event')
+    return Answer(
+        router_pb2.Done(
+            usage=reader.usage,
+            status=response.status,
+            content_type=response.content_type,
+            finish_reason=reader.finish_reason,
+        )
+    )
+
+
+async def whole_answer(
+    response: aiohttp.ClientResponse, *, engine: bool
+) -> Answer:
+    """Read an answer to its end.
+
+    Raises ``BrokenCallError`` for an answer that is too large, and for the
+    statuses with which an engine says that it can't serve.
+    """
+    body = bytearray()
+    async for part in response.content.iter_chunked(_CHUNK_BYTES):
+        body += part
+        if len(body) > _MAX_BODY_BYTES:
+            raise errors.BrokenCallError('the answer is too large')
+    done = router_pb2.Done(
+        status=response.status,
+        content_type=response.headers.get('Content-Type', ''),
+    )
+    if engine:
+        if _is_engine_fault(response.status):
+            raise errors.BrokenCallError(f'the engine said {response.status}')
+        _read_usage(bytes(body), done)
+    return Answer(done, bytes(body))
+
+
+async def write_body(out: events.Events, body: bytes) -> None:
+    """Pass a whole body on in chunks of bounded size."""
+    for start in range(0, len(body), _CHUNK_BYTES):
+        # Chunks keep their order only when each is written after the last.
+        await out.chunk(body[start : start + _CHUNK_BYTES])  # noqa: WPS476
+
+
+def is_gateway_error(status: int) -> bool:
+    """Return whether a plain service's status says that it can't serve."""
+    return status in _GATEWAY_ERRORS
+
+
+def _is_engine_fault(status: int) -> bool:
+    return status == _TOO_MANY_REQUESTS or status >= _SERVER_ERROR
+
+
+def _read_usage(body: bytes, done: router_pb2.Done) -> None:
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError as fault:
+        raise errors.BrokenCallError('the answer is not JSON') from fault
+    done.usage.CopyFrom(stream.usage_of(document))
+    for choice in document.get('choices') or []:
+        done.finish_reason = choice.get('finish_reason') or ''
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/admission/stream.py
@@ -0,0 +1,90 @@
+"""Reading an engine's server-sent events: whole events and their usage."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import attrs
+import orjson
+
+from yuccarouter.admission import errors
+from yuccarouter_common.proto import router_pb2
+
+_END_OF_EVENT: Final = b'\n\n'
+_DATA: Final = b'data:'
+_DONE: Final = b'[DONE]'
+# An engine's event is far smaller; this bounds the memory of one stream.
+_MAX_EVENT_BYTES: Final = 1 << 20
+
+
+@attrs.define
+class EventReader:
+    """Splits a stream into whole events and keeps what they say at the end.
+
+    ``completion_tokens`` counts events with text until the engine's own
+    usage arrives. ``hide_usage`` drops the usage event, which callers that
+    did not ask for it don't expect.
+    """
+
+    hide_usage: bool
+    usage: router_pb2.Usage = attrs.field(factory=router_pb2.Usage)
+    finish_reason: str = ''
+    done: bool = False
+    has_text: bool = False
+    _rest: bytes = b''
+
+    def feed(self, received: bytes) -> bytes:
+        """Return the whole events among the bytes received so far.
+
+        Raises ``BrokenCallError`` when an event is too large or not JSON.
+        """
+        events = (self._rest + received).split(_END_OF_EVENT)
+        self._rest = events.pop()
+        if len(self._rest) > _MAX_EVENT_BYTES:
+            raise errors.BrokenCallError('the engine sent an oversized event')
+        kept = [event for event in events if self._keep(event)]
+        return b''.join(event + _END_OF_EVENT for event in kept)
+
+    def _keep(self, event: bytes) -> bool:
+        for line in event.split(b'\n'):
+            if not line.startswith(_DATA):
+                continue
+            text = line[len(_DATA) :].strip()
+            if text == _DONE:
+                self.done = True
+            elif not self._read(text):
+                return False
+        return True
+
+    def _read(self, text: bytes) -> bool:
+        try:
+            document = orjson.loads(text)
+        except orjson.JSONDecodeError as fault:
+            raise errors.BrokenCallError('an event is not JSON') from fault
+        choices = document.get('choices') or []
+        for choice in choices:
+            self.finish_reason = (
+                choice.get('finish_reason') or self.finish_reason
+            )
+            if (choice.get('delta') or {}).get('content'):
+                self.has_text = True
+                self.usage.completion_tokens += 1
+        if document.get('usage'):
+            self.usage = usage_of(document)
+            return bool(choices) or not self.hide_usage
+        return True
+
+
+def usage_of(document: Any) -> router_pb2.Usage:
+    """Return the usage that an engine's answer or last event states."""
+    usage = document.get('usage') or {}
+    return router_pb2.Usage(
+        prompt_tokens=int(usage.get('prompt_tokens') or 0),
+        completion_tokens=int(usage.get('completion_tokens') or 0),
+    )
+
+
+def asks_for_usage(body: bytes) -> bool:
+    """Return whether the caller asked for the usage event of a stream."""
+    options = orjson.loads(body).get('stream_options') or {}
+    return bool(options.get('include_usage'))
