--- a/packages/daemon/src/yuccarouter/membership/channels.py
+++ b/packages/daemon/src/yuccarouter/membership/channels.py
@@ -58,7 +58,9 @@
 
     async def keep_only(self, addresses: set[str]) -> None:
         """Close the channels to daemons that are gone."""
-        gone = [address for address in self._daemons if address not in addresses]
+        gone = [
+            address for address in self._daemons if address not in addresses
+        ]
         for address in gone:
             await self._daemons.pop(address).channel.close()
 
--- a/packages/daemon/src/yuccarouter/membership/directory.py
+++ b/packages/daemon/src/yuccarouter/membership/directory.py
@@ -10,7 +10,7 @@
 import prometheus_client
 
 from yuccarouter_common import errors
-from yuccarouter_common.platform import vms
+from yuccarouter_common.platform import vms as vm_lists
 
 LIVE: Final = 'live'
 _MS_PER_S: Final = 1000
@@ -21,7 +21,7 @@
     ('role',),
 )
 
-Listener = Callable[[list[vms.Vm]], Awaitable[None]]
+Listener = Callable[[list[vm_lists.Vm]], Awaitable[None]]
 
 
 class Directory(mode.Service):
@@ -33,21 +33,21 @@
 
     def __init__(
         self,
-        fetch: Callable[[], Awaitable[list[vms.Vm]]],
+        fetch: Callable[[], Awaitable[list[vm_lists.Vm]]],
         interval_ms: int,
     ) -> None:
         super().__init__()
         self._fetch = fetch
         self._interval_s = interval_ms / _MS_PER_S
-        self._vms: list[vms.Vm] = []
+        self._vms: list[vm_lists.Vm] = []
         self._listeners: list[Listener] = []
         self._is_down = False
 
-    def vms(self, role: str = '') -> list[vms.Vm]:
+    def vms(self, role: str = '') -> list[vm_lists.Vm]:
         """Return the listed VMs, of one role if ``role`` is given."""
         return [vm for vm in self._vms if role in {'', vm.role}]
 
-    def live(self, role: str) -> list[vms.Vm]:
+    def live(self, role: str) -> list[vm_lists.Vm]:
         """Return the VMs of a role that are not leaving."""
         return [vm for vm in self.vms(role) if vm.state == LIVE]
 
--- a/packages/daemon/src/yuccarouter/membership/reports.py
+++ b/packages/daemon/src/yuccarouter/membership/reports.py
@@ -62,7 +62,7 @@
         for name, vm in wanted.items():
             if name not in self._followers:
                 self._followers[name] = asyncio.create_task(self._follow(vm))
-        await self._daemons.keep_only({vm.address for vm in listed})
+        await self._daemons.keep_only({known.address for known in listed})
 
     async def on_stop(self) -> None:
         """Stop all followers."""
--- a/packages/daemon/src/yuccarouter/membership/subset.py
+++ b/packages/daemon/src/yuccarouter/membership/subset.py
@@ -17,7 +17,7 @@
 
 def rendezvous_score(name: str, member: str) -> int:
     """Return the weight of ``member`` for ``name``; the highest one wins."""
-    return xxhash.xxh3_64_intdigest(f'{name}/{member}')
+    return xxhash.xxh3_64_intdigest(f'{name}/{member}'.encode())
 
 
 def followed(
--- a/packages/daemon/src/yuccarouter/request_path/attempt.py
+++ b/packages/daemon/src/yuccarouter/request_path/attempt.py
@@ -12,7 +12,7 @@
 from yuccarouter.request_path import errors
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from yuccarouter.membership import channels
     from yuccarouter_common.proto import router_pb2
@@ -46,40 +46,28 @@
     daemon: channels.Daemon,
     metadata: tuple[tuple[str, str], ...],
     request: router_pb2.RunRequest,
-) -> AsyncIterator[Event]:
+) -> AsyncGenerator[Event]:
     """Run an attempt and yield its answer in order.
 
     The last event is ``Finished``. Raises ``AttemptRefusedError`` when the
     endpoint has certainly not seen the attempt and ``AttemptLostError``
-    otherwise. Closing the iterator cancels the attempt at the agent.
+    otherwise. Closing the generator cancels the attempt at the agent.
     """
     # A call that fails on a channel that never became ready was not sent;
     # later failures can't be told from a lost answer.
     await _connect(daemon)
     timeout_s = request.deadline_ms / _MS_PER_S
     call = daemon.stub.Run(request, metadata=metadata, timeout=timeout_s)
-    expected_sequence = 0
+    sequence = 0
     try:
-        async for event in call:
-            if event.attempt_id != request.attempt_id:
-                raise errors.AttemptLostError('event of another attempt')
-            kind = event.WhichOneof('event')
-            if kind == 'refused':
-                raise errors.AttemptRefusedError(
-                    event.refused.message,
-                    code=event.refused.code,
-                    retry_after_ms=event.refused.retry_after_ms,
-                )
-            if kind == 'failed':
-                raise _failed(event.failed)
-            if kind == 'done':
-                yield _finished(event.done)
+        async for message in call:
+            event = _event(message, request.attempt_id, sequence)
+            if event is None:
+                continue
+            yield event
+            if isinstance(event, Finished):
                 return
-            if kind == 'chunk':
-                if event.chunk.sequence != expected_sequence:
-                    raise errors.AttemptLostError('a chunk is missing')
-                expected_sequence += 1
-                yield Piece(event.chunk.data)
+            sequence += 1
     except aio.AioRpcError as fault:
         raise _converted(fault) from fault
     finally:
@@ -87,6 +75,33 @@
     raise errors.AttemptLostError('the agent ended the attempt early')
 
 
+def _event(
+    message: router_pb2.RunEvent, attempt_id: str, sequence: int
+) -> Event | None:
+    """Return the event of a message, or ``None`` for ``Accepted``.
+
+    Events are matched by attempt, never by the order of calls.
+    """
+    if message.attempt_id != attempt_id:
+        raise errors.AttemptLostError('event of another attempt')
+    kind = message.WhichOneof('event')
+    if kind == 'refused':
+        raise errors.AttemptRefusedError(
+            message.refused.message,
+            code=message.refused.code,
+            retry_after_ms=message.refused.retry_after_ms,
+        )
+    if kind == 'failed':
+        raise _failed(message.failed)
+    if kind == 'done':
+        return _finished(message.done)
+    if kind == 'accepted':
+        return None
+    if message.chunk.sequence != sequence:
+        raise errors.AttemptLostError('a chunk is missing')
+    return Piece(message.chunk.data)
+
+
 async def _connect(daemon: channels.Daemon) -> None:
     if daemon.channel.get_state() is grpc.ChannelConnectivity.READY:
         return
--- a/packages/daemon/src/yuccarouter/request_path/claims.py
+++ b/packages/daemon/src/yuccarouter/request_path/claims.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import hashlib
+import uuid
 from typing import TYPE_CHECKING, Final
 
 from grpc import aio
 
 from yuccarouter.registry import partitions
-from yuccarouter.request_path import errors
+from yuccarouter.request_path import errors, sender
 from yuccarouter_common.proto import router_pb2
 
 if TYPE_CHECKING:
@@ -17,6 +18,7 @@
 # Owners that are asked for one claim; the log decides whoever is asked.
 _MAX_OWNERS: Final = 2
 _MARGIN_S: Final = 0.5
+_UUID7_TIME_SHIFT: Final = 80
 _MS_PER_S: Final = 1000
 _UNAVAILABLE: Final = 'unavailable'
 
@@ -36,13 +38,27 @@
     return f'r-{hashlib.sha256(key.encode()).hexdigest()[:32]}'
 
 
+def key_time_ms(key: str) -> int:
+    """Return the Unix time that a UUID of version 7 carries, else 0.
+
+    A key that carries its time is refused when it is older than the registry
+    keeps, even after the record of its claim is gone.
+    """
+    try:
+        parsed = uuid.UUID(key.rpartition('/')[2])
+    except ValueError:
+        return 0
+    return parsed.int >> _UUID7_TIME_SHIFT if parsed.version == 7 else 0
+
+
 async def claim(
     shared: router.Router, request: router_pb2.ClaimRequest
 ) -> router_pb2.ClaimReply:
-    """Claim a key and return whose it is.
+    """Claim a key for a new attempt and return whose it is.
 
-    Raises ``RegistryUnavailableError`` when no owner can tell. The same
-    attempt may ask several owners: it holds the key if any of them says so.
+    Raises ``RegistryUnavailableError`` when no owner can tell. Each owner is
+    asked for an attempt of its own, since an attempt whose claim got no
+    answer must never run.
     """
     timing = shared.conf.timing
     request.partition = partitions.partition_of(
@@ -50,7 +66,9 @@
     )
     request.window_ms = timing.claim_window_ms
     request.timeout_ms = timing.claim_timeout_ms
+    request.key_time_ms = key_time_ms(request.key)
     for address in _owners(shared, request.partition):
+        request.attempt_id = sender.new_attempt_id()
         try:
             reply: router_pb2.ClaimReply = await shared.daemons.at(
                 address
--- a/packages/daemon/src/yuccarouter/request_path/completions.py
+++ b/packages/daemon/src/yuccarouter/request_path/completions.py
@@ -90,9 +90,7 @@
             versions=[version.name for version in resolution.versions],
         )
         return planned, resolution
-    session = sessions.read(
-        (shared.session_key,), organisation.name, header
-    )
+    session = sessions.read((shared.session_key,), organisation.name, header)
     found = await session_versions.version_for(
         shared, organisation, session, asked.model, progress
     )
--- a/packages/daemon/src/yuccarouter/request_path/front.py
+++ b/packages/daemon/src/yuccarouter/request_path/front.py
@@ -61,7 +61,9 @@
     )
     app.router.add_get('/v1/models', _handler(shared, _models))
     app.router.add_route(
-        '*', '/services/{service}/{path:.*}', _handler(shared, service_calls.call)
+        '*',
+        '/services/{service}/{path:.*}',
+        _handler(shared, service_calls.call),
     )
     app.router.add_route('*', '/{path:.*}', _handler(shared, _not_found))
     return app
--- a/packages/daemon/src/yuccarouter/request_path/intake.py
+++ b/packages/daemon/src/yuccarouter/request_path/intake.py
@@ -61,7 +61,9 @@
     kind = _kind(shared, request, kind_name)
     key = request.headers.get('Idempotency-Key', '')
     if len(key) > _MAX_KEY_CHARS or not key.isprintable():
-        raise _invalid('Idempotency-Key', f'at most {_MAX_KEY_CHARS} characters')
+        raise _invalid(
+            'Idempotency-Key', f'at most {_MAX_KEY_CHARS} characters'
+        )
     deadline_ms = _number(request, 'X-Deadline-Ms', kind.bound_ms)
     if deadline_ms < 1:
         raise _invalid('X-Deadline-Ms', 'a time above 0')
@@ -102,7 +104,7 @@
 
 def _digest(request: web.Request, body: bytes) -> str:
     hashed = xxhash.xxh3_128()
-    hashed.update(f'{request.method} {request.raw_path}\n')
+    hashed.update(f'{request.method} {request.raw_path}\n'.encode())
     hashed.update(body)
     return hashed.hexdigest()
 
--- a/packages/daemon/src/yuccarouter/request_path/prefixes.py
+++ b/packages/daemon/src/yuccarouter/request_path/prefixes.py
@@ -14,7 +14,7 @@
 def of_prompt(prompt: str) -> tuple[int, ...]:
     """Return the hashes of the prompt's prefixes, longest first."""
     return tuple(
-        xxhash.xxh3_64_intdigest(prompt[:length])
+        xxhash.xxh3_64_intdigest(prompt[:length].encode())
         for length in _PREFIX_CHARS
         if len(prompt) >= length
     )
--- a/packages/daemon/src/yuccarouter/request_path/router.py
+++ b/packages/daemon/src/yuccarouter/request_path/router.py
@@ -13,14 +13,20 @@
 from yuccarouter_common import refusals
 
 if TYPE_CHECKING:
-    from yuccarouter.billing import ledger
-    from yuccarouter.configuration import store
+    from yuccarouter.billing import ledger as ledgers
+    from yuccarouter.configuration import store as stores
     from yuccarouter.membership import channels, directory
     from yuccarouter.request_path import (
-        answers,
-        explanations,
+        answers as held_answers,
+    )
+    from yuccarouter.request_path import (
+        explanations as kept_explanations,
+    )
+    from yuccarouter.request_path import (
         session_versions,
-        settlements,
+    )
+    from yuccarouter.request_path import (
+        settlements as pending_settlements,
     )
     from yuccarouter.routing import latency, retry_budget, views
     from yuccarouter_common import model, settings
@@ -85,16 +91,16 @@
     """What the request path works with."""
 
     conf: settings.Settings
-    store: store.Store
+    store: stores.Store
     fleet: views.Fleet
     daemons: channels.Channels
     known: directory.Directory
-    ledger: ledger.Ledger
-    settlements: settlements.Settlements
+    ledger: ledgers.Ledger
+    settlements: pending_settlements.Settlements
     budget: retry_budget.RetryBudget
     latencies: latency.Latencies
-    answers: answers.HeldAnswers
-    explanations: explanations.Explanations
+    answers: held_answers.HeldAnswers
+    explanations: kept_explanations.Explanations
     load: Load
     pins: session_versions.KnownPins
     rng: random.Random = attrs.field(factory=random.Random)
--- a/packages/daemon/src/yuccarouter/request_path/sender.py
+++ b/packages/daemon/src/yuccarouter/request_path/sender.py
@@ -17,7 +17,7 @@
 from yuccarouter_common.proto import router_pb2
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator, AsyncIterator
 
 # A whole answer is worth waiting for past the bound, but not without end.
 _WHOLE_EXTRA_MS: Final = 600_000
@@ -84,7 +84,7 @@
 
 async def run(
     shared: router.Router, sending: Sending
-) -> AsyncIterator[attempt.Event]:
+) -> AsyncGenerator[attempt.Event]:
     """Run an attempt at the best endpoint and yield its events.
 
     Raises the errors of ``attempt.run``, and ``RefusalError`` when there is
@@ -167,17 +167,27 @@
             shared.fleet.failed(note.endpoint)
         raise
     finally:
-        if note.outcome == 'cancelled':
-            sending.progress.may_have_run = True
-            is_ok = True
-        shared.fleet.finished(note.endpoint, is_ok)
-        _ATTEMPTS.labels(note.outcome.partition(':')[0]).inc()
-        sending.progress.explain(
-            'attempt',
-            attempt_id=note.attempt_id,
-            endpoint=note.endpoint,
-            outcome=note.outcome,
-        )
+        _note_end(shared, sending, note, is_ok=is_ok)
+
+
+def _note_end(
+    shared: router.Router,
+    sending: Sending,
+    note: plan.AttemptNote,
+    *,
+    is_ok: bool,
+) -> None:
+    is_cancelled = note.outcome == 'cancelled'
+    if is_cancelled:
+        sending.progress.may_have_run = True
+    shared.fleet.finished(note.endpoint, is_ok or is_cancelled)
+    _ATTEMPTS.labels(note.outcome.partition(':')[0]).inc()
+    sending.progress.explain(
+        'attempt',
+        attempt_id=note.attempt_id,
+        endpoint=note.endpoint,
+        outcome=note.outcome,
+    )
 
 
 def _message(
--- a/packages/daemon/src/yuccarouter/request_path/service_calls.py
+++ b/packages/daemon/src/yuccarouter/request_path/service_calls.py
@@ -45,9 +45,7 @@
     path = _path(request)
     marked = _call_of(service, request.method, path)
     body = await intake.read_body(request, shared.conf.limits)
-    planned = intake.make_plan(
-        shared, request, organisation, body, marked.kind
-    )
+    planned = intake.make_plan(shared, request, organisation, body, marked.kind)
     planned = attrs.evolve(planned, is_idempotent=marked.idempotent)
     bills.check_room(shared)
     freshness.check(shared, organisation)
@@ -99,7 +97,6 @@
     key = claims.request_key(planned.organisation.name, planned.idempotency_key)
     asked = router_pb2.ClaimRequest(
         key=key,
-        attempt_id=sending.attempt_id,
         value=planned.request_id,
         body_digest=planned.body_digest,
     )
@@ -118,6 +115,7 @@
         return _answer_of(sending, reply)
     sending = attrs.evolve(
         sending,
+        attempt_id=reply.holder_attempt_id,
         claim=router_pb2.ClaimProof(
             partition=reply.partition, offset=reply.offset
         ),
--- a/packages/daemon/src/yuccarouter/request_path/session_versions.py
+++ b/packages/daemon/src/yuccarouter/request_path/session_versions.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from yuccarouter.request_path import claims, errors, sender
+from yuccarouter.request_path import claims, errors
 from yuccarouter.routing import allowed, sessions
 from yuccarouter.routing import errors as routing_errors
 from yuccarouter_common.proto import router_pb2
@@ -81,7 +81,6 @@
     proposed = resolution.versions[-1].name
     request = router_pb2.ClaimRequest(
         key=key,
-        attempt_id=sender.new_attempt_id(),
         value=proposed,
     )
     try:
@@ -94,7 +93,8 @@
         return proposed
     if reply.state == 'expired' or not reply.value:
         raise routing_errors.RoutingError(
-            'the session is older than the registry keeps', code='log_unavailable'
+            'the session is older than the registry keeps',
+            code='log_unavailable',
         )
     shared.pins.keep(key, reply.value)
     return reply.value
--- a/packages/daemon/src/yuccarouter/request_path/streaming.py
+++ b/packages/daemon/src/yuccarouter/request_path/streaming.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -44,7 +44,7 @@
 
 async def stream(
     shared: router.Router, first: sender.Sending, state: StreamState
-) -> AsyncIterator[bytes]:
+) -> AsyncGenerator[bytes]:
     """Yield the events for the caller without a gap or a repetition.
 
     A broken attempt is resumed by another one of the same version, which gets
@@ -53,8 +53,10 @@
     sending = first
     while state.answer is None:
         try:
-            async for data in _attempt(shared, sending, state):
-                yield data
+            running = _attempt(shared, sending, state)
+            async with contextlib.aclosing(running):
+                async for data in running:
+                    yield data
         except errors.AttemptError as fault:
             state.completion_tokens += state.attempt_tokens
             await retries.may_repeat(
@@ -70,7 +72,7 @@
 
 async def _attempt(
     shared: router.Router, sending: sender.Sending, state: StreamState
-) -> AsyncIterator[bytes]:
+) -> AsyncGenerator[bytes]:
     is_done = False
     state.attempt_tokens = 0
     running = sender.run(shared, sending)
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/roles/servers.py
@@ -0,0 +1,101 @@
+"""Servers of a daemon as supervised services."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING, Final
+
+import mode
+from aiohttp import web
+from grpc import aio
+
+from yuccarouter_common import peer_auth
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccarouter_common import settings
+
+_BACKLOG: Final = 1024
+_CANCEL_GRACE_S: Final = 1.0
+_GRPC_OPTIONS: Final = (
+    ('grpc.max_receive_message_length', 16_777_216),
+    ('grpc.keepalive_time_ms', 10_000),
+    ('grpc.keepalive_timeout_ms', 3000),
+    ('grpc.keepalive_permit_without_calls', 1),
+    ('grpc.http2.min_recv_ping_interval_without_data_ms', 5000),
+    ('grpc.so_reuseport', 0),
+)
+
+
+class HttpServer(mode.Service):
+    """Serves an aiohttp application at one address.
+
+    A caller that leaves cancels its handler, so that the work is cancelled
+    down to the engine.
+    """
+
+    def __init__(
+        self, app: web.Application, address: settings.Address, limit_bytes: int
+    ) -> None:
+        super().__init__()
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            max_line_size=limit_bytes,
+            max_field_size=limit_bytes,
+            shutdown_timeout=_CANCEL_GRACE_S,
+        )
+        self._address = address
+
+    async def on_start(self) -> None:
+        """Listen before anything else relies on the address."""
+        await self._runner.setup()
+        site = web.TCPSite(
+            self._runner,
+            self._address.host,
+            self._address.port,
+            backlog=_BACKLOG,
+        )
+        await site.start()
+
+    async def on_stop(self) -> None:
+        """Close the listening socket and the connections."""
+        await self._runner.cleanup()
+
+
+class GrpcServer(mode.Service):
+    """Serves gRPC servicers at one address to callers with the peer key."""
+
+    def __init__(
+        self,
+        address: settings.Address,
+        peer_key: str,
+        add_servicers: Callable[[aio.Server], None],
+    ) -> None:
+        super().__init__()
+        self._server = aio.server(
+            interceptors=[peer_auth.KeyCheck(peer_key)],
+            options=_GRPC_OPTIONS,
+        )
+        add_servicers(self._server)
+        self._address = address
+
+    async def on_start(self) -> None:
+        """Listen before anything else relies on the address."""
+        _check_free(self._address)
+        self._server.add_insecure_port(str(self._address))
+        await self._server.start()
+
+    async def on_stop(self) -> None:
+        """Close the server; drained work has ended by now."""
+        await self._server.stop(_CANCEL_GRACE_S)
+
+
+def _check_free(address: settings.Address) -> None:
+    """Raise ``OSError`` with a clear text when the address is taken."""
+    family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+    with socket.socket(family) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind((address.host, address.port))
--- /dev/null
+++ b/packages/testkit/src/yuccarouter_testkit/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Launcher of a small fleet on one machine, a test tool."""
