Add the registry: claims, session pins and outcomes over partitions

The stream's order decides who holds a key; several owners of a partition are safe. A claim carries the id of the process run that wrote it, and only this run reports it as won: otherwise the release of a claim given up by one owner could follow the report of another. Claims whose append arrives after their release are void.

A stream found rewound gets a gap item; keys that may have been claimed before it are refused as expired.

--- /dev/null
+++ b/packages/daemon/tests/registry/test_owner.py
@@ -0,0 +1,279 @@
+"""Tests of claims over a partition's stream."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+from yuccarouter.registry import answers, items, loading, owner, partitions
+
+from yuccarouter_common.proto import router_pb2
+from yuccarouter_testkit import memory_log
+
+_KEY = 'thanupp/handover-7'
+_NUMBER = partitions.partition_of(_KEY)
+_STREAM = partitions.stream_of(_NUMBER)
+_WINDOW_MS = 3_600_000
+
+
+class _Clock:
+    """The log's clock."""
+
+    now_ms = 10 * _WINDOW_MS
+
+    def __call__(self) -> int:
+        return self.now_ms
+
+
+@pytest.fixture
+def clock() -> _Clock:
+    return _Clock()
+
+
+@pytest.fixture
+def log(clock: _Clock) -> memory_log.MemoryLog:
+    return memory_log.MemoryLog(clock)
+
+
+@contextlib.asynccontextmanager
+async def running(
+    log: memory_log.MemoryLog, count: int = 1
+) -> AsyncIterator[list[owner.Owner]]:
+    owners = [
+        owner.Owner(log, _WINDOW_MS, min_interval_ms=1, wait_ms=5)
+        for _ in range(count)
+    ]
+    async with contextlib.AsyncExitStack() as stack:
+        for one in owners:
+            await stack.enter_async_context(one)
+        yield owners
+
+
+def claim(attempt: str, **fields: Any) -> router_pb2.ClaimRequest:
+    return router_pb2.ClaimRequest(
+        key=_KEY,
+        partition=_NUMBER,
+        attempt_id=attempt,
+        **{'value': attempt, 'timeout_ms': 2000, **fields},
+    )
+
+
+def record(attempt: str, item: str, **fields: Any) -> router_pb2.RecordRequest:
+    return router_pb2.RecordRequest(
+        key=_KEY, partition=_NUMBER, attempt_id=attempt, item=item, **fields
+    )
+
+
+async def test_one_winner(log: memory_log.MemoryLog) -> None:
+    """Guards against two entries that both run one handover."""
+    async with running(log, 3) as owners:
+        replies = await asyncio.gather(
+            *(
+                one.claim(claim(f'{index}-{number}'))
+                for index, one in enumerate(owners)
+                for number in range(4)
+            )
+        )
+        states = sorted(reply.state for reply in replies)
+        assert states == ['lost'] * 11 + ['won']
+        assert len({reply.holder_attempt_id for reply in replies}) == 1
+        other = await owners[0].claim(claim('x', body_digest='other'))
+        assert other.state == answers.CONFLICT
+
+
+async def test_outcome_is_replayed(log: memory_log.MemoryLog) -> None:
+    """Guards against a repeated request that runs again after a restart."""
+    async with running(log) as [first]:
+        assert (await first.claim(claim('a'))).state == answers.WON
+        assert (await first.claim(claim('a'))).state == answers.WON
+        reply = await first.record(record('b', 'outcome', status=500))
+        assert not reply.recorded
+        reply = await first.record(
+            record('a', 'outcome', status=201, body=b'\xff{}')
+        )
+        assert reply.recorded
+        assert (await first.claim(claim('a'))).state == answers.LOST
+        assert not (await first.record(record('a', 'release'))).recorded
+    async with running(log) as [second]:
+        reply = await second.claim(claim('c'))
+    assert (reply.state, reply.has_outcome) == (answers.LOST, True)
+    assert (reply.status, reply.body) == (201, b'\xff{}')
+
+
+async def test_release(log: memory_log.MemoryLog) -> None:
+    """Guards against a key that stays blocked by an attempt that never ran."""
+    async with running(log, 2) as [one, two]:
+        assert (await one.claim(claim('a'))).state == answers.WON
+        await two.record(record('b', 'release'))
+        assert (await two.claim(claim('c'))).state == answers.LOST
+        assert (await two.record(record('a', 'release'))).recorded
+        assert (await two.claim(claim('d'))).state == answers.WON
+        assert (await one.claim(claim('a'))).state == answers.UNAVAILABLE
+
+
+@pytest.mark.parametrize(
+    ('lose', 'delay'), [(1, 0), (3, 0), (0, 1), (0, 3), (1, 1)]
+)
+async def test_lost_answers(
+    log: memory_log.MemoryLog, lose: int, delay: int
+) -> None:
+    """Guards against a claim that is in the log but is reported as failed."""
+    async with running(log, 2) as [one, two]:
+        log.lose_answers = lose
+        log.delay_appends = delay
+        assert (await one.claim(claim('a'))).state == answers.WON
+        assert (await one.record(record('a', 'release'))).recorded
+        log.deliver_late()
+        assert (await two.claim(claim('b'))).state == answers.WON
+
+
+@pytest.mark.parametrize('fault', ['late', 'lost', 'down'])
+async def test_given_up(log: memory_log.MemoryLog, fault: str) -> None:
+    """Guards against a late claim that is won after its caller was told no."""
+    async with running(log, 2) as [one, two]:
+        assert (await one.claim(claim('warm-up'))).state == answers.WON
+        assert (await one.record(record('warm-up', 'release'))).recorded
+        log.delay_appends = int(fault == 'late')
+        log.lose_answers = int(fault == 'lost')
+        log.down = fault == 'down'
+        appends = log.appends
+        task = asyncio.create_task(one.claim(claim('a', timeout_ms=50)))
+        while log.appends == appends and not log.down:
+            await asyncio.sleep(0)
+        log.down = True
+        assert (await task).state == answers.UNAVAILABLE
+        log.down = False
+        log.deliver_late()
+        if fault != 'down':
+            again = await one.claim(claim('a', timeout_ms=2000))
+            assert again.state == answers.UNAVAILABLE
+        async with asyncio.timeout(5):
+            number = 0
+            while (await two.claim(claim(f'b{number}'))).state != answers.WON:
+                number += 1
+                await asyncio.sleep(0.01)
+
+
+async def test_cancelled_call(log: memory_log.MemoryLog) -> None:
+    """Guards against a key held for a caller that has hung up."""
+    async with running(log, 2) as [one, two]:
+        log.delay_s = 0.02
+        task = asyncio.create_task(one.claim(claim('a')))
+        await asyncio.sleep(0.25)
+        task = asyncio.create_task(two.claim(claim('x', timeout_ms=1)))
+        assert (await task).state == answers.UNAVAILABLE
+        log.delay_s = 0
+        await one.record(record('a', 'release'))
+        doomed = asyncio.create_task(one.claim(claim('b')))
+        await asyncio.sleep(0)
+        doomed.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await doomed
+        async with asyncio.timeout(5):
+            number = 0
+            while (await two.claim(claim(f'c{number}'))).state != answers.WON:
+                number += 1
+                await asyncio.sleep(0.01)
+
+
+async def test_log_down(log: memory_log.MemoryLog) -> None:
+    """Guards against a claim that is granted while the log is down."""
+    async with running(log) as [one]:
+        assert (await one.claim(claim('a'))).state == answers.WON
+        await one.record(record('a', 'outcome', status=200))
+        log.down = True
+        replay = await one.claim(claim('b'))
+        assert replay.has_outcome
+    async with running(log) as [late]:
+        reply = await late.claim(claim('c', timeout_ms=20))
+        assert reply.state == answers.UNAVAILABLE
+        assert reply.retry_after_ms
+
+
+@pytest.mark.parametrize(
+    ('key_age_ms', 'state'),
+    [
+        (0, answers.WON),
+        (_WINDOW_MS - 1000, answers.WON),
+        (_WINDOW_MS + 1000, answers.EXPIRED),
+        (-50_000, answers.WON),
+        (-100_000, answers.EXPIRED),
+    ],
+)
+async def test_key_time(
+    log: memory_log.MemoryLog, clock: _Clock, key_age_ms: int, state: str
+) -> None:
+    """Guards against a key that runs again after its entry was dropped."""
+    async with running(log) as [one]:
+        key_time_ms = clock.now_ms - key_age_ms
+        reply = await one.claim(claim('a', key_time_ms=key_time_ms))
+        assert reply.state == state
+
+
+async def test_expiry(log: memory_log.MemoryLog, clock: _Clock) -> None:
+    """Guards against memory that grows, and against a second run by key."""
+    key_time_ms = clock.now_ms
+    async with running(log) as [one]:
+        reply = await one.claim(claim('a', key_time_ms=key_time_ms))
+        assert reply.state == answers.WON
+        clock.now_ms += 3 * _WINDOW_MS
+        log.add(_STREAM, 'x', items.encode([]))
+        await asyncio.sleep(0.05)
+        reply = await one.claim(claim('b', key_time_ms=key_time_ms))
+        assert reply.state == answers.EXPIRED
+    loaded = await loading.load(log, _STREAM, _WINDOW_MS)
+    assert not len(loaded.state)
+
+
+@pytest.mark.parametrize('dropped', ['some', 'all'])
+async def test_truncated_history(
+    log: memory_log.MemoryLog, clock: _Clock, dropped: str
+) -> None:
+    """Guards against a key that runs again because its claim was dropped."""
+    async with running(log) as [one]:
+        assert (await one.claim(claim('a'))).state == answers.WON
+    clock.now_ms += 1000
+    log.add(_STREAM, 'x', items.encode([]))
+    log.truncate(_STREAM, 1 if dropped == 'some' else 2)
+    async with running(log) as [late]:
+        assert (await late.claim(claim('b'))).state == answers.EXPIRED
+        async with asyncio.timeout(5):
+            while dropped == 'all' and log.stream(_STREAM).end_offset == 2:
+                await asyncio.sleep(0.01)
+        clock.now_ms += 70_000
+        reply = await late.claim(claim('c', key_time_ms=clock.now_ms))
+        assert reply.state == answers.WON
+
+
+async def test_rewound_stream(log: memory_log.MemoryLog, clock: _Clock) -> None:
+    """Guards against a second run after the log has lost a claim."""
+    async with running(log, 2) as [one, two]:
+        assert (await one.claim(claim('a'))).state == answers.WON
+        assert (await two.claim(claim('b'))).state == answers.LOST
+        log.rewind(_STREAM, 0)
+        await asyncio.sleep(0.05)
+        assert (await one.claim(claim('c'))).state == answers.EXPIRED
+        assert (await two.claim(claim('d'))).state == answers.EXPIRED
+    async with running(log) as [late]:
+        assert (await late.claim(claim('e'))).state == answers.EXPIRED
+        clock.now_ms += 70_000
+        reply = await late.claim(claim('f', key_time_ms=clock.now_ms))
+        assert reply.state == answers.WON
+
+
+def test_partitions() -> None:
+    """Guards against moving partitions whose agent did not change."""
+    agents = [f'agent-{number}' for number in range(20)]
+    before = [
+        partitions.preferred_agents(number, agents)[0] for number in range(32)
+    ]
+    after = [
+        partitions.preferred_agents(number, agents[1:])[0]
+        for number in range(32)
+    ]
+    moved = [old for old, new in zip(before, after, strict=True) if old != new]
+    assert set(moved) <= {'agent-0'}
+    assert len(set(before)) > 10
