Add yuccactl and its language

Cause: operators have no way to read or change the configuration. Orders are idempotent, are never appended twice and wait until every reachable daemon has applied them.

--- /dev/null
+++ b/packages/yuccactl/src/yuccactl/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the operators' program as ``python -m yuccactl``."""
+
+from yuccactl import main
+
+main.run()
--- /dev/null
+++ b/packages/yuccactl/src/yuccactl/main.py
@@ -0,0 +1,160 @@
+"""Command line of the operators' program."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import pathlib
+import sys
+
+import aiohttp
+import attrs
+from absl import flags
+
+from yuccactl import errors, execute, output, parser, prompt, settings
+from yuccactl import sources, statements
+
+_COMMENT = '#'
+
+
+@attrs.frozen
+class Options:
+    """The parsed command line."""
+
+    settings_path: str
+    output_format: str
+    file_path: str
+    wait_ms: int
+    text: str
+
+
+def run() -> None:
+    """Run the program with the process's arguments and exit."""
+    sys.exit(main(sys.argv))
+
+
+def main(argv: list[str]) -> int:
+    """Run the program and return its exit status."""
+    try:
+        options = parse_options(argv)
+        return asyncio.run(_run(options))
+    except errors.CommandError as fault:
+        _complain(fault)
+        return fault.exit_status
+
+
+def parse_options(argv: list[str]) -> Options:
+    """Return the options that a command line holds.
+
+    Raises ``errors.UsageError`` for flags that are unknown or not valid.
+    """
+    values = flags.FlagValues()  # type: ignore[no-untyped-call]
+    flags.DEFINE_string(
+        'settings', '', 'YAML settings file.', flag_values=values
+    )
+    flags.DEFINE_enum(
+        'output',
+        'table',
+        list(output.FORMATS),
+        'Form of the answer.',
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        'file', '', 'File with one statement a line.', flag_values=values
+    )
+    flags.DEFINE_integer(
+        'wait_ms',
+        13_000,
+        'How long to wait until a change is in effect.',
+        lower_bound=0,
+        flag_values=values,
+    )
+    try:
+        rest = values(argv)
+    except flags.Error as fault:
+        raise errors.UsageError(
+            f'{fault}\n{values.main_module_help()}'
+        ) from fault
+    return Options(
+        values.settings,
+        values.output,
+        values.file,
+        values.wait_ms,
+        ' '.join(rest[1:]),
+    )
+
+
+async def _run(options: Options) -> int:
+    if options.text and options.file_path:
+        raise errors.UsageError('give either a statement or --file, not both')
+    if options.text:
+        return await _run_lines(options, [options.text])
+    if options.file_path:
+        return await _run_lines(options, _file_lines(options.file_path))
+    return await _run_prompt(options)
+
+
+async def _run_lines(options: Options, texts: list[str]) -> int:
+    # All lines are parsed first, so that a typing error in the last one does
+    # not leave the file half done.
+    parsed = [parser.parse(text) for text in texts]
+    pending = collections.deque(parsed)
+    while pending:
+        await _run_statement(options, pending.popleft())
+    return errors.DONE
+
+
+async def _run_prompt(options: Options) -> int:
+    status = errors.DONE
+    async for line in prompt.lines():
+        try:
+            await _run_statement(options, parser.parse(line))
+        except errors.CommandError as fault:
+            _complain(fault)
+            status = fault.exit_status
+        else:
+            status = errors.DONE
+    return status
+
+
+async def _run_statement(
+    options: Options,
+    statement: statements.Statement,
+) -> None:
+    if isinstance(statement, statements.SettingsCheck):
+        answer = execute.check_settings(statement)
+    else:
+        answer = await _execute(options, statement)
+    sys.stdout.write(output.render(answer, options.output_format))
+    sys.stdout.write('\n')
+
+
+async def _execute(
+    options: Options,
+    statement: statements.Statement,
+) -> output.Answer:
+    if not options.settings_path:
+        raise errors.UsageError('--settings FILE is needed')
+    loaded = settings.load(options.settings_path)
+    async with aiohttp.ClientSession() as session:
+        context = sources.Context(
+            loaded, session, _progress, wait_ms=options.wait_ms
+        )
+        return await execute.execute(context, statement)
+
+
+def _file_lines(path: str) -> list[str]:
+    try:
+        lines = pathlib.Path(path).read_text().splitlines()
+    except (OSError, UnicodeDecodeError) as fault:
+        raise errors.UsageError(f'{path} can not be read: {fault}') from fault
+    stripped = [line.strip() for line in lines]
+    return [line for line in stripped if line and not line.startswith(_COMMENT)]
+
+
+def _progress(line: str) -> None:
+    sys.stderr.write(f'{line}\n')
+
+
+def _complain(fault: errors.CommandError) -> None:
+    sys.stderr.write(f'yuccactl: {fault.message}\n')
--- /dev/null
+++ b/packages/yuccactl/src/yuccactl/parser.py
@@ -0,0 +1,223 @@
+"""Parsing of the operators' language into typed statements."""
+
+from __future__ import annotations
+
+import functools
+import json
+import re
+from collections.abc import Callable
+from importlib import resources
+from typing import Any, Final
+
+import lark
+from lark import exceptions as lark_errors
+
+from yuccactl import errors, statements
+
+_NAME_TERMINALS: Final = frozenset(('WORD', 'STRING', 'VERSION'))
+_VALUE_TERMINALS: Final = frozenset(('NUMBER', 'BOOLEAN'))
+_END: Final = '$END'
+_WHOLE: Final = re.compile(r'-?\d+')
+_LOOKAHEAD: Final = r'(?![\w.@:\/-])'
+
+
+@functools.cache
+def _grammar() -> lark.Lark:
+    text = resources.files('yuccactl').joinpath('grammar.lark')
+    # LALR with a contextual lexer: a keyword is only reserved where the
+    # grammar allows it, so that names may be equal to keywords.
+    return lark.Lark(text.read_text(), parser='lalr', lexer='contextual')
+
+
+def parse(text: str) -> statements.Statement:
+    """Return the statement that ``text`` holds.
+
+    Raises ``errors.UsageError`` with the place and what may stand there.
+    """
+    try:
+        tree = _grammar().parse(text)
+    except lark_errors.UnexpectedInput as fault:
+        raise errors.UsageError(_explain(text, fault)) from fault
+    try:
+        statement: statements.Statement = _Builder().transform(tree)
+    except lark_errors.VisitError as fault:
+        raise errors.UsageError(str(fault.orig_exc)) from fault
+    return statement
+
+
+def next_words(text: str) -> list[str]:
+    """Return the keywords that may follow ``text``.
+
+    The end of the statement and names that are free to choose give nothing.
+    """
+    try:
+        interactive = _grammar().parse_interactive(text)
+        interactive.exhaust_lexer()
+    except lark_errors.UnexpectedInput:
+        return []
+    words: list[str] = []
+    accepted: set[str] = interactive.accepts()  # type: ignore[no-untyped-call]
+    for terminal in accepted:
+        words.extend(_keywords(terminal))
+    return sorted(words)
+
+
+class _Builder(lark.Transformer[lark.Token, statements.Statement]):
+    """Turns a parse tree into a statement, leaves first."""
+
+    def __default__(self, data: Any, children: list[Any], meta: Any) -> Any:
+        rule = str(data)
+        parts = [part for part in children if not _is_keyword(part)]
+        return _BUILDERS[rule](parts)
+
+
+def _is_keyword(part: Any) -> bool:
+    terminals = _NAME_TERMINALS | _VALUE_TERMINALS | {'THING'}
+    if isinstance(part, lark.Token):
+        return part.type not in terminals
+    return part is None
+
+
+def _name(parts: list[Any]) -> str:
+    token = parts[0]
+    if token.type == 'STRING':
+        return _string(token)
+    return str(token)
+
+
+def _string(token: str) -> str:
+    try:
+        return str(json.loads(token))
+    except ValueError as fault:
+        raise errors.UsageError(f'{token} is not a valid string') from fault
+
+
+def _value(parts: list[Any]) -> statements.Value:
+    part = parts[0]
+    if not isinstance(part, lark.Token):
+        listed: tuple[statements.Scalar, ...] = part
+        return listed
+    if part.type == 'NUMBER':
+        return int(part) if _WHOLE.fullmatch(part) else float(part)
+    if part.type == 'BOOLEAN':
+        return bool(part == 'true')
+    return _name(parts)
+
+
+def _values(parts: list[Any]) -> tuple[Any, ...]:
+    return tuple(parts)
+
+
+def _field(parts: list[Any]) -> statements.Field:
+    return statements.Field(str(parts[0]), parts[1])
+
+
+def _show(parts: list[Any]) -> statements.Show:
+    return statements.Show(str(parts[0]), tuple(parts[1:]))
+
+
+def _limit(parts: list[Any]) -> statements.Limit:
+    name, number = parts
+    if not number.isdecimal():
+        raise errors.UsageError(
+            f'a limit is a whole number, not negative: {number}'
+        )
+    return statements.Limit(name, int(number))
+
+
+def _named(kind: Callable[..., Any]) -> Callable[[list[Any]], Any]:
+    return lambda parts: kind(*map(str, parts))
+
+
+def _with_fields(
+    kind: Callable[..., Any],
+    names: int,
+) -> Callable[[list[Any]], Any]:
+    return lambda parts: kind(
+        *map(str, parts[:names]), fields=tuple(parts[names:])
+    )
+
+
+def _incomplete(form: str) -> Callable[[list[Any]], Any]:
+    return lambda parts: statements.Incomplete(form, tuple(map(str, parts)))
+
+
+_BUILDERS: Final[dict[str, Callable[[list[Any]], Any]]] = {
+    'start': lambda parts: parts[0],
+    'name': _name,
+    'rollout_name': _name,
+    'value': _value,
+    'list': _values,
+    'match': _field,
+    'assignment': _field,
+    'show': _show,
+    'explain_request': _named(statements.ExplainRequest),
+    'explain_endpoint': _named(statements.ExplainEndpoint),
+    'why_not': _named(statements.WhyNot),
+    'history': _named(statements.History),
+    'create_organisation': _with_fields(statements.CreateOrganisation, 1),
+    'change_organisation': _with_fields(statements.ChangeOrganisation, 1),
+    'create_version': _with_fields(statements.CreateVersion, 2),
+    'change_version': _with_fields(statements.ChangeVersion, 1),
+    'allow': _named(statements.Allow),
+    'disallow': _named(statements.Disallow),
+    'roll_out': _named(statements.RollOut),
+    'hold': _named(statements.Hold),
+    'resume': _named(statements.Resume),
+    'withdraw': _named(statements.Withdraw),
+    'take_out': _named(statements.TakeOut),
+    'bring_back': _named(statements.BringBack),
+    'limit': _limit,
+    'reconcile': lambda parts: statements.BillReconcile(),
+    'settings_check': _named(statements.SettingsCheck),
+    'incomplete_explain': _incomplete('explain'),
+    'incomplete_history': _incomplete('history of'),
+    'incomplete_why_not': _incomplete('why not'),
+    'incomplete_allow': _incomplete('allow'),
+    'incomplete_disallow': _incomplete('disallow'),
+    'incomplete_roll_out': _incomplete('roll out'),
+    'incomplete_hold': _incomplete('hold'),
+    'incomplete_resume': _incomplete('resume'),
+    'incomplete_withdraw': _incomplete('withdraw'),
+    'incomplete_take_out': _incomplete('take out'),
+    'incomplete_bring_back': _incomplete('bring back'),
+    'incomplete_limit': _incomplete('limit'),
+}
+
+# What error messages call the terminals that are not keywords.
+_DESCRIPTIONS: Final[dict[str, str]] = {
+    'WORD': 'a name',
+    'STRING': 'a quoted string',
+    'VERSION': 'MODEL@VERSION',
+    'NUMBER': 'a number',
+    'BOOLEAN': 'true or false',
+    '_EQUALS': '"="',
+    '_COMMA': '","',
+    '_OPEN': '"["',
+    '_CLOSE': '"]"',
+    _END: 'the end',
+}
+
+
+def _keywords(terminal: str) -> list[str]:
+    if terminal in _DESCRIPTIONS:
+        return []
+    pattern = str(_grammar().get_terminal(terminal).pattern.value)
+    return re.findall('[a-z_]+', pattern.removesuffix(_LOOKAHEAD))
+
+
+def _explain(text: str, fault: lark_errors.UnexpectedInput) -> str:
+    expected: set[str] = set()
+    if isinstance(fault, lark_errors.UnexpectedCharacters):
+        expected = fault.allowed
+    elif isinstance(fault, lark_errors.UnexpectedToken):
+        expected = fault.accepts or fault.expected
+    words: list[str] = []
+    for terminal in expected:
+        words.extend(_keywords(terminal) or [_DESCRIPTIONS[terminal]])
+    where = 'at the end'
+    token = getattr(fault, 'token', None)
+    if token is None or token.type != _END:
+        where = f'at "{text[fault.pos_in_stream :]}"'
+    allowed = ', '.join(sorted(words))
+    return f'not a statement: {where} expected one of: {allowed}'
--- /dev/null
+++ b/packages/yuccactl/src/yuccactl/settings.py
@@ -0,0 +1,79 @@
+"""Settings file of the operators' program."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any
+
+import attrs
+import cattrs
+import yaml
+
+from yuccactl import errors
+
+
+@attrs.frozen
+class Settings:
+    """Where the log and the daemons are, and who gives the orders.
+
+    ``daemons`` are base URLs of admin ports. ``operator_key`` is sent to the
+    daemons as a bearer token and never printed.
+    """
+
+    log_url: str
+    daemons: list[str] = attrs.field(factory=list)
+    author: str = ''
+    operator_key: str = attrs.field(default='', repr=False)
+    registry_partitions: int = 16
+
+
+_converter = cattrs.Converter(forbid_extra_keys=True)
+
+
+def load(path: str) -> Settings:
+    """Read a YAML settings file.
+
+    Raises ``errors.UsageError`` when it can't be read or holds something else.
+    """
+    try:
+        document: Any = yaml.safe_load(pathlib.Path(path).read_text())
+    except (OSError, UnicodeDecodeError) as missing:
+        raise errors.UsageError(f'{path} can not be read: {missing}')
+    except yaml.YAMLError as malformed:
+        raise errors.UsageError(f'{path} is not YAML: {malformed}')
+    return parse(document, path)
+
+
+def parse(document: Any, path: str) -> Settings:
+    """Return the settings that a parsed YAML document holds.
+
+    Raises ``errors.UsageError`` that names the first wrong field.
+    """
+    if not isinstance(document, dict):
+        raise errors.UsageError(f'{path} holds no mapping')
+    _check_types(document, path)
+    try:
+        settings = _converter.structure(document, Settings)
+    except cattrs.BaseValidationError as fault:
+        problems = '; '.join(cattrs.transform_error(fault))
+        raise errors.UsageError(f'{path}: {problems}') from fault
+    for url in (settings.log_url, *settings.daemons):
+        if not url.startswith(('http://', 'https://')):
+            raise errors.UsageError(f'{path}: {url!r} is not an HTTP URL')
+    return settings
+
+
+def _check_types(document: dict[str, Any], path: str) -> None:
+    for name, kind in _TYPES.items():
+        if name in document and not isinstance(document[name], kind):
+            raise errors.UsageError(f'{path}: {name} must be a {kind.__name__}')
+
+
+# Checked before structuring, because cattrs converts silently between them.
+_TYPES = {
+    'log_url': str,
+    'daemons': list,
+    'author': str,
+    'operator_key': str,
+    'registry_partitions': int,
+}
--- /dev/null
+++ b/packages/yuccactl/src/yuccactl/views.py
@@ -0,0 +1,78 @@
+"""Rows and sources made from what the daemons answered."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+from yuccactl import output, sources
+
+_UNKNOWN_AGE_MS: Final = 2**53
+
+
+def endpoint_views(answers: list[sources.Answer]) -> list[output.Row]:
+    """Return a row for every report of an endpoint by every daemon."""
+    return [
+        {**report, 'according_to': answer.daemon}
+        for answer in answers
+        for report in _reports(answer)
+    ]
+
+
+def endpoints(answers: list[sources.Answer]) -> list[output.Row]:
+    """Return one row for each endpoint, from its most recent report."""
+    newest: dict[str, output.Row] = {}
+    for row in sorted(endpoint_views(answers), key=_age_ms):
+        newest.setdefault(str(row['endpoint']), row)
+    return [newest[name] for name in sorted(newest)]
+
+
+def daemon_sources(answers: list[sources.Answer]) -> list[output.Source]:
+    """Return who answered, at which position and how long ago."""
+    return [_source(answer) for answer in answers]
+
+
+def replay_source(
+    context: sources.Context,
+    replay: sources.Replay,
+) -> output.Source:
+    """Return the log itself as a source, read just now."""
+    position = replay.configuration.position
+    state = '' if replay.complete else 'incomplete: oldest changes are gone'
+    return output.Source(
+        f'log {context.settings.log_url}',
+        position.generation,
+        position.offset,
+        age_ms=0,
+        log_state=state,
+    )
+
+
+def _reports(answer: sources.Answer) -> list[output.Row]:
+    reports = answer.document.get('endpoints')
+    if not isinstance(reports, list):
+        return []
+    return [
+        report
+        for report in reports
+        if isinstance(report, dict) and 'endpoint' in report
+    ]
+
+
+def _source(answer: sources.Answer) -> output.Source:
+    if answer.fault:
+        return output.Source(answer.daemon, fault=answer.fault)
+    position = answer.position
+    known = position.offset >= 0
+    age_ms = answer.document.get('confirmed_age_ms')
+    return output.Source(
+        answer.daemon,
+        position.generation if known else None,
+        position.offset if known else None,
+        age_ms=age_ms if isinstance(age_ms, int) else None,
+        log_state=str(answer.document.get('log_state', '')),
+    )
+
+
+def _age_ms(row: output.Row) -> Any:
+    age_ms = row.get('age_ms')
+    return age_ms if isinstance(age_ms, (int, float)) else _UNKNOWN_AGE_MS
--- /dev/null
+++ b/packages/yuccactl/tests/test_queries.py
@@ -0,0 +1,165 @@
+"""Tests of queries and of what is said about their sources."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+import yaml
+
+from yuccactl import errors, execute, output, parser
+
+
+async def _ask(bench: Any, text: str) -> output.Answer:
+    return await execute.execute(bench.context, parser.parse(text))
+
+
+_ENDPOINTS: list[dict[str, Any]] = [
+    {
+        'endpoint': 'a',
+        'data_centre': 'kochi',
+        'pool': 'p',
+        'state': 'cold',
+        'age_ms': 5,
+        'versions': ['c@1'],
+    },
+    {'endpoint': 'b', 'data_centre': 'thrissur', 'pool': 'p', 'state': 'ready'},
+]
+
+
+@pytest.mark.parametrize(
+    ('text', 'field', 'expected'),
+    [
+        ('show organisations', 'name', ['o']),
+        ('show versions where version = 2', 'name', ['c@2']),
+        ('show pools', 'name', ['p']),
+        ('show services', 'name', []),
+        ('show data_centres where state = in_service', 'name', ['kochi']),
+        ('show endpoints', 'endpoint', ['a', 'b']),
+        (
+            'show endpoints where data_centre = kochi and state = cold',
+            'endpoint',
+            ['a'],
+        ),
+        ('show endpoints where versions = c@1', 'endpoint', ['a']),
+        ('explain endpoint a', 'state', ['cold']),
+        ('explain endpoint x', 'state', []),
+        ('explain request r', 'value', ['ok', 1]),
+        ('explain request x', 'value', []),
+        ('history of c@1', 'kind', ['model_version', 'organisation']),
+        (
+            'why not c@2 for o',
+            'remedy',
+            ['allow c@2 for o', 'explain endpoint a', 'explain endpoint b'],
+        ),
+        ('show bill', 'cost_microcents', [3, 7]),
+        ('show bill where organisation = o', 'requests', [1]),
+        (
+            'show configuration where author = setup',
+            'object',
+            [
+                'data_centres/kochi',
+                'organisations/o',
+                'pools/p',
+                'versions/c@1',
+                'versions/c@2',
+            ],
+        ),
+    ],
+)
+async def test_query(
+    bench: Any, text: str, field: str, expected: list[Any]
+) -> None:
+    """Guards against rows that are missing, repeated or not filtered."""
+    bench.platform.explained['r'] = {'outcome': 'ok', 'attempts': [1]}
+    bench.platform.documents = [
+        {
+            'endpoints': [
+                _ENDPOINTS[0],
+                {**_ENDPOINTS[1], 'versions': ['c@3']},
+            ]
+        }
+    ]
+    for request, organisation, cost in (
+        ('1', 'o', 3),
+        ('1', 'o', 9),
+        ('2', 'x', 7),
+    ):
+        row = {
+            'request_id': request,
+            'organisation': organisation,
+            'cost_microcents': cost,
+        }
+        bench.platform.put('billing', request, {'rows': [row]})
+    answer = await _ask(bench, text)
+    assert [row[field] for row in answer.rows] == expected
+    if 'explain request' not in text:
+        assert answer.sources
+
+
+async def test_sources(bench: Any) -> None:
+    """Guards against an answer that hides how old it is or who gave it."""
+    bench.platform.documents = [
+        {'endpoints': _ENDPOINTS, 'confirmed_age_ms': 9}
+    ]
+    answer = await _ask(bench, 'show endpoints')
+    text = output.render(answer, 'table')
+    assert (
+        'according to entry-1: offset 4 (generation 0), 9 ms old, log ok'
+    ) in text
+    assert (
+        json.loads(output.render(answer, 'json'))['sources'][0]['offset'] == 4
+    )
+    assert (
+        yaml.safe_load(output.render(answer, 'yaml'))['rows'][0]['age_ms'] == 5
+    )
+    assert bench.platform.authorizations == {'Bearer secret'}
+
+
+async def test_unknown_field(bench: Any) -> None:
+    """Guards against a misspelt field that silently matches nothing."""
+    with pytest.raises(errors.UsageError, match='no field naem'):
+        await _ask(bench, 'show versions where naem = c')
+
+
+async def test_why_not_withdrawn(bench: Any) -> None:
+    """Guards against leaving out one of several obstacles."""
+    bench.platform.change('withdraw_version', {'model': 'c', 'version': '2'})
+    bench.platform.change(
+        'data_centre', {'name': 'kochi', 'state': 'out_of_service'}
+    )
+    bench.platform.documents = [{'endpoints': [_ENDPOINTS[0]]}]
+    answer = await _ask(bench, 'why not c@2 for o')
+    reasons = '\n'.join(row['reason'] for row in answer.rows)
+    for part in ('not allowed', 'withdrawn', 'out of service', '5 ms old'):
+        assert part in reasons
+
+
+async def test_reconcile(bench: Any) -> None:
+    """Guards against billing an outcome twice, or not at all."""
+    row = {'request_id': 'r', 'organisation': 'o', 'attempt_id': 'a'}
+    outcomes = [
+        {'item': 'outcome', 'attempt_id': 'a', 'bill_row': row},
+        {'item': 'outcome', 'attempt_id': 'b'},
+        {'item': 'claim', 'attempt_id': 'c'},
+    ]
+    bench.platform.put('registry-03', 'x', {'items': outcomes})
+    answer = await _ask(bench, 'bill reconcile')
+    assert answer.notes == [
+        'rows written: 1',
+        'outcomes without a row that do not hold one: b',
+    ]
+    repeated = await _ask(bench, 'bill reconcile')
+    assert repeated.notes[0] == 'rows written: 0'
+    assert len(bench.platform.streams['billing']) == 1
+
+
+async def test_truncated_history(bench: Any) -> None:
+    """Guards against changing a configuration that is known in part only."""
+    held = bench.platform.streams['configuration']
+    del held[:2]
+    answer = await _ask(bench, 'show versions')
+    assert 'incomplete' in answer.sources[0].log_state
+    with pytest.raises(errors.RejectedError, match='no longer holds'):
+        await _ask(bench, 'limit o to 5 concurrent')
