Run the whole path: demo, outcomes, resumed streams and their tests

Cause: the parts of the path had not run together. Change: spans for each hop, claims under the request id, the last event of a stream is held until the attempt is whole, metrics by outcome with configured kinds only, and the demo with two deployments. Found and fixed with tests: a stream whose last event had been passed on before its attempt broke was resumed after its end; a text was taken for a list of peers; the agent recorded outcomes under another key than the claim's.

--- a/packages/common/src/yuccarouter_common/peer_auth.py
+++ b/packages/common/src/yuccarouter_common/peer_auth.py
@@ -43,12 +43,12 @@
 
 
 def _rejecting(handler: Any) -> _Handler:
-    async def reject(request: Any, call: Any) -> Any:  # noqa: WPS430
+    async def reject(request: Any, call: Any) -> Any:
         await call.abort(
             grpc.StatusCode.UNAUTHENTICATED, 'peer key is missing or wrong'
         )
 
-    async def reject_stream(request: Any, call: Any) -> Any:  # noqa: WPS430
+    async def reject_stream(request: Any, call: Any) -> Any:
         yield await reject(request, call)
 
     if handler.response_streaming:
--- a/packages/common/src/yuccarouter_common/settings.py
+++ b/packages/common/src/yuccarouter_common/settings.py
@@ -204,7 +204,7 @@
 
 
 def _strict(kind: type[Any]) -> Any:
-    def structure(value: Any, _: Any) -> Any:  # noqa: WPS430
+    def structure(value: Any, _: Any) -> Any:
         if type(value) is not kind:  # noqa: WPS516
             raise ValueError(f'expected {kind.__name__}')
         return value
@@ -216,6 +216,20 @@
 _converter.register_structure_hook(int, _strict(int))
 
 
+def _text_list(value: Any, _: Any) -> tuple[str, ...]:
+    # A text is a sequence of texts too, so cattrs would take one for a list.
+    if not isinstance(value, list):
+        raise ValueError('expected a list of texts')
+    if not all(isinstance(text, str) for text in value):
+        raise ValueError('expected a list of texts')
+    return tuple(value)
+
+
+_converter.register_structure_hook_func(
+    lambda kind: kind == tuple[str, ...], _text_list
+)
+
+
 def load(path: str) -> Settings:
     """Read and check a settings file.
 
--- a/packages/daemon/src/yuccarouter/admission/attempt.py
+++ b/packages/daemon/src/yuccarouter/admission/attempt.py
@@ -17,6 +17,7 @@
     relay,
     slots,
     stream,
+    tracing,
 )
 from yuccarouter_common import refusals
 from yuccarouter_common.proto import router_pb2
@@ -64,6 +65,11 @@
 
         Raises ``NotConnectedError`` or ``BrokenCallError``.
         """
+        name = 'service' if attempt.request.service else 'engine'
+        with tracing.hop(name, attempt.request):
+            return await self._call(attempt)
+
+    async def _call(self, attempt: Attempt) -> relay.Answer:
         request = attempt.request
         async with calls.opened(
             self.session, self.place.url, request, attempt.exchange
--- a/packages/daemon/src/yuccarouter/admission/once.py
+++ b/packages/daemon/src/yuccarouter/admission/once.py
@@ -91,6 +91,8 @@
 async def _record(
     caller: attempts.Caller, record: router_pb2.RecordRequest
 ) -> None:
+    if not record.key:
+        return
     try:
         async with asyncio.timeout(_RECORD_S):
             await caller.parts.registry.record(record)
@@ -106,7 +108,8 @@
 ) -> router_pb2.RecordRequest:
     record = router_pb2.RecordRequest(
         partition=request.claim.partition,
-        key=request.request_id,
+        # A call without a claim has no key that a repeat could come with.
+        key=request.request_id if request.HasField('claim') else '',
         attempt_id=request.attempt_id,
         item=item,
     )
--- a/packages/daemon/src/yuccarouter/admission/servicer.py
+++ b/packages/daemon/src/yuccarouter/admission/servicer.py
@@ -8,7 +8,7 @@
 
 from grpc import aio
 
-from yuccarouter.admission import ports, runner
+from yuccarouter.admission import ports, runner, tracing
 from yuccarouter_common.proto import router_pb2, router_pb2_grpc
 
 _DEFAULT_INTERVAL_MS: Final = 250
@@ -38,7 +38,8 @@
         # Events are written from the handler's own task, so a cancelled or
         # broken call interrupts the attempt at once. An asynchronous
         # generator would only notice when it is collected.
-        await self._runner.run(request, context.write)
+        with tracing.hop('agent.run', request):
+            await self._runner.run(request, context.write)
 
     async def Reports(  # noqa: N802
         self, request: router_pb2.ReportsRequest, context: _Context
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/admission/tracing.py
@@ -0,0 +1,27 @@
+"""Spans of an attempt at the agent and at its endpoint."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+
+from yuccarouter_common import telemetry
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from yuccarouter_common.proto import router_pb2
+
+
+@contextlib.contextmanager
+def hop(name: str, request: router_pb2.RunRequest) -> Iterator[None]:
+    """Put a span around a hop; the next hop gets it as its parent."""
+    parent = telemetry.parent_context({'traceparent': request.traceparent})
+    with telemetry.tracer().start_as_current_span(
+        name,
+        context=parent,
+        attributes={'attempt_id': request.attempt_id},
+        record_exception=False,
+    ) as span:
+        request.traceparent = telemetry.traceparent(span)
+        yield
--- a/packages/daemon/src/yuccarouter/billing/ledger.py
+++ b/packages/daemon/src/yuccarouter/billing/ledger.py
@@ -55,6 +55,7 @@
         max_held_rows: int = _MAX_HELD_ROWS,
     ) -> None:
         super().__init__()
+        self.retry_delay_s = _RETRY_DELAY_S
         self._client = client
         self._interval_s = interval_ms / _MS_PER_S
         self._written = written
@@ -137,7 +138,7 @@
         if not self._is_log_down:
             self._is_log_down = True
             eliot.log_message('billing_log_down', reason=fault.message)
-        await asyncio.sleep(_RETRY_DELAY_S)
+        await asyncio.sleep(self.retry_delay_s)
 
     def _note_log_up(self) -> None:
         if self._is_log_down:
--- a/packages/daemon/src/yuccarouter/request_path/authentication.py
+++ b/packages/daemon/src/yuccarouter/request_path/authentication.py
@@ -29,7 +29,7 @@
     position = model.Position()
     index: dict[str, model.Organisation] = {}
 
-    def authenticate(header: str) -> model.Organisation:  # noqa: WPS430
+    def authenticate(header: str) -> model.Organisation:
         nonlocal position, index  # noqa: WPS420
         configuration = current()
         if configuration.position != position:
--- a/packages/daemon/src/yuccarouter/request_path/claims.py
+++ b/packages/daemon/src/yuccarouter/request_path/claims.py
@@ -20,22 +20,21 @@
 _MARGIN_S: Final = 0.5
 _UUID7_TIME_SHIFT: Final = 80
 _MS_PER_S: Final = 1000
+_ID_DIGITS: Final = 32
 _UNAVAILABLE: Final = 'unavailable'
 
 
-def request_key(organisation: str, idempotency_key: str) -> str:
-    """Return the registry key of a caller's idempotency key."""
-    return f'request/{organisation}/{idempotency_key}'
-
-
 def session_key(organisation: str, session_id: str) -> str:
     """Return the registry key of a caller-chosen session id."""
-    return f'session/{organisation}/{session_id}'
+    return _hashed('s', organisation, session_id)
+
 
+def request_id(organisation: str, idempotency_key: str) -> str:
+    """Return the request id of every request with a caller's key.
 
-def request_id(key: str) -> str:
-    """Return the request id that every repeat with a key gets."""
-    return f'r-{hashlib.sha256(key.encode()).hexdigest()[:32]}'
+    It is the registry key too; the caller's own text stays out of the log.
+    """
+    return _hashed('r', organisation, idempotency_key)
 
 
 def key_time_ms(key: str) -> int:
@@ -45,7 +44,7 @@
     keeps, even after the record of its claim is gone.
     """
     try:
-        parsed = uuid.UUID(key.rpartition('/')[2])
+        parsed = uuid.UUID(key)
     except ValueError:
         return 0
     return parsed.int >> _UUID7_TIME_SHIFT if parsed.version == 7 else 0
@@ -66,7 +65,6 @@
     )
     request.window_ms = timing.claim_window_ms
     request.timeout_ms = timing.claim_timeout_ms
-    request.key_time_ms = key_time_ms(request.key)
     for address in _owners(shared, request.partition):
         request.attempt_id = sender.new_attempt_id()
         try:
@@ -112,3 +110,9 @@
 def _owners(shared: router.Router, partition: int) -> list[str]:
     addresses = [vm.address for vm in shared.known.live('agent')]
     return partitions.preferred_agents(partition, addresses)[:_MAX_OWNERS]
+
+
+def _hashed(kind: str, organisation: str, text: str) -> str:
+    # The length keeps two different pairs from giving the same text.
+    joined = f'{len(organisation)}/{organisation}/{text}'
+    return f'{kind}-{hashlib.sha256(joined.encode()).hexdigest()[:_ID_DIGITS]}'
--- a/packages/daemon/src/yuccarouter/request_path/completions.py
+++ b/packages/daemon/src/yuccarouter/request_path/completions.py
@@ -46,6 +46,7 @@
     asked = chat.parse(body)
     planned = intake.make_plan(shared, request, organisation, body)
     planned = attrs.evolve(planned, is_stream=asked.is_stream)
+    progress.of_kind(planned.kind)
     bills.check_room(shared)
     freshness.check(shared, organisation)
     held = _held(shared, planned)
@@ -123,8 +124,8 @@
             async for data in events:
                 await response.write(data)
         except refusals.RefusalError as fault:
-            progress_note = fault.code
-            work.progress.explain('stream_cut', code=progress_note)
+            work.progress.cut = fault
+            work.progress.explain('stream_cut', code=fault.code)
             await response.write(replies.refusal_event(fault))
     if state.answer is not None:
         _close(shared, planned, state.answer, work.progress)
--- a/packages/daemon/src/yuccarouter/request_path/events.py
+++ b/packages/daemon/src/yuccarouter/request_path/events.py
@@ -28,21 +28,37 @@
     def text(self) -> str:
         """Text that this event adds to the answer."""
         return ''.join(
-            choice.get('delta', {}).get('content') or ''
-            for choice in self._choices()
+            content for content in self._contents() if isinstance(content, str)
         )
 
     @property
     def is_opening(self) -> bool:
         """Whether the event only announces the role of the answer."""
         return not self.text and any(
-            'role' in choice.get('delta', {}) for choice in self._choices()
+            'role' in delta for delta in self._deltas()
+        )
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether the event only says why the answer has ended."""
+        return not self.text and any(
+            choice.get('finish_reason') for choice in self._choices()
         )
 
     def _choices(self) -> list[dict[str, Any]]:
         if self.document is None:
             return []
-        return self.document.get('choices') or []
+        choices = self.document.get('choices')
+        if not isinstance(choices, list):
+            return []
+        return [choice for choice in choices if isinstance(choice, dict)]
+
+    def _deltas(self) -> list[dict[str, Any]]:
+        deltas = [choice.get('delta') for choice in self._choices()]
+        return [delta for delta in deltas if isinstance(delta, dict)]
+
+    def _contents(self) -> list[Any]:
+        return [delta.get('content') for delta in self._deltas()]
 
 
 def split(data: bytes) -> Iterator[StreamEvent]:
--- a/packages/daemon/src/yuccarouter/request_path/front.py
+++ b/packages/daemon/src/yuccarouter/request_path/front.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Final
 
-import eliot
 import orjson
 import prometheus_client
 from aiohttp import web
@@ -13,6 +14,7 @@
 from yuccarouter.request_path import (
     authentication,
     completions,
+    outcomes,
     plan,
     replies,
     service_calls,
@@ -26,9 +28,6 @@
     from yuccarouter.request_path import router
     from yuccarouter_common import model
 
-_LOST_CODES: Final = frozenset(('attempt_lost', 'upstream_failed'))
-_LATE_CODES: Final = frozenset(('deadline_exceeded',))
-_CALLER_ERRORS: Final = 500
 _JSON: Final = 'application/json'
 
 _REQUESTS = prometheus_client.Counter(
@@ -74,9 +73,9 @@
 ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
     authenticate = authentication.authenticator(shared.store.current)
 
-    async def answer(request: web.Request) -> web.StreamResponse:  # noqa: WPS430
+    async def answer(request: web.Request) -> web.StreamResponse:
         progress = plan.Progress()
-        kind = request.headers.get('X-Request-Kind', 'default')
+        started_s = time.monotonic()
         with telemetry.tracer().start_as_current_span(
             'entry.request',
             context=telemetry.parent_context(request.headers),
@@ -90,17 +89,29 @@
                     shared, organisation, handle, request, progress
                 )
             except refusals.RefusalError as fault:
-                _note_refusal(fault, kind)
-                progress.explain('refuse', code=fault.code, why=fault.message)
+                progress.cut = fault
                 response = replies.refusal(fault)
-            else:
-                _REQUESTS.labels('ok', kind).inc()
+            except (ConnectionError, asyncio.CancelledError):
+                _REQUESTS.labels(outcomes.CALLER_LEFT, progress.kind).inc()
+                raise
+            _count(progress, time.monotonic() - started_s)
             _close(shared, response, progress, span)
             return response
 
     return answer
 
 
+def _count(progress: plan.Progress, elapsed_s: float) -> None:
+    outcome = outcomes.of_request(progress, elapsed_s)
+    _REQUESTS.labels(outcome, progress.kind).inc()
+    _SECONDS.labels(progress.kind).observe(elapsed_s)
+    if progress.cut is not None:
+        _REFUSALS.labels(progress.cut.code, progress.cut.outcome).inc()
+        progress.explain(
+            'refuse', code=progress.cut.code, why=progress.cut.message
+        )
+
+
 async def _counted(
     shared: router.Router,
     organisation: model.Organisation,
@@ -137,22 +148,6 @@
     )
 
 
-def _note_refusal(fault: refusals.RefusalError, kind: str) -> None:
-    _REFUSALS.labels(fault.code, fault.outcome).inc()
-    if fault.code in _LOST_CODES:
-        outcome = 'lost'
-    elif fault.code in _LATE_CODES:
-        outcome = 'late'
-    elif fault.status >= _CALLER_ERRORS:
-        outcome = 'rejected'
-    else:
-        # The caller's own mistakes say nothing about the service.
-        outcome = 'caller_error'
-    _REQUESTS.labels(outcome, kind).inc()
-    if outcome == 'lost':
-        eliot.log_message('request_lost', code=fault.code, kind=kind)
-
-
 async def _models(
     shared: router.Router,
     request: web.Request,
--- a/packages/daemon/src/yuccarouter/request_path/intake.py
+++ b/packages/daemon/src/yuccarouter/request_path/intake.py
@@ -99,7 +99,7 @@
 def _request_id(organisation: model.Organisation, key: str) -> str:
     if not key:
         return f'u-{uuid.uuid4().hex}'
-    return claims.request_id(claims.request_key(organisation.name, key))
+    return claims.request_id(organisation.name, key)
 
 
 def _digest(request: web.Request, body: bytes) -> str:
--- a/packages/daemon/src/yuccarouter/request_path/plan.py
+++ b/packages/daemon/src/yuccarouter/request_path/plan.py
@@ -11,7 +11,7 @@
     from opentelemetry import context
 
     from yuccarouter.routing import sessions
-    from yuccarouter_common import model
+    from yuccarouter_common import model, refusals
 
 _MS_PER_S: Final = 1000
 
@@ -87,6 +87,16 @@
     tried: set[str] = attrs.field(factory=set)
     reasons: list[dict[str, Any]] = attrs.field(factory=list)
     may_have_run: bool = False
+    # A configured name, never the caller's text: it labels metrics.
+    kind: str = 'default'
+    bound_ms: int = 0
+    # Why a stream that had begun could not be made whole.
+    cut: refusals.RefusalError | None = None
+
+    def of_kind(self, kind: model.RequestKind) -> None:
+        """Note the kind of the request."""
+        self.kind = kind.name
+        self.bound_ms = kind.bound_ms
 
     def explain(self, step: str, **details: Any) -> None:
         """Keep a decision with its reasons for operators."""
--- a/packages/daemon/src/yuccarouter/request_path/service_calls.py
+++ b/packages/daemon/src/yuccarouter/request_path/service_calls.py
@@ -47,6 +47,7 @@
     body = await intake.read_body(request, shared.conf.limits)
     planned = intake.make_plan(shared, request, organisation, body, marked.kind)
     planned = attrs.evolve(planned, is_idempotent=marked.idempotent)
+    progress.of_kind(planned.kind)
     bills.check_room(shared)
     freshness.check(shared, organisation)
     raw_path = request.rel_url.raw_path.split('/', _PATH_PARTS)[-1]
@@ -94,11 +95,12 @@
 ) -> plan.Answer:
     """Run a non-idempotent call if its key can be claimed for this attempt."""
     planned = sending.request
-    key = claims.request_key(planned.organisation.name, planned.idempotency_key)
+    key = planned.request_id
     asked = router_pb2.ClaimRequest(
         key=key,
         value=planned.request_id,
         body_digest=planned.body_digest,
+        key_time_ms=claims.key_time_ms(planned.idempotency_key),
     )
     try:
         reply = await claims.claim(shared, asked)
--- a/packages/daemon/src/yuccarouter/request_path/streaming.py
+++ b/packages/daemon/src/yuccarouter/request_path/streaming.py
@@ -33,6 +33,7 @@
     text: str = ''
     stream_id: str = ''
     has_opened: bool = False
+    has_closed: bool = False
     prompt_tokens: int = 0
     completion_tokens: int = 0
     # Tokens that the present attempt has sent; its engine's own count replaces
@@ -73,16 +74,21 @@
 async def _attempt(
     shared: router.Router, sending: sender.Sending, state: StreamState
 ) -> AsyncGenerator[bytes]:
-    is_done = False
+    # The last event waits until the agent says that the attempt is whole: a
+    # caller who has seen it must not get more.
+    last = b''
     state.attempt_tokens = 0
     running = sender.run(shared, sending)
     async with contextlib.aclosing(running):
         async for event in running:
             if isinstance(event, attempt.Finished):
-                _finish(sending, event, state, is_done)
+                _finish(sending, event, state, last)
+                yield last
                 return
             for part in events.split(event.data):
-                is_done = is_done or part.is_done
+                if part.is_done:
+                    last = part.raw
+                    continue
                 data = _pass_on(part, state)
                 if data:
                     state.parts.append(data)
@@ -99,6 +105,10 @@
         if state.has_opened:
             return b''
         state.has_opened = True
+    if event.is_closing:
+        if state.has_closed:
+            return b''
+        state.has_closed = True
     text = event.text
     if text:
         state.text += text
@@ -110,10 +120,11 @@
     sending: sender.Sending,
     end: attempt.Finished,
     state: StreamState,
-    is_done: bool,
+    last: bytes,
 ) -> None:
-    if not is_done:
+    if not last:
         raise errors.AttemptLostError('the stream ended without its last event')
+    state.parts.append(last)
     state.prompt_tokens = state.prompt_tokens or end.prompt_tokens
     state.completion_tokens += end.completion_tokens
     state.answer = plan.Answer(
--- a/packages/daemon/src/yuccarouter/roles/admin.py
+++ b/packages/daemon/src/yuccarouter/roles/admin.py
@@ -45,27 +45,27 @@
     operators' key as bearer token.
     """
 
-    async def health(request: web.Request) -> web.Response:  # noqa: WPS430
+    async def health(request: web.Request) -> web.Response:
         return web.Response(text='ok\n')
 
-    async def ready(request: web.Request) -> web.Response:  # noqa: WPS430
+    async def ready(request: web.Request) -> web.Response:
         reason = views.why_not_ready()
         status = _UNAVAILABLE if reason else _OK
         return web.Response(status=status, text=f'{reason or "ready"}\n')
 
-    async def metrics(request: web.Request) -> web.Response:  # noqa: WPS430
+    async def metrics(request: web.Request) -> web.Response:
         return web.Response(
             body=prometheus_client.generate_latest(),
             headers={'Content-Type': prometheus_client.CONTENT_TYPE_LATEST},
         )
 
-    async def status(request: web.Request) -> web.Response:  # noqa: WPS430
+    async def status(request: web.Request) -> web.Response:
         return _json(views.status())
 
-    async def explain(request: web.Request) -> web.Response:  # noqa: WPS430
+    async def explain(request: web.Request) -> web.Response:
         return _json(views.explain(request.match_info['request_id']))
 
-    async def trace(request: web.Request) -> web.Response:  # noqa: WPS430
+    async def trace(request: web.Request) -> web.Response:
         found = spans.spans_of(request.match_info['trace_id'])
         return _json([attrs.asdict(span) for span in found] or None)
 
@@ -83,7 +83,7 @@
     expected = f'Bearer {conf.secrets.operator_key}'.encode()
 
     @web.middleware
-    async def check(  # noqa: WPS430
+    async def check(
         request: web.Request, handler: _Handler
     ) -> web.StreamResponse:
         given = request.headers.get('Authorization', '').encode()
--- /dev/null
+++ b/packages/daemon/tests/request_path/conftest.py
@@ -0,0 +1,186 @@
+"""A fake agent on a real gRPC port and an entry's application before it."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections.abc import AsyncIterator
+from typing import Any
+
+import attrs
+import pytest
+import yarl
+from aiohttp import test_utils
+from grpc import aio
+
+from yuccarouter.billing import ledger
+from yuccarouter.configuration import store
+from yuccarouter.membership import channels, directory
+from yuccarouter.request_path import (
+    answers,
+    explanations,
+    front,
+    router,
+    session_versions,
+    settlements,
+)
+from yuccarouter.routing import latency, retry_budget, views
+from yuccarouter_common import model, settings
+from yuccarouter_common.platform import vms
+from yuccarouter_common.proto import router_pb2_grpc
+from yuccarouter_testkit import fake_agent, memory_log
+
+KEY = 'caller-key'
+
+
+@attrs.define
+class Entry:
+    """An entry's application, its fake agent and the log."""
+
+    client: test_utils.TestClient[Any, Any]
+    agent: fake_agent.FakeAgent
+    shared: router.Router
+    log: memory_log.MemoryLog
+
+    async def send(
+        self, path: str | yarl.URL = '/v1/chat/completions', **options: Any
+    ) -> Any:
+        headers = {'Authorization': f'Bearer {KEY}'}
+        headers |= options.pop('headers', {})
+        method = options.pop('method', 'POST')
+        url = self.client.make_url(path) if isinstance(path, str) else path
+        return await self.client.session.request(
+            method, url, headers=headers, **options
+        )
+
+    async def chat(self, **options: Any) -> Any:
+        body = {
+            'model': options.pop('model', 'clue'),
+            'messages': [{'role': 'user', 'content': 'Note on 7 down'}],
+            'stream': options.pop('stream', False),
+        }
+        return await self.send(json=body, **options)
+
+    async def billed(self) -> list[Any]:
+        await self.shared.ledger.flush()
+        return [
+            row
+            for entry in self.log.stream('billing').entries
+            for row in entry.payload['rows']
+        ]
+
+
+def _configuration() -> model.Configuration:
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    return model.Configuration(
+        position=model.Position(0, 5),
+        organisations={
+            'o': model.Organisation(
+                'o',
+                (digest,),
+                allowed=('clue@1',),
+                services=('desk',),
+                max_concurrent=3,
+            )
+        },
+        versions={
+            'clue@1': model.ModelVersion('clue', '1', 'engines', 1, 10),
+            'clue@2': model.ModelVersion('clue', '2', 'engines', 1, 10),
+        },
+        kinds={
+            'quick': model.RequestKind('quick', bound_ms=400),
+            'long': model.RequestKind('long', bound_ms=5000, whole=True),
+        },
+        services={
+            'desk': model.Service(
+                'desk',
+                'engines',
+                (
+                    model.Call('POST', '/payments', price_microcents=500),
+                    model.Call('GET', '/certificates', idempotent=True),
+                ),
+            )
+        },
+    )
+
+
+def _settings(peer_port: int) -> settings.Settings:
+    url = 'http://127.0.0.1:1'
+    address = settings.Address('127.0.0.1', peer_port)
+    key = 'k' * 16
+    return settings.Settings(
+        role='entry',
+        name='entry-1',
+        vm='vm-1',
+        data_centre='muenchen',
+        peer=address,
+        admin=address,
+        platform=settings.Platform(url, url, url, url),
+        secrets=settings.Secrets(key, key, key),
+        limits=settings.Limits(body_bytes=10_000, body_timeout_ms=300),
+    )
+
+
+def _endpoint(name: str, address: str) -> views.EndpointView:
+    return views.EndpointView(
+        endpoint=name,
+        vm=f'vm-{name}',
+        data_centre='muenchen',
+        pool='engines',
+        address=address,
+        limit=8,
+        versions=('clue@1', 'clue@2', ''),
+        received_ms=router.now_ms(),
+        sequence=1,
+    )
+
+
+@pytest.fixture
+async def entry() -> AsyncIterator[Entry]:
+    agent = fake_agent.FakeAgent(scripts=[fake_agent.answer])
+    server = aio.server()
+    router_pb2_grpc.add_AgentServicer_to_server(agent, server)
+    port = server.add_insecure_port('127.0.0.1:0')
+    await server.start()
+    address = f'127.0.0.1:{port}'
+    conf = _settings(port)
+    rng = random.Random(7)
+
+    async def listed() -> list[vms.Vm]:
+        return [
+            vms.Vm('vm', address, 'muenchen', vms.State.LIVE, 'agent', 'e1')
+        ]
+
+    known = directory.Directory(listed, 1000)
+    await known.refresh()
+    log = memory_log.MemoryLog()
+    daemons = channels.Channels(conf.secrets.peer_key)
+    settled = settlements.Settlements(daemons)
+    shared = router.Router(
+        conf=conf,
+        store=store.Store(),
+        fleet=views.Fleet(router.now_ms, rng.random),
+        daemons=daemons,
+        known=known,
+        ledger=ledger.Ledger(log, 1, settled.written),  # type: ignore[arg-type]
+        settlements=settled,
+        budget=retry_budget.RetryBudget(),
+        latencies=latency.Latencies(router.now_ms),
+        answers=answers.HeldAnswers(100_000),
+        explanations=explanations.Explanations(),
+        load=router.Load(8),
+        pins=session_versions.KnownPins(),
+        rng=rng,
+    )
+    shared.store.install(_configuration(), 0)
+    for name in ('e1', 'e2', 'e3', 'e4'):
+        shared.fleet.update(_endpoint(name, address))
+    app = front.make_app(shared)
+    client = test_utils.TestClient(
+        test_utils.TestServer(app, handler_cancellation=True)
+    )
+    await client.start_server()
+    yield Entry(client, agent, shared, log)
+    await client.close()
+    await daemons.close()
+    await server.stop(0)
--- /dev/null
+++ b/packages/daemon/tests/request_path/test_chat.py
@@ -0,0 +1,128 @@
+"""Tests of checking chat requests and of reading events."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yuccarouter.request_path import chat, claims, events
+
+_MESSAGES = [{'role': 'user', 'content': 'hello'}]
+_GOOD = {'model': 'clue', 'messages': _MESSAGES}
+
+
+@pytest.mark.parametrize(
+    ('change', 'param'),
+    [
+        ({'model': ''}, 'model'),
+        ({'model': 1}, 'model'),
+        ({'messages': []}, 'messages'),
+        ({'messages': ['x']}, 'messages[0]'),
+        ({'messages': [{'role': 'king'}]}, 'messages[0].role'),
+        (
+            {'messages': [{'role': 'user', 'content': 3}]},
+            'messages[0].content',
+        ),
+        ({'stream': 'yes'}, 'stream'),
+        ({'n': 2}, 'n'),
+        ({'max_tokens': 0}, 'max_tokens'),
+        ({'max_tokens': True}, 'max_tokens'),
+        ({'max_completion_tokens': 1.5}, 'max_completion_tokens'),
+        ({'modle': 'clue'}, 'modle'),
+    ],
+)
+def test_bad_field(change: dict[str, Any], param: str) -> None:
+    """Guards against a refusal that does not name the wrong field."""
+    with pytest.raises(chat.BadFieldError) as caught:
+        chat.parse(orjson.dumps({**_GOOD, **change}))
+    assert caught.value.param == param
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'temperature': 0.2, 'top_p': 1, 'stop': ['x'], 'user': 'u'},
+        {'stream': None, 'max_tokens': None, 'n': 1},
+        {'stream_options': {'include_usage': True}, 'stream': True},
+        {'messages': [{'role': 'assistant', 'tool_calls': []}]},
+        {
+            'messages': [
+                {'role': 'user', 'content': [{'type': 'text', 'text': 'hi'}]}
+            ]
+        },
+    ],
+)
+def test_client_libraries(change: dict[str, Any]) -> None:
+    """Guards against refusing what client libraries of the API send."""
+    assert chat.parse(orjson.dumps({**_GOOD, **change})).model == 'clue'
+
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers(-9, 9) | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                ('model', 'messages', 'role', 'content', 'text', 'x')
+            ),
+            inner,
+            max_size=4,
+        )
+    ),
+)
+
+
+@given(body=st.binary(max_size=60) | _JSON.map(orjson.dumps))
+def test_any_body(body: bytes) -> None:
+    """Guards against an error other than a refusal with a code."""
+    try:
+        chat.parse(body)
+    except chat.BadFieldError as fault:
+        assert fault.code == 'invalid_request'
+
+
+_EVENT = st.fixed_dictionaries(
+    {
+        'choices': _JSON
+        | st.lists(
+            _JSON
+            | st.fixed_dictionaries({'delta': _JSON, 'finish_reason': _JSON}),
+            max_size=2,
+        )
+    }
+)
+
+
+@given(data=st.binary(max_size=80) | (_JSON | _EVENT).map(orjson.dumps))
+def test_any_event(data: bytes) -> None:
+    """Guards against an engine's event that breaks the entry."""
+    found = list(events.split(b'data: ' + data + events.END_OF_EVENT))
+    for event in found:
+        assert isinstance(event.text, str)
+        assert not (event.is_opening and event.text)
+        assert not (event.is_closing and event.text)
+        assert events.with_id(event, 's').raw.endswith(events.END_OF_EVENT)
+
+
+@pytest.mark.parametrize(
+    ('key', 'time_ms'),
+    [
+        ('', 0),
+        ('handover-42', 0),
+        ('0193938e-5f00-7000-8000-000000000000', 0x0193938E5F00),
+        ('0193938e-5f00-4000-8000-000000000000', 0),
+    ],
+)
+def test_key_time(key: str, time_ms: int) -> None:
+    """Guards against running a key again that is older than the registry."""
+    assert claims.key_time_ms(key) == time_ms
+
+
+def test_request_ids_differ() -> None:
+    """Guards against two organisations that share a request id."""
+    assert claims.request_id('a', 'b/c') != claims.request_id('a/b', 'c')
+    assert claims.request_id('a', 'b') == claims.request_id('a', 'b')
--- /dev/null
+++ b/packages/testkit/src/yuccarouter_testkit/demo/__main__.py
@@ -0,0 +1,115 @@
+"""``python -m yuccarouter_testkit.demo``: the main job on two small fleets."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import sys
+import tempfile
+import time
+from typing import TYPE_CHECKING, Final
+
+import aiohttp
+
+from yuccarouter_testkit.demo import (
+    calls,
+    deployments,
+    fleet,
+    processes,
+    steps,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    Step = Callable[[fleet.Fleet], Awaitable[str]]
+
+_SERVE_FLAG: Final = '--serve'
+
+_RATSELWERK_STEPS: Final[tuple[Step, ...]] = (
+    steps.stream_grid_critique,
+    steps.verify_answer,
+    steps.keep_session,
+    steps.withdraw_version,
+)
+# Streamed critique, verification, three of a session, and the cascade after
+# the withdrawal; the refused request has no row.
+_RATSELWERK_ROWS: Final = 6
+_THANUPP_STEPS: Final[tuple[Step, ...]] = (
+    steps.hand_over_cylinder,
+    steps.look_up_certificate,
+    steps.take_out_data_centre,
+)
+# One handover, two look-ups and the requests while a data centre is out.
+_THANUPP_ROWS: Final = 23
+
+
+def main(arguments: list[str]) -> int:
+    """Run the demo and return its exit status."""
+    return asyncio.run(_run(is_serving=_SERVE_FLAG in arguments))
+
+
+async def _run(*, is_serving: bool) -> int:
+    started_s = time.monotonic()
+    with tempfile.TemporaryDirectory() as folder:
+        started = processes.Processes(pathlib.Path(folder))
+        async with aiohttp.ClientSession() as session:
+            fleets = [
+                fleet.Fleet(deployment, started, session)
+                for deployment in deployments.ALL
+            ]
+            try:
+                await asyncio.gather(*(one.start() for one in fleets))
+                _say('started', f'{len(started.running)} processes')
+                if is_serving:
+                    await _serve(fleets)
+                else:
+                    await _run_steps(fleets)
+            except (calls.StepError, processes.StartError) as fault:
+                _say('FAILED', str(fault))
+                return 1
+            finally:
+                await started.stop_all()
+    _say('done', f'{time.monotonic() - started_s:.1f} s')
+    return 0
+
+
+async def _run_steps(fleets: list[fleet.Fleet]) -> None:
+    plan = (
+        (fleets[0], _RATSELWERK_STEPS, _RATSELWERK_ROWS),
+        (fleets[1], _THANUPP_STEPS, _THANUPP_ROWS),
+    )
+    for running, chosen, rows in plan:
+        name = running.deployment.name
+        for step in chosen:
+            _say(f'{name}: {step.__name__}', await step(running))
+        _say(f'{name}: bill', await steps.check_bill(running, rows))
+
+
+async def _serve(fleets: list[fleet.Fleet]) -> None:
+    running = fleets[0]
+    await calls.operate(running, 'show organisations')
+    key = deployments.organisation_key('ratsel-nord')
+    settings_path = running.started.folder / 'ratselwerk-ctl.yaml'
+    _say(
+        'try',
+        f"""
+  curl {running.entries[0]}/v1/chat/completions \\
+    -H 'Authorization: Bearer {key}' -H 'Content-Type: application/json' \\
+    -d '{{"model": "clue", "messages": [{{"role": "user", "content": "Hi"}}]}}'
+  yuccactl --settings={settings_path} show endpoints
+Press Ctrl-C to stop.""",
+    )
+    await asyncio.Event().wait()
+
+
+def _say(title: str, text: str) -> None:
+    sys.stdout.write(f'[{title}] {text}\n')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    try:
+        sys.exit(main(sys.argv[1:]))
+    except KeyboardInterrupt:
+        sys.exit(0)
--- /dev/null
+++ b/packages/testkit/src/yuccarouter_testkit/demo/calls.py
@@ -0,0 +1,193 @@
+"""Calls that the demo makes as a caller and as an operator."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import sys
+from typing import Any, Final
+
+import aiohttp
+import attrs
+import orjson
+import yaml
+
+from yuccarouter_common import billing_rows
+from yuccarouter_testkit.demo import deployments, fleet
+
+_TRACE_FORMAT: Final = '00-{trace_id}-{span_id}-01'
+_LIMIT_S: Final = 30.0
+_DONE_EVENT: Final = 'data: [DONE]'
+
+
+class StepError(Exception):
+    """A step of the demo went wrong."""
+
+
+@attrs.frozen
+class Reply:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def document(self) -> Any:
+        """The body as JSON."""
+        return orjson.loads(self.body)
+
+    @property
+    def text(self) -> str:
+        """The text of a chat completion, streamed or not."""
+        if not self.body.startswith(b'data:'):
+            choice = self.document['choices'][0]
+            content: str = choice['message']['content']
+            return content
+        parts = []
+        for line in self.body.decode().splitlines():
+            if line.startswith('data: {'):
+                event = orjson.loads(line.removeprefix('data: '))
+                for choice in event['choices']:
+                    parts.append(choice['delta'].get('content') or '')
+        return ''.join(parts)
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether a stream has its last event."""
+        return _DONE_EVENT in self.body.decode()
+
+
+@attrs.frozen
+class Caller:
+    """An organisation that sends requests to one entry."""
+
+    running: fleet.Fleet
+    organisation: str
+    entry: int = 0
+
+    async def send(
+        self, method: str, path: str, document: Any = None, **headers: str
+    ) -> Reply:
+        """Send a request; keyword arguments are headers with underscores."""
+        sent = {name.replace('_', '-'): text for name, text in headers.items()}
+        key = deployments.organisation_key(self.organisation)
+        sent['Authorization'] = f'Bearer {key}'
+        sent.setdefault('traceparent', traceparent())
+        async with self.running.session.request(
+            method,
+            f'{self.running.entries[self.entry]}{path}',
+            json=document,
+            headers=sent,
+            timeout=aiohttp.ClientTimeout(total=_LIMIT_S),
+        ) as response:
+            body = await response.read()
+            return Reply(response.status, dict(response.headers), body)
+
+    async def chat(
+        self,
+        model: str,
+        prompt: str,
+        *,
+        is_stream: bool = False,
+        **headers: str,
+    ) -> Reply:
+        """Ask for a chat completion."""
+        document = {
+            'model': model,
+            'messages': [{'role': 'user', 'content': prompt}],
+            'stream': is_stream,
+        }
+        return await self.send(
+            'POST', '/v1/chat/completions', document, **headers
+        )
+
+
+def traceparent() -> str:
+    """Return a trace context of a new trace, as callers send it."""
+    return _TRACE_FORMAT.format(
+        trace_id=secrets.token_hex(16), span_id=secrets.token_hex(8)
+    )
+
+
+def check(is_right: bool, expected: str, found: Any = '') -> None:
+    """Raise ``StepError`` unless the step is right."""
+    if not is_right:
+        raise StepError(f'expected {expected}; found {found}')
+
+
+async def operate(running: fleet.Fleet, statement: str) -> tuple[int, str]:
+    """Run a statement of the operators' language; return status and text."""
+    path = running.started.folder / f'{running.deployment.name}-ctl.yaml'
+    path.write_text(
+        yaml.safe_dump(
+            {
+                'log_url': running.platform['log'],
+                'daemons': [
+                    *running.admins,
+                    *(endpoint.agent_admin for endpoint in running.endpoints),
+                ],
+                'author': 'demo',
+                'operator_key': running.operator_key,
+            }
+        ),
+        encoding='utf-8',
+    )
+    child = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'yuccactl',
+        f'--settings={path}',
+        *statement.split(),
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    output, faults = await asyncio.wait_for(child.communicate(), _LIMIT_S)
+    status = child.returncode or 0
+    return status, (output if status == 0 else output + faults).decode()
+
+
+async def billed_rows(running: fleet.Fleet) -> list[billing_rows.BillRow]:
+    """Return every row in the log, repeated ones too."""
+    rows: list[billing_rows.BillRow] = []
+    start = 0
+    while True:
+        batch = await running.log_client.read(billing_rows.STREAM, start)
+        if not batch.records:
+            return rows
+        for record in batch.records:
+            rows.extend(billing_rows.rows_of(record.payload))
+        start = batch.records[-1].offset + 1
+
+
+async def spans_of(running: fleet.Fleet, trace_id: str) -> list[dict[str, Any]]:
+    """Return the spans of a trace from every daemon, in order of start."""
+    admins = [
+        *running.admins,
+        *(endpoint.agent_admin for endpoint in running.endpoints),
+    ]
+    spans: list[dict[str, Any]] = []
+    for admin in admins:
+        async with running.session.get(
+            f'{admin}/traces/{trace_id}', headers=running.operator_headers()
+        ) as response:
+            if response.status == 200:
+                spans += await response.json()
+    return sorted(spans, key=lambda span: float(span['start_ms']))
+
+
+async def served_at(running: fleet.Fleet, data_centre: str) -> int:
+    """Return how many requests the endpoints of a data centre have started."""
+    counts = [
+        await _started(running, endpoint)
+        for endpoint in running.endpoints
+        if endpoint.data_centre == data_centre
+    ]
+    return sum(counts)
+
+
+async def _started(running: fleet.Fleet, endpoint: fleet.Endpoint) -> int:
+    path = 'calls' if endpoint.pool.endswith('-app') else 'served'
+    async with running.session.get(f'{endpoint.url}/{path}') as response:
+        listed = (await response.json())[path]
+    return sum(call.get('count', 1) for call in listed)
