--- a/packages/daemon/src/yuccarouter/routing/choice.py
+++ b/packages/daemon/src/yuccarouter/routing/choice.py
@@ -56,11 +56,16 @@
 
 @attrs.frozen
 class Candidate:
-    """A considered endpoint and the parts of its score, in weighted ms."""
+    """A considered endpoint and the parts of its score, in weighted ms.
+
+    ``load`` is the estimate of its requests, from a report that is
+    ``report_age_ms`` old and from own requests.
+    """
 
     endpoint: str
     source: str
     load: float
+    report_age_ms: float
     wait: float
     distance: float
     cold: float
@@ -114,7 +119,7 @@
             continue
         distance_ms = _distance_ms(configuration, request, view, region)
         candidates.append(
-            _score(fleet, view, weights, source, share, distance_ms)
+            _score(fleet, view, weights, source, share, distance_ms, now_ms)
         )
     if not candidates:
         raise _no_endpoint(fleet, request)
@@ -221,6 +226,7 @@
     source: str,
     share: float,
     distance_ms: float,
+    now_ms: float,
 ) -> Candidate:
     load = fleet.load(view.endpoint)
     limit = max(1, view.limit)
@@ -236,12 +242,15 @@
         endpoint=view.endpoint,
         source=source,
         load=load,
+        report_age_ms=now_ms - view.measured_ms,
         wait=weights.wait * wait_ms,
         distance=weights.distance * distance_ms,
         cold=weights.cold * _COLD_MS * is_cold,
         cache=-weights.cache * saved_ms,
         exposure=(
-            weights.exposure * _FAILURE_MS * fleet.failure_share(view.endpoint)
+            weights.exposure
+            * _FAILURE_MS
+            * fleet.evidence(view.endpoint).failure_share
         ),
         is_full_cold=is_cold and waiting > 0,
     )
--- a/packages/daemon/src/yuccarouter/routing/views.py
+++ b/packages/daemon/src/yuccarouter/routing/views.py
@@ -21,8 +21,7 @@
 # An agent restarts its sequence at zero. A lower sequence is taken for a
 # restart once the held report is this old, and for a late report before that.
 _RESTART_MS: Final = 3000
-# Time in which the weight of a reported load falls to 1/e in favour of the
-# pool's mean. Old reports therefore look alike and don't attract all requests.
+# Used instead of the service time while none is reported.
 _TRUST_MS: Final = 2000
 
 
@@ -86,6 +85,8 @@
 
     load: int = 0
     limit: int = 0
+    # Own requests in flight.
+    own: int = 0
 
     def count(self, view: EndpointView, sign: int) -> None:
         """Add (1) or subtract (-1) a report."""
@@ -125,13 +126,18 @@
             return False
         if held is not None:
             self._index.discard(held.place)
-            self._pools[held.pool].count(held, -1)
-        if held is None or held.vm != view.vm:
-            # What is known of a replaced VM says nothing about the new one.
-            self._evidence[view.endpoint] = _evidence.Evidence()
+            self._discount(held)
+            if held.vm != view.vm:
+                # What is known of a replaced VM says nothing about the new one.
+                self._evidence.pop(view.endpoint)
+        evidence = self._evidence.setdefault(
+            view.endpoint, _evidence.Evidence()
+        )
         self._views[view.endpoint] = view
-        self._evidence[view.endpoint].reported(view.measured_ms)
-        self._pools.setdefault(view.pool, _PoolLoad()).count(view, 1)
+        evidence.reported(view.measured_ms)
+        pool = self._pools.setdefault(view.pool, _PoolLoad())
+        pool.count(view, 1)
+        pool.own += evidence.in_flight
         self._add(view)
         return True
 
@@ -140,7 +146,7 @@
         held = self._views.pop(endpoint, None)
         if held is not None:
             self._index.discard(held.place)
-            self._pools[held.pool].count(held, -1)
+            self._discount(held)
             self._evidence.pop(endpoint)
 
     def started(self, endpoint: str) -> None:
@@ -148,11 +154,14 @@
         evidence = self._evidence.get(endpoint)
         if evidence is not None:
             evidence.started(self._now_ms())
+            self._pools[self._views[endpoint].pool].own += 1
 
     def finished(self, endpoint: str, ok: bool) -> None:
         """Count the end of an own request, whatever its result."""
         evidence = self._evidence.get(endpoint)
         if evidence is not None:
+            pool = self._pools[self._views[endpoint].pool]
+            pool.own -= bool(evidence.in_flight)
             evidence.finished(self._now_ms(), ok=ok)
 
     def failed(self, endpoint: str) -> None:
@@ -171,29 +180,27 @@
         self._index.discard(self._views[endpoint].place)
         heapq.heappush(self._returns, (until_ms, endpoint))
 
-    def backoff_until_ms(self, endpoint: str) -> float:
-        """Return the time until which own failures leave an endpoint out."""
-        return self._evidence[endpoint].backoff_until_ms
+    def evidence(self, endpoint: str) -> _evidence.Evidence:
+        """Return what own requests say of a known endpoint."""
+        return self._evidence[endpoint]
 
     def load(self, endpoint: str) -> float:
         """Estimate the requests at an endpoint now.
 
-        The report is moved towards the pool's mean with its age. Own requests
-        since its measurement are added, and own requests in flight are the
-        lower bound.
+        Own requests are known exactly. Those of other entries are the report's
+        load without the own requests at its measurement. They are moved
+        towards the pool's mean with the report's age.
         """
         view = self._views[endpoint]
         evidence = self._evidence[endpoint]
         pool = self._pools[view.pool]
+        own_at_report = evidence.in_flight - evidence.since_report
+        others = max(0, view.load - own_at_report)
+        mean = max(0, pool.load - pool.own) / max(1, pool.limit) * view.limit
         age_ms = max(0, self._now_ms() - view.measured_ms)
-        mean = pool.load / max(1, pool.limit) * view.limit
-        trust = math.exp(-age_ms / _TRUST_MS)
-        aged = mean + (view.load - mean) * trust
-        return max(aged + evidence.since_report, evidence.in_flight)
-
-    def failure_share(self, endpoint: str) -> float:
-        """Return the share of failures among the last own requests."""
-        return self._evidence[endpoint].failure_share
+        # A deviation from the mean lasts about as long as a request.
+        trust = math.exp(-age_ms / (view.service_time_ms or _TRUST_MS))
+        return evidence.in_flight + mean + (others - mean) * trust
 
     @property
     def index(self) -> _index.Index:
@@ -237,6 +244,11 @@
             return 0
         return max(0, self._returns[0][0] - self._now_ms())
 
+    def _discount(self, view: EndpointView) -> None:
+        pool = self._pools[view.pool]
+        pool.count(view, -1)
+        pool.own -= self._evidence[view.endpoint].in_flight
+
     def _add(self, view: EndpointView) -> None:
         backoff_until_ms = self._evidence[view.endpoint].backoff_until_ms
         if view.state in _ROUTABLE and self._now_ms() >= backoff_until_ms:
