--- a/packages/daemon/src/yuccarouter/configuration/follower.py
+++ b/packages/daemon/src/yuccarouter/configuration/follower.py
@@ -42,7 +42,7 @@
     gaps: int = 0
 
 
-class Follower(mode.Service):  # type: ignore[misc]
+class Follower(mode.Service):
     """Applies the records of the stream to a store, in order."""
 
     def __init__(
--- a/packages/daemon/src/yuccarouter/registry/owner.py
+++ b/packages/daemon/src/yuccarouter/registry/owner.py
@@ -32,7 +32,7 @@
 _MS: Final = 1000
 
 
-class Owner(mode.Service):  # type: ignore[misc]
+class Owner(mode.Service):
     """Answers claims of any partition, whether preferred for it or not.
 
     Several owners of one partition are correct, because the stream's order
--- a/packages/daemon/src/yuccarouter/registry/served.py
+++ b/packages/daemon/src/yuccarouter/registry/served.py
@@ -25,7 +25,7 @@
 _MS: Final = 1000
 
 
-class ServedPartition(mode.Service):  # type: ignore[misc]
+class ServedPartition(mode.Service):
     """Tails a partition's stream and writes to it."""
 
     def __init__(
