--- a/packages/daemon/src/yuccarouter/request_path/retries.py
+++ b/packages/daemon/src/yuccarouter/request_path/retries.py
@@ -18,8 +18,11 @@
 _FINAL_CODES: Final = frozenset(
     ('version_not_allowed', 'invalid_request', 'body_too_large'),
 )
-# Attempts that only found a full queue or a closed gate.
 _MAX_ATTEMPTS: Final = 4
+# An answer that must arrive whole is worth more attempts, at endpoints that
+# have failed before too.
+_MAX_WHOLE_ATTEMPTS: Final = 24
+_WHOLE_PAUSE_MS: Final = 250
 _MS_PER_S: Final = 1000
 _DEFAULT_RETRY_MS: Final = 500
 
@@ -46,9 +49,11 @@
     is_final = fault.code in _FINAL_CODES
     if not is_refused and not request.is_idempotent:
         is_final = True
-    if is_final or len(progress.attempts) >= _MAX_ATTEMPTS:
+    is_whole = request.kind.whole and request.is_idempotent
+    limit = _MAX_WHOLE_ATTEMPTS if is_whole else _MAX_ATTEMPTS
+    if is_final or len(progress.attempts) >= limit:
         raise refusal_of(fault, progress)
-    if not request.remaining_ms() and not request.kind.whole:
+    if not request.remaining_ms() and not is_whole:
         raise refusal_of(fault, progress)
     if not shared.budget.take_retry():
         progress.explain('retry_budget_spent')
@@ -59,6 +64,23 @@
         len(progress.attempts), 0, shared.rng.random
     )
     await asyncio.sleep(pause_ms / _MS_PER_S)
+    if is_whole:
+        await _wait_for_endpoint(shared, progress)
+
+
+async def _wait_for_endpoint(
+    shared: router.Router, progress: plan.Progress
+) -> None:
+    """Let a request that must be whole use every endpoint again.
+
+    Endpoints that have just failed are in backoff; the pause lets one of them
+    come back before the attempt that would find none.
+    """
+    if len(progress.tried) < _MAX_ATTEMPTS - 1:
+        return
+    progress.tried.clear()
+    pause_ms = max(_WHOLE_PAUSE_MS, shared.fleet.retry_after_ms())
+    await asyncio.sleep(pause_ms / _MS_PER_S)
 
 
 def refusal_of(
--- a/packages/daemon/src/yuccarouter/roles/agent.py
+++ b/packages/daemon/src/yuccarouter/roles/agent.py
@@ -14,7 +14,7 @@
 from yuccarouter.billing import cover, ledger
 from yuccarouter.configuration import follower, store
 from yuccarouter.registry import owner
-from yuccarouter.roles import admin, peering, servers, sessions
+from yuccarouter.roles import admin, peering, servers
 from yuccarouter_common import errors
 from yuccarouter_common.platform import log
 from yuccarouter_common.proto import router_pb2_grpc
@@ -37,6 +37,7 @@
         super().__init__()
         self._conf = conf
         self._spans = spans
+        self._session: aiohttp.ClientSession | None = None
         self._store = store.Store()
         self._is_draining = False
         self._admission: service.Admission | None = None
@@ -48,7 +49,7 @@
         if conf.endpoint is None:
             raise errors.RouterError('an agent needs an endpoint')
         session = aiohttp.ClientSession()
-        await self.add_async_context(sessions.Closing(session))
+        self._session = session
         client = log.Client(session, conf.platform.log_url)
         self._rows = ledger.Ledger(
             client, conf.timing.bill_interval_ms, _ignore_written
@@ -91,6 +92,11 @@
         ):
             await self.add_runtime_dependency(part)
 
+    async def on_shutdown(self) -> None:
+        """Close the HTTP session when nothing uses it any more."""
+        if self._session is not None:
+            await self._session.close()
+
     async def drain(self) -> None:
         """Announce leaving, then let the work in progress finish."""
         timing = self._conf.timing
--- a/packages/daemon/src/yuccarouter/roles/entry.py
+++ b/packages/daemon/src/yuccarouter/roles/entry.py
@@ -22,7 +22,7 @@
     session_versions,
     settlements,
 )
-from yuccarouter.roles import admin, peering, servers, sessions
+from yuccarouter.roles import admin, peering, servers
 from yuccarouter.routing import latency, retry_budget, views
 from yuccarouter_common.platform import log, vms
 
@@ -42,13 +42,14 @@
         super().__init__()
         self._conf = conf
         self._spans = spans
+        self._session: aiohttp.ClientSession | None = None
         self.shared: router.Router | None = None
 
     async def on_start(self) -> None:
         """Build the parts and start them, the callers' port last."""
         conf = self._conf
         session = aiohttp.ClientSession()
-        await self.add_async_context(sessions.Closing(session))
+        self._session = session
         log_client = log.Client(session, conf.platform.log_url)
         known = directory.Directory(
             vms.Client(session, conf.platform.vms_url).fetch,
@@ -94,6 +95,11 @@
                 )
             )
 
+    async def on_shutdown(self) -> None:
+        """Close the HTTP session when nothing uses it any more."""
+        if self._session is not None:
+            await self._session.close()
+
     async def drain(self) -> None:
         """Tell the balancer, then let the work in progress finish."""
         if self.shared is None:
--- a/packages/testkit/src/yuccarouter_testkit/demo/calls.py
+++ b/packages/testkit/src/yuccarouter_testkit/demo/calls.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 import attrs
+import multidict
 import orjson
 import yaml
 
@@ -29,7 +30,7 @@
     """What a caller got."""
 
     status: int
-    headers: dict[str, str]
+    headers: multidict.CIMultiDictProxy[str]
     body: bytes
 
     @property
@@ -82,7 +83,7 @@
             timeout=aiohttp.ClientTimeout(total=_LIMIT_S),
         ) as response:
             body = await response.read()
-            return Reply(response.status, dict(response.headers), body)
+            return Reply(response.status, response.headers, body)
 
     async def chat(
         self,
--- a/packages/testkit/src/yuccarouter_testkit/demo/fleet.py
+++ b/packages/testkit/src/yuccarouter_testkit/demo/fleet.py
@@ -119,6 +119,16 @@
         path = _EXAMPLES / self.deployment.name / f'{name}.yaml'
         return yaml.safe_load(path.read_text(encoding='utf-8'))
 
+    async def start_entry_again(self, index: int, log_url: str) -> None:
+        """Start a stopped entry at its old addresses with another log."""
+        name = f'{self.deployment.name}-entry-{index + 1}'
+        path = self.started.folder / f'{name}.yaml'
+        settings = yaml.safe_load(path.read_text(encoding='utf-8'))
+        settings['platform']['log_url'] = log_url
+        process = self.started.start_daemon(name, settings)
+        admin = self.admins[index]
+        await processes.wait_ready(self.session, process, f'{admin}/readyz')
+
     async def _start_platform(self) -> None:
         for module in _PLATFORM:
             port = processes.free_port()
