Admit by a slow-start gate and a weighted fair queue

A fixed limit sends full load to a cold endpoint, and a first-come queue lets one organisation delay all others. The gate starts closed, opens from the cold limit by one with each answer under load and falls back at once on a cold report, a failure or a sharp rise of first-token times. Work of a predecessor and lost calls count until a load report, compared with what the agent held when it was measured, shows that they have ended.

The queue orders by priority, then by start-time fair queueing, sheds the lowest priority and refuses early. Load and cache events are polled; the parts run as a mode service.

--- a/packages/daemon/src/yuccarouter/admission/attempt.py
+++ b/packages/daemon/src/yuccarouter/admission/attempt.py
@@ -75,6 +75,8 @@
             answer = await relay.whole_answer(
                 response, engine=not request.service
             )
+            if request.service:
+                attempt.slot.first_token()
         if request.idempotent and relay.is_gateway_error(answer.done.status):
             raise errors.BrokenCallError(f'service said {answer.done.status}')
         return answer
@@ -109,6 +111,7 @@
 
     async def accept(self) -> None:
         """Tell the entry that the request goes out."""
+        self.slot.sent()
         await self.out.accepted(self.slot.queued_ms)
 
     async def give_up(self) -> None:
--- a/packages/daemon/src/yuccarouter/admission/cancellable.py
+++ b/packages/daemon/src/yuccarouter/admission/cancellable.py
@@ -16,6 +16,7 @@
         async with asyncio.timeout(caller.remaining_s(attempt)):
             answer = await caller.call(attempt)
     except errors.AdmissionError as fault:
+        attempt.slot.failed()
         await attempt.tell(fault)
     except TimeoutError:
         await attempt.give_up()
@@ -23,7 +24,7 @@
         if answer is None:
             _abort(caller, attempt)
     if answer is not None:
-        attempt.slot.leave(served=True)
+        attempt.slot.leave(served=answer.is_served)
         caller.parts.usage.completed(
             attempt.request, answer.done.usage, whole=True
         )
@@ -32,7 +33,7 @@
 
 def _abort(caller: attempts.Caller, attempt: attempts.Attempt) -> None:
     if not attempt.exchange.sent:
-        attempt.slot.leave(served=True)
+        attempt.slot.leave(served=False)
         return
     if attempt.reader is not None and attempt.reader.has_text:
         caller.parts.usage.completed(
@@ -44,9 +45,11 @@
 async def _cancel_at_engine(
     caller: attempts.Caller, attempt: attempts.Attempt
 ) -> None:
-    # The slot stays taken until the engine has stopped the work.
+    # The slot stays taken until the engine has stopped the work. A plain
+    # service can't be asked to stop.
+    stopped = False
     try:
         if not attempt.request.service:
-            await caller.cancel(attempt)
+            stopped = await caller.cancel(attempt)
     finally:
-        attempt.slot.leave(served=False)
+        attempt.slot.leave(served=False, lost=not stopped)
--- a/packages/daemon/src/yuccarouter/admission/once.py
+++ b/packages/daemon/src/yuccarouter/admission/once.py
@@ -9,7 +9,7 @@
 import grpc
 
 from yuccarouter.admission import attempt as attempts
-from yuccarouter.admission import errors, relay
+from yuccarouter.admission import counters, errors, relay
 from yuccarouter_common import errors as common_errors
 from yuccarouter_common.proto import router_pb2
 
@@ -26,7 +26,7 @@
     call goes on and its outcome is recorded.
     """
     sent: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-    attempt.exchange.on_sent = functools.partial(_note_sent, sent)
+    attempt.exchange.on_sent = functools.partial(_note_sent, attempt, sent)
     call = caller.background.spawn(_call(caller, attempt))
     call.add_done_callback(functools.partial(_note_ended, sent))
     try:
@@ -57,7 +57,10 @@
         caller.background.spawn(_record(caller, _record_of(request, _RELEASE)))
 
 
-async def _note_sent(sent: asyncio.Future[bool]) -> None:
+async def _note_sent(
+    attempt: attempts.Attempt, sent: asyncio.Future[bool]
+) -> None:
+    attempt.slot.sent()
     # The waiting side may have been cancelled with its future.
     if not sent.done():
         sent.set_result(True)
@@ -73,14 +76,16 @@
 async def _call(
     caller: attempts.Caller, attempt: attempts.Attempt
 ) -> attempts.Ended:
-    served = False
     try:
         answer = await caller.call(attempt)
-        served = True
+        attempt.slot.leave(served=answer.is_served)
     except errors.AdmissionError as fault:
+        attempt.slot.failed()
         return fault
     finally:
-        attempt.slot.leave(served=served)
+        # A call that broke after it was sent may still be running. After an
+        # answer the slot has been given back already.
+        attempt.slot.leave(served=False, lost=attempt.exchange.sent)
     # The outcome is recorded before the answer is given, so that a repeated
     # request never finds less than its caller has seen.
     await _record(caller, _record_of(attempt.request, _OUTCOME, answer))
@@ -96,7 +101,7 @@
             await caller.parts.registry.record(record)
     except (common_errors.RouterError, grpc.RpcError, OSError):
         # Without a record a repeated request gets outcome_unknown.
-        return
+        counters.UNRECORDED.labels(record.item).inc()
 
 
 def _record_of(
--- a/packages/daemon/src/yuccarouter/admission/relay.py
+++ b/packages/daemon/src/yuccarouter/admission/relay.py
@@ -16,6 +16,7 @@
 _MAX_BODY_BYTES: Final = 8 * 1024 * 1024
 _OK: Final = 200
 _TOO_MANY_REQUESTS: Final = 429
+_CLIENT_ERROR: Final = 400
 _SERVER_ERROR: Final = 500
 _GATEWAY_ERRORS: Final = frozenset((502, 503, 504))
 
@@ -30,6 +31,11 @@
     done: router_pb2.Done
     body: bytes = b''
 
+    @property
+    def is_served(self) -> bool:
+        """Whether the endpoint has done the work that was asked for."""
+        return self.done.status < _CLIENT_ERROR
+
 
 async def engine_stream(
     response: aiohttp.ClientResponse,
--- a/packages/daemon/src/yuccarouter/admission/runner.py
+++ b/packages/daemon/src/yuccarouter/admission/runner.py
@@ -74,7 +74,7 @@
             # The configuration may have changed while the request queued.
             self._check(request)
         except refusals.RefusalError:
-            slot.leave(served=True)
+            slot.leave(served=False)
             raise
         return slot
 
--- a/packages/daemon/src/yuccarouter/admission/servicer.py
+++ b/packages/daemon/src/yuccarouter/admission/servicer.py
@@ -8,7 +8,7 @@
 
 from grpc import aio
 
-from yuccarouter.admission import ports, runner
+from yuccarouter.admission import orders, ports, runner
 from yuccarouter_common.proto import router_pb2, router_pb2_grpc
 
 _DEFAULT_INTERVAL_MS: Final = 250
@@ -24,9 +24,11 @@
         self,
         attempts: runner.Runner,
         parts: ports.Collaborators,
+        orders: orders.Orders,
         report: Callable[[], router_pb2.EndpointReport],
     ) -> None:
         """Serve with the given parts; ``report`` builds a current report."""
+        self._orders = orders
         self._runner = attempts
         self._parts = parts
         self._report = report
@@ -68,3 +70,9 @@
     ) -> router_pb2.RecordReply:
         """Record an outcome or a release in a registry partition."""
         return await self._parts.registry.record(request)
+
+    async def Order(  # noqa: N802
+        self, request: router_pb2.OrderRequest, context: _Context
+    ) -> router_pb2.OrderReply:
+        """Pass a controller's order on to the endpoint."""
+        return await self._orders.give(request)
--- a/packages/daemon/src/yuccarouter/admission/slots.py
+++ b/packages/daemon/src/yuccarouter/admission/slots.py
@@ -3,93 +3,223 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Callable
-from typing import Final
 
 import attrs
 
-from yuccarouter.admission import ports
-from yuccarouter_common import model, refusals
+from yuccarouter.admission import counters, ledger, ports, queue, waits
+from yuccarouter.admission import gate as gates
+from yuccarouter_common import refusals
 from yuccarouter_common.proto import router_pb2
 
-_RETRY_MS: Final = 500
+Check = Callable[[router_pb2.RunRequest], None]
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Slot:
-    """Permission to have one request in flight at the endpoint.
-
-    ``leave`` gives it back once and takes whether the endpoint served well.
-    """
+    """Permission to have one request in flight at the endpoint."""
 
     queued_ms: int
-    _left: Callable[[bool], None]
+    _work: ledger.Work
+    _owner: Slots
+    _organisation: str
     _held: bool = True
 
+    def sent(self) -> None:
+        """Note that the request goes out, once."""
+        if self._work.sent is None:
+            self._work.sent = self._owner.gate.clock()
+
     def first_token(self) -> None:
         """Note that the endpoint has begun to answer."""
+        if self._held:
+            self._owner.gate.first_token(self._work)
+
+    def failed(self) -> None:
+        """Note that the endpoint has failed the request."""
+        self._owner.gate.drop('request_failed')
+
+    def leave(self, *, served: bool, lost: bool = False) -> None:
+        """Give the slot back; later calls have no effect.
 
-    def leave(self, *, served: bool) -> None:
-        """Give the slot back; later calls have no effect."""
+        ``lost`` says that the endpoint may still be running the request.
+        """
         if self._held:
             self._held = False
-            self._left(served)
+            self._owner.gate.finish(self._work, served=served, lost=lost)
+            self._owner.left(self._organisation)
+
+
+@attrs.frozen(eq=False)
+class _Waiter:
+    """A request that waits, and how it learns of its turn."""
+
+    request: router_pb2.RunRequest
+    deadline: float
+    turn: asyncio.Future[Slot]
+
 
+_Entry = queue.Entry[_Waiter]
 
-@attrs.define
+
+@attrs.define(eq=False)
 class Slots:
-    """A bounded first-come queue in front of a fixed limit."""
+    """The queue and the gate of one endpoint.
+
+    ``check`` raises ``RefusalError`` for a request that must not run now.
+    Times are in seconds of the gate's clock.
+    """
+
+    configuration: ports.ConfigurationView
+    gate: gates.Gate
+    check: Check
+    leaving: bool = False
+    _queue: queue.FairQueue[_Waiter] = attrs.field(factory=queue.FairQueue)
+    _held: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    _waits: waits.Waits = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Estimate waits from the gate."""
+        self._waits = waits.Waits(self.gate)
 
-    pool: Callable[[], model.Pool]
-    clock: ports.Clock
-    in_flight: int = 0
-    _waiting: list[asyncio.Future[None]] = attrs.field(factory=list)
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return self._queue.size
 
     async def enter(
         self, request: router_pb2.RunRequest, deadline: float
     ) -> Slot:
         """Wait for a slot; raise ``RefusalError`` when there is none in time.
 
-        ``deadline`` is a time of the slots' clock, in seconds.
+        A request that would wait beyond its deadline is refused at once.
         """
-        entered = self.clock()
-        if self.in_flight >= self.pool().max_in_flight:
-            await self._wait(deadline)
-        else:
-            self.in_flight += 1
-        return Slot(int((self.clock() - entered) * 1000), self._leave)
-
-    async def _wait(self, deadline: float) -> None:
-        if len(self._waiting) >= self.pool().max_queued:
-            raise refusals.RefusalError(
-                'overloaded', 'the queue is full', retry_after_ms=_RETRY_MS
-            )
-        turn = asyncio.get_running_loop().create_future()
-        self._waiting.append(turn)
+        self._refuse_early(request, deadline)
+        turn: asyncio.Future[Slot] = asyncio.get_running_loop().create_future()
+        entry = self._entry(_Waiter(request, deadline, turn))
+        entered = self.gate.clock()
+        self._queue.push(entry)
+        self.pump()
+        displaced = self._queue.shed(self.gate.pool().max_queued)
+        if displaced is not None:
+            overloaded = self._waits.overloaded(self._queue.total_cost())
+            _refuse(displaced, overloaded)
+        slot = await self._wait(entry)
+        waited_s = self.gate.clock() - entered
+        counters.QUEUE_SECONDS.observe(waited_s)
+        slot.queued_ms = int(waited_s * 1000)
+        return slot
+
+    def left(self, organisation: str) -> None:
+        """Note that a slot was given back."""
+        self._held[organisation] -= 1
+        if not self._held[organisation]:
+            self._held.pop(organisation)
+        self.pump()
+
+    def pump(self) -> None:
+        """Give free slots to the requests whose turn it is."""
+        while self.gate.is_free():
+            entry = self._queue.pop(self._is_eligible)
+            if entry is None:
+                break
+            self._grant(entry)
+        counters.LIMIT.set(self.gate.limit)
+        counters.IN_FLIGHT.set(self.gate.in_flight)
+        counters.QUEUED.set(self.queued)
+
+    def review(self) -> None:
+        """Refuse queued requests that can no longer run in time.
+
+        Runs after each load report: the limit may have fallen, a version may
+        have been withdrawn, or the endpoint may be leaving.
+        """
+        ahead_s = float(0)
+        for entry in self._queue.in_order():
+            refusal = self._reason(entry, ahead_s)
+            if refusal is None:
+                ahead_s += entry.cost
+            elif self._queue.withdraw(entry):
+                _refuse(entry, refusal)
+        self.pump()
+
+    def leave(self) -> None:
+        """Refuse queued and new work; running work finishes."""
+        self.leaving = True
+        self.review()
+
+    def _refuse_early(
+        self, request: router_pb2.RunRequest, deadline: float
+    ) -> None:
+        if self.leaving:
+            raise waits.shutting_down()
+        name = request.organisation
+        if self._allowance(name) <= 0:
+            raise waits.organisation_limit(name)
+        ahead_s = self._queue.ahead_cost(name, request.priority)
+        late = self._waits.late(deadline, ahead_s)
+        if late is not None:
+            raise late
+
+    def _entry(self, waiter: _Waiter) -> _Entry:
+        request = waiter.request
+        return queue.Entry(
+            request.organisation,
+            request.priority,
+            request.weight if request.weight > 0 else 1,
+            self._waits.cost_s(request),
+            waiter,
+        )
+
+    async def _wait(self, entry: _Entry) -> Slot:
+        waiter = entry.payload
         try:
-            async with asyncio.timeout(deadline - self.clock()):
-                await turn
+            async with asyncio.timeout(waiter.deadline - self.gate.clock()):
+                return await waiter.turn
         except TimeoutError:
-            self._abandon(turn)
-            raise refusals.RefusalError(
-                'deadline_too_short',
-                'no slot before the deadline',
-                retry_after_ms=_RETRY_MS,
-            ) from None
+            self._abandon(entry)
+            raise self._waits.passed(self._queue.total_cost()) from None
         except asyncio.CancelledError:
-            self._abandon(turn)
+            self._abandon(entry)
             raise
 
-    def _abandon(self, turn: asyncio.Future[None]) -> None:
-        if turn in self._waiting:
-            self._waiting.remove(turn)
-        elif not turn.cancelled():
-            self._leave(served=True)
-
-    def _leave(self, served: bool) -> None:
-        while self._waiting:
-            turn = self._waiting.pop(0)
-            if not turn.done():
-                turn.set_result(None)
-                return
-        self.in_flight -= 1
+    def _abandon(self, entry: _Entry) -> None:
+        turn = entry.payload.turn
+        if self._queue.withdraw(entry) or turn.cancelled():
+            return
+        if turn.exception() is None:
+            turn.result().leave(served=False)
+
+    def _is_eligible(self, entry: _Entry) -> bool:
+        allowed = self._allowance(entry.organisation)
+        return self._held[entry.organisation] < allowed
+
+    def _allowance(self, organisation: str) -> int:
+        known = self.configuration().organisations.get(organisation)
+        return 0 if known is None else known.max_concurrent
+
+    def _grant(self, entry: _Entry) -> None:
+        waiter = entry.payload
+        if waiter.turn.done():
+            return
+        name = entry.organisation
+        self._held[name] += 1
+        work = self.gate.start(waiter.request.kind)
+        waiter.turn.set_result(Slot(0, work, self, name))
+
+    def _reason(
+        self, entry: _Entry, ahead_s: float
+    ) -> refusals.RefusalError | None:
+        if self.leaving:
+            return waits.shutting_down()
+        try:
+            self.check(entry.payload.request)
+        except refusals.RefusalError as refusal:
+            return refusal
+        return self._waits.late(entry.payload.deadline, ahead_s)
+
+
+def _refuse(entry: _Entry, refusal: refusals.RefusalError) -> None:
+    if not entry.payload.turn.done():
+        entry.payload.turn.set_exception(refusal)
--- a/packages/daemon/tests/admission/conftest.py
+++ b/packages/daemon/tests/admission/conftest.py
@@ -13,14 +13,8 @@
 from aiohttp import web
 from grpc import aio
 
-from yuccarouter.admission import (
-    attempt,
-    calls,
-    ports,
-    runner,
-    servicer,
-    slots,
-)
+from yuccarouter.admission import calls, ports, wiring
+from yuccarouter.admission import runner as runners
 from yuccarouter_common import model
 from yuccarouter_common.proto import router_pb2, router_pb2_grpc
 
@@ -39,6 +33,10 @@
     status: int = 200
     breaks: str = ''
     answer: bytes = b'paid'
+    load: dict[str, Any] = attrs.field(factory=lambda: {'in_flight': 0})
+    orders: list[Any] = attrs.field(factory=list)
+    order_status: int = 200
+    cache_events: dict[str, Any] = attrs.field(factory=dict)
 
     async def completions(self, request: web.Request) -> web.StreamResponse:
         self.calls.append(request)
@@ -74,6 +72,18 @@
         self.cancelled.append(request.match_info['id'])
         return web.Response()
 
+    async def order(self, request: web.Request) -> web.Response:
+        self.orders.append(orjson.loads(await request.read()))
+        return web.Response(
+            status=self.order_status, headers={'Retry-After': '2'}
+        )
+
+    async def report_load(self, request: web.Request) -> web.Response:
+        return web.json_response(self.load)
+
+    async def report_cache(self, request: web.Request) -> web.Response:
+        return web.json_response(self.cache_events)
+
     async def plain(self, request: web.Request) -> web.Response:
         self.calls.append(request)
         await request.read()
@@ -103,6 +113,9 @@
     app = web.Application()
     app.router.add_post('/v1/chat/completions', fake.completions)
     app.router.add_post('/streams/{id}/cancel', fake.cancel)
+    app.router.add_post('/orders', fake.order)
+    app.router.add_get('/load', fake.report_load)
+    app.router.add_get('/cache-events', fake.report_cache)
     app.router.add_route('*', '/desk/{path:.*}', fake.plain)
     async with served(app) as url:
         fake.url = url
@@ -191,7 +204,15 @@
     """A served agent and a stub that calls it."""
 
     stub: Any
-    runner: runner.Runner
+    parts: wiring.Parts
+
+    @property
+    def runner(self) -> runners.Runner:
+        return self.parts.runner
+
+    @property
+    def in_flight(self) -> int:
+        return self.parts.endpoint.gate.in_flight
 
     async def events(self, request: router_pb2.RunRequest) -> list[Any]:
         return [event async for event in self.stub.Run(request)]
@@ -208,27 +229,17 @@
         lambda: parts.configuration, parts.catch_up, parts, parts
     )
     async with calls.new_session() as session:
-        caller = attempt.Caller(place, collaborators, session, loop.time)
-        admission = slots.Slots(
-            lambda: parts.configuration.pools['p'], loop.time
-        )
-        attempts = runner.Runner(caller, admission)
+        wired = wiring.wire(place, collaborators, session, loop.time)
+        await wired.endpoint.poll_load()
         server = aio.server()
-        grpc_code.add_AgentServicer_to_server(
-            servicer.AgentServicer(
-                attempts,
-                collaborators,
-                lambda: router_pb2.EndpointReport(endpoint='e1'),
-            ),
-            server,
-        )
+        grpc_code.add_AgentServicer_to_server(wired.servicer, server)
         port = server.add_insecure_port('127.0.0.1:0')
         await server.start()
         async with aio.insecure_channel(f'127.0.0.1:{port}') as channel:
-            yield Agent(grpc_code.AgentStub(channel), attempts)
+            yield Agent(grpc_code.AgentStub(channel), wired)
         endpoint.gate.set()
         await server.stop(None)
-        await attempts.drained()
+        await wired.runner.drained()
 
 
 @pytest.fixture
--- a/packages/daemon/tests/admission/test_run.py
+++ b/packages/daemon/tests/admission/test_run.py
@@ -131,7 +131,7 @@
     assert parts.usages == [('a1', 0, 3, False)]
     await agent.runner.drained()
     assert endpoint.cancelled == ['a1']
-    assert agent.runner.admission.in_flight == 0
+    assert agent.in_flight == 0
 
 
 @pytest.mark.parametrize('status', [429, 500, 503])
@@ -165,7 +165,7 @@
     await runner.run(plain_request() if is_plain else engine_request(), write)
     assert _kinds(events) == ['refused']
     assert events[0].refused.code == 'no_endpoint'
-    assert runner.admission.in_flight == 0
+    assert agent.in_flight == 0
 
 
 async def test_cancelled_stream(
@@ -183,7 +183,7 @@
             break
     call.cancel()
     await eventually(lambda: endpoint.cancelled == ['a1'])
-    await eventually(lambda: agent.runner.admission.in_flight == 0)
+    await eventually(lambda: agent.in_flight == 0)
     assert parts.usages[0][3] is False
 
 
@@ -251,7 +251,7 @@
     assert parts.recorded[0].item == 'outcome'
     assert endpoint.finished == 1
     await agent.runner.drained()
-    assert agent.runner.admission.in_flight == 0
+    assert agent.in_flight == 0
 
 
 @pytest.mark.parametrize('method', ['GET', 'PUT', 'POST'])
