--- a/packages/daemon/src/yuccarouter/request_path/prefixes.py
+++ b/packages/daemon/src/yuccarouter/request_path/prefixes.py
@@ -6,15 +6,16 @@
 
 import xxhash
 
-# Engines cache in blocks; a few lengths tell a shared system prompt from a
-# conversation's history.
-_PREFIX_CHARS: Final = (4096, 1024, 256)
+# Engines publish hashes of prefixes at multiples of 256 bytes. A few lengths
+# tell a shared system prompt from a conversation's history.
+_PREFIX_BYTES: Final = (16_384, 4096, 1024, 256)
 
 
 def of_prompt(prompt: str) -> tuple[int, ...]:
     """Return the hashes of the prompt's prefixes, longest first."""
+    encoded = prompt.encode()
     return tuple(
-        xxhash.xxh3_64_intdigest(prompt[:length].encode())
-        for length in _PREFIX_CHARS
-        if len(prompt) >= length
+        xxhash.xxh64_intdigest(encoded[:length])
+        for length in _PREFIX_BYTES
+        if len(encoded) >= length
     )
--- a/packages/daemon/src/yuccarouter/roles/agent.py
+++ b/packages/daemon/src/yuccarouter/roles/agent.py
@@ -40,7 +40,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._store = store.Store()
         self._is_draining = False
-        self._admission: service.Admission | None = None
+        self._admission: service.AdmissionService | None = None
         self._rows: ledger.Ledger | None = None
 
     async def on_start(self) -> None:
@@ -70,7 +70,7 @@
             pool=conf.endpoint.pool,
             url=conf.endpoint.url.rstrip('/'),
         )
-        self._admission = service.Admission(
+        self._admission = service.AdmissionService(
             place,
             ports.Collaborators(
                 configuration=self._store.current,
@@ -86,11 +86,14 @@
             registry,
             self._admission,
             self._admin(),
-            servers.GrpcServer(
-                conf.peer, conf.secrets.peer_key, self._add_servicers
-            ),
         ):
             await self.add_runtime_dependency(part)
+        # Entries may only call when admission is there.
+        await self.add_runtime_dependency(
+            servers.GrpcServer(
+                conf.peer, conf.secrets.peer_key, self._add_servicers
+            )
+        )
 
     async def on_shutdown(self) -> None:
         """Close the HTTP session when nothing uses it any more."""
@@ -104,11 +107,13 @@
         if self._admission is None:
             return
         eliot.log_message('draining')
-        self._admission.leave()
-        await asyncio.sleep(timing.drain_delay_ms / _MS_PER_S)
+        delay_s = timing.drain_delay_ms / _MS_PER_S
         try:
             await asyncio.wait_for(
-                self._admission.drained(), timing.drain_limit_ms / _MS_PER_S
+                asyncio.gather(
+                    self._admission.leaving(), asyncio.sleep(delay_s)
+                ),
+                timing.drain_limit_ms / _MS_PER_S,
             )
         except asyncio.TimeoutError:
             eliot.log_message('drain_limit_reached')
