--- a/packages/common/src/yuccarouter_common/platform/exchanges.py
+++ b/packages/common/src/yuccarouter_common/platform/exchanges.py
@@ -15,6 +15,8 @@
 
 _HTTP_OK: Final = 200
 _HTTP_TOO_MANY: Final = 429
+_HTTP_SERVER_ERROR: Final = 500
+_HTTP_UNAVAILABLE: Final = 503
 # Used when a 429 has no Retry-After that is a number of seconds.
 _DEFAULT_RETRY_MS: Final = 1000
 
@@ -41,9 +43,9 @@
 async def send(session: aiohttp.ClientSession, exchange: Exchange) -> bytes:
     """Return the body of a 200.
 
-    Raises ``RateLimitedError`` for 429, ``UnavailableError`` for another
-    status or when nothing took effect, and ``AnswerLostError`` when that is
-    not known.
+    Raises ``RateLimitedError`` for 429, ``UnavailableError`` when nothing took
+    effect, and ``AnswerLostError`` when that is not known. A call without an
+    effect never raises the last.
     """
     try:
         async with session.request(
@@ -68,11 +70,29 @@
         ) from fault
 
 
+def status_error(service: str, status: int) -> errors.PlatformError:
+    """Return the error for a status, of a call that has an effect.
+
+    Only a 4xx and a 503 say that nothing took effect: other server errors may
+    come from a gateway that gave up on a call that goes on.
+    """
+    message = f'{service} answered {status}'
+    if status < _HTTP_SERVER_ERROR or status == _HTTP_UNAVAILABLE:
+        return errors.UnavailableError(message)
+    return errors.AnswerLostError(message)
+
+
 def structure(service: str, answer: bytes, kind: type[_Answer]) -> _Answer:
     """Parse an answer; raises ``BadAnswerError``."""
     try:
         return records.converter.structure(orjson.loads(answer), kind)
-    except (ValueError, TypeError, cattrs.BaseValidationError) as fault:
+    # cattrs raises the builtin errors for JSON of another shape, like null.
+    except (
+        ValueError,
+        TypeError,
+        AttributeError,
+        cattrs.BaseValidationError,
+    ) as fault:
         raise errors.BadAnswerError(
             f'bad answer of {service}: {fault}'
         ) from fault
@@ -90,6 +110,8 @@
             f'{exchange.service} limits the rate',
             _retry_after_ms(response),
         )
+    if exchange.has_effect:
+        raise status_error(exchange.service, response.status)
     raise errors.UnavailableError(
         f'{exchange.service} answered {response.status}'
     )
--- a/packages/common/src/yuccarouter_common/platform/log.py
+++ b/packages/common/src/yuccarouter_common/platform/log.py
@@ -3,22 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any, Final, TypeVar
+from typing import Any, Final
 
 import aiohttp
 import attrs
-import cattrs
 import orjson
 
-from yuccarouter_common import records
-from yuccarouter_common.platform import errors
+from yuccarouter_common.platform import errors, exchanges
 
 _APPEND_TIMEOUT_S: Final = 2.0
 _READ_MARGIN_S: Final = 2.0
 _HTTP_OK: Final = 200
 _DEFAULT_LIMIT: Final = 1000
-
-_Answer = TypeVar('_Answer')
+_SERVICE: Final = 'log'
 
 
 @attrs.frozen
@@ -80,14 +77,12 @@
             ) as response:
                 answer = await response.read()
                 if response.status != _HTTP_OK:
-                    raise errors.UnavailableError(
-                        f'log answered {response.status} to an append'
-                    )
+                    raise exchanges.status_error(_SERVICE, response.status)
         except aiohttp.ClientConnectorError as fault:
             raise errors.UnavailableError('log is unreachable') from fault
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as fault:
             raise errors.AnswerLostError('append answer lost') from fault
-        return _structure(answer, Appended)
+        return exchanges.structure(_SERVICE, answer, Appended)
 
     async def read(
         self,
@@ -120,7 +115,7 @@
                     )
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as fault:
             raise errors.UnavailableError('log can not be read') from fault
-        return _structure(answer, Batch)
+        return exchanges.structure(_SERVICE, answer, Batch)
 
     async def find(
         self,
@@ -140,12 +135,3 @@
             if not batch.records:
                 return None
             start = batch.records[-1].offset + 1
-
-
-def _structure(answer: bytes, kind: type[_Answer]) -> _Answer:
-    try:
-        return records.converter.structure(orjson.loads(answer), kind)
-    except (ValueError, cattrs.BaseValidationError) as fault:
-        raise errors.BadAnswerError(
-            f'bad answer of the log: {fault}'
-        ) from fault
--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/batch.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/batch.py
@@ -106,18 +106,19 @@
             if not self.running:
                 self._work.clear()
                 await self._work.wait()
-            await asyncio.sleep(self._step_s())
+            await asyncio.sleep(self.step_s())
             while self.is_hung():
                 await asyncio.sleep(_HANG_POLL_S)
             self._step()
 
-    def _factor(self) -> float:
-        return self.timing.cold_factor if self.is_cold() else 1
-
-    def _step_s(self) -> float:
+    def step_s(self) -> float:
+        """Return the time of the next step in seconds."""
         streams_ms = self.timing.stream_step_ms * len(self.running)
         return (self.timing.step_ms + streams_ms) * self._factor() / 1000
 
+    def _factor(self) -> float:
+        return self.timing.cold_factor if self.is_cold() else 1
+
     def _step(self) -> None:
         now_s = time.monotonic()
         for stream in tuple(self.running.values()):
--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/completions.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/completions.py
@@ -219,7 +219,7 @@
             'X-Stream-Id': run.stream.stream_id,
         }
     )
-    sends = not run.request.get('lose_answer', False)
+    sends = not run.request[faults.LOSE_ANSWER]
     if sends:
         await response.prepare(run.request)
         await response.write(_event(run, {'role': 'assistant', 'content': ''}))
--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/faults.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/faults.py
@@ -22,7 +22,8 @@
 
 _PATH: Final = '/faults'
 _HANG_POLL_S: Final = 0.005
-_ALL: Final = -1
+# Set on a request whose answer is to be lost.
+LOSE_ANSWER: Final = web.RequestKey('lose_answer', bool)
 
 converter = orjson_preconf.make_converter(forbid_extra_keys=True)
 
@@ -36,7 +37,8 @@
     effect and whose connection is then closed without an answer; -1 stands
     for all. ``down`` closes each connection without effect. ``hang`` holds
     every call until it is reset. ``fail_share`` is the share of calls that
-    get 500 without effect.
+    get 500 without effect. ``fail_after_effect`` answers 500 to calls that have
+    taken effect, as a gateway does when its back end is slow.
     """
 
     slow_ms: float = 0
@@ -45,6 +47,7 @@
     down: bool = False
     hang: bool = False
     fail_share: float = 0
+    fail_after_effect: bool = False
 
 
 @attrs.define(eq=False)
@@ -160,13 +163,17 @@
         return drop_connection(request)
     if injector.current.refuse:
         return error_response(503, 'refused', 'refused by a fault')
+    # Read before the delay: a call still takes effect when its caller leaves.
+    await request.read()
     await injector.hold()
     if injector.chance(injector.current.fail_share):
         return error_response(500, 'failed', 'failed by a fault')
     # Decided before the call, because a stream sends while it runs.
     lose = injector.take_lost_answer()
-    request['lose_answer'] = lose
+    request[LOSE_ANSWER] = lose
     response = await handler(request)
     if lose:
         return drop_connection(request)
+    if injector.current.fail_after_effect and not response.prepared:
+        return error_response(500, 'failed', 'failed by a fault')
     return response
--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/serving.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/serving.py
@@ -16,7 +16,7 @@
 from yuccarouter_testkit.stand_ins import faults
 
 _BAD_USAGE: Final = 2
-_SHUTDOWN_S: Final = 1.0
+_SHUTDOWN_S: Final = 0.1
 
 _Settings = TypeVar('_Settings')
 
@@ -55,11 +55,30 @@
     return parsed
 
 
-async def _serve(app: web.Application, host: str, port: int) -> None:
+async def start(
+    app: web.Application,
+    host: str = '127.0.0.1',
+    port: int = 0,
+) -> web.AppRunner:
+    """Serve an application in this process until ``runner.cleanup()``.
+
+    Unlike aiohttp's own test server, a call goes on when its caller leaves,
+    as a call to a real service does.
+    """
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=_SHUTDOWN_S)
     await runner.setup()
-    site = web.TCPSite(runner, host, port)
-    await site.start()
+    await web.TCPSite(runner, host, port).start()
+    return runner
+
+
+def url_of(runner: web.AppRunner) -> str:
+    """Return the URL of a served application, without a slash at its end."""
+    host, port = runner.addresses[0][:2]
+    return f'http://{host}:{port}'
+
+
+async def _serve(app: web.Application, host: str, port: int) -> None:
+    runner = await start(app, host, port)
     sys.stdout.write(f'{runner.addresses[0][1]}\n')
     sys.stdout.flush()
     stop = asyncio.Event()
