--- a/packages/common/src/yuccarouter_common/telemetry.py
+++ b/packages/common/src/yuccarouter_common/telemetry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import logging
 import sys
 import threading
 from typing import TYPE_CHECKING, Any, Final
@@ -76,6 +77,8 @@
 def start_logging() -> None:
     """Write eliot's messages to standard error, one JSON object a line."""
     eliot.to_file(sys.stderr)
+    # Starts and stops of inner services are no changes that operators need.
+    logging.getLogger('mode').setLevel(logging.WARNING)
 
 
 def tracer() -> trace.Tracer:
--- a/packages/daemon/src/yuccarouter/admission/service.py
+++ b/packages/daemon/src/yuccarouter/admission/service.py
@@ -25,7 +25,7 @@
 _RESTARTS_OVER_S: Final = 60.0
 
 
-class Poller(mode.Service):  # type: ignore[misc]
+class Poller(mode.Service):
     """Polls one path of the endpoint for as long as it runs."""
 
     def __init__(
@@ -55,7 +55,7 @@
             counters.LOAD_POLLS.labels(fault.code).inc()
 
 
-class AdmissionService(mode.Service):  # type: ignore[misc]
+class AdmissionService(mode.Service):
     """Admission to one endpoint: HTTP session, polls and running attempts.
 
     ``servicer`` exists once the service has started; the daemon registers it
--- a/packages/daemon/src/yuccarouter/admission/wiring.py
+++ b/packages/daemon/src/yuccarouter/admission/wiring.py
@@ -37,11 +37,11 @@
 ) -> Parts:
     """Build admission to one endpoint over one HTTP session."""
 
-    def pool() -> model.Pool:  # noqa: WPS430
+    def pool() -> model.Pool:
         known = collaborators.configuration().pools
         return known.get(place.pool, model.Pool(place.pool))
 
-    def check(request: router_pb2.RunRequest) -> None:  # noqa: WPS430
+    def check(request: router_pb2.RunRequest) -> None:
         checks.check(collaborators.configuration(), place, request)
 
     admission = slots.Slots(
--- a/packages/daemon/src/yuccarouter/membership/reports.py
+++ b/packages/daemon/src/yuccarouter/membership/reports.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import eliot
 import grpc
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from yuccarouter.membership import channels, directory
+    from yuccarouter.membership import watch as watches
     from yuccarouter_common import settings
     from yuccarouter_common.platform import vms
 
@@ -24,6 +25,7 @@
 # Reports stop for this many intervals before an agent is taken as down.
 _MISSED_INTERVALS: Final = 4
 _MIN_SILENCE_S: Final = 1.5
+_GRACE_S: Final = 0.25
 _MS_PER_S: Final = 1000
 
 
@@ -40,11 +42,13 @@
         fleet: views.Fleet,
         known: directory.Directory,
         daemons: channels.Channels,
+        watch: watches.EndpointWatch,
     ) -> None:
         super().__init__()
         self._conf = conf
         self._fleet = fleet
         self._daemons = daemons
+        self._watch = watch
         self._followers: dict[str, asyncio.Task[None]] = {}
         known.subscribe(self.on_list)
 
@@ -82,9 +86,13 @@
             while not self.should_stop:
                 reason = await self._read_reports(vm)
                 self._fleet.remove(endpoint)
+                cancelled = self._watch.lost(endpoint)
                 if is_up:
                     eliot.log_message(
-                        'endpoint_lost', endpoint=endpoint, reason=reason
+                        'endpoint_lost',
+                        endpoint=endpoint,
+                        reason=reason,
+                        cancelled_calls=cancelled,
                     )
                 is_up = False
                 await asyncio.sleep(_RECONNECT_DELAY_S)
@@ -105,18 +113,35 @@
         )
         try:
             while True:
-                report = await asyncio.wait_for(call.read(), silence_s)
+                report = await _read(call, silence_s)
+                if report is None:
+                    return 'no report in time'
                 if report is aio.EOF:
                     return 'the agent ended the reports'
                 self._fleet.update(view_of(report, vm.address))
-        except asyncio.TimeoutError:
-            return 'no report in time'
         except aio.AioRpcError as fault:
             return _reason(fault)
         finally:
             call.cancel()
 
 
+async def _read(call: Any, silence_s: float) -> Any:
+    """Return the next report, or ``None`` when none comes in time.
+
+    Two waits follow each other: when this process itself was paused, the
+    first one ends at once although reports have arrived meanwhile.
+    """
+    reading = asyncio.ensure_future(call.read())
+    try:
+        for limit_s in (silence_s, _GRACE_S):
+            done, _ = await asyncio.wait({reading}, timeout=limit_s)
+            if done:
+                return reading.result()
+    finally:
+        reading.cancel()
+    return None
+
+
 def view_of(
     report: router_pb2.EndpointReport, address: str
 ) -> views.EndpointView:
--- a/packages/daemon/src/yuccarouter/request_path/attempt.py
+++ b/packages/daemon/src/yuccarouter/request_path/attempt.py
@@ -12,7 +12,8 @@
 from yuccarouter.request_path import errors
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncGenerator, Callable
+    from contextlib import AbstractContextManager
 
     from yuccarouter.membership import channels
     from yuccarouter_common.proto import router_pb2
@@ -46,12 +47,14 @@
     daemon: channels.Daemon,
     metadata: tuple[tuple[str, str], ...],
     request: router_pb2.RunRequest,
+    calling: Callable[[Callable[[], object]], AbstractContextManager[None]],
 ) -> AsyncGenerator[Event]:
     """Run an attempt and yield its answer in order.
 
     The last event is ``Finished``. Raises ``AttemptRefusedError`` when the
     endpoint has certainly not seen the attempt and ``AttemptLostError``
     otherwise. Closing the generator cancels the attempt at the agent.
+    ``calling`` gets the function that cancels the call while it lasts.
     """
     # A call that fails on a channel that never became ready was not sent;
     # later failures can't be told from a lost answer.
@@ -60,14 +63,15 @@
     call = daemon.stub.Run(request, metadata=metadata, timeout=timeout_s)
     sequence = 0
     try:
-        async for message in call:
-            event = _event(message, request.attempt_id, sequence)
-            if event is None:
-                continue
-            yield event
-            if isinstance(event, Finished):
-                return
-            sequence += 1
+        with calling(call.cancel):
+            async for message in call:
+                event = _event(message, request.attempt_id, sequence)
+                if event is None:
+                    continue
+                yield event
+                if isinstance(event, Finished):
+                    return
+                sequence += 1
     except aio.AioRpcError as fault:
         raise _converted(fault) from fault
     finally:
--- a/packages/daemon/src/yuccarouter/request_path/sender.py
+++ b/packages/daemon/src/yuccarouter/request_path/sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import uuid
 from typing import TYPE_CHECKING, Final
 
@@ -114,6 +115,7 @@
         shared.daemons.at(chosen.view.address),
         shared.daemons.metadata,
         _message(shared, sending, span),
+        functools.partial(shared.watch.calling, note.endpoint),
     )
     try:
         async with _watched(shared, sending, note):
--- a/packages/daemon/src/yuccarouter/roles/entry.py
+++ b/packages/daemon/src/yuccarouter/roles/entry.py
@@ -13,7 +13,7 @@
 
 from yuccarouter.billing import ledger
 from yuccarouter.configuration import follower, store
-from yuccarouter.membership import channels, directory, reports
+from yuccarouter.membership import channels, directory, reports, watch
 from yuccarouter.request_path import (
     answers,
     explanations,
@@ -64,6 +64,7 @@
             fleet=views.Fleet(router.now_ms, rng.random),
             daemons=daemons,
             known=known,
+            watch=watch.EndpointWatch(),
             ledger=ledger.Ledger(
                 log_client, conf.timing.bill_interval_ms, settled.written
             ),
@@ -78,7 +79,7 @@
         )
         self.shared = shared
         await self.add_runtime_dependency(
-            reports.Reports(conf, shared.fleet, known, daemons)
+            reports.Reports(conf, shared.fleet, known, daemons, shared.watch)
         )
         await self.add_runtime_dependency(known)
         await self.add_runtime_dependency(
--- a/packages/daemon/tests/request_path/conftest.py
+++ b/packages/daemon/tests/request_path/conftest.py
@@ -15,7 +15,7 @@
 
 from yuccarouter.billing import ledger
 from yuccarouter.configuration import store
-from yuccarouter.membership import channels, directory
+from yuccarouter.membership import channels, directory, watch
 from yuccarouter.request_path import (
     answers,
     explanations,
@@ -162,6 +162,7 @@
         fleet=views.Fleet(router.now_ms, rng.random),
         daemons=daemons,
         known=known,
+        watch=watch.EndpointWatch(),
         ledger=ledger.Ledger(log, 1, settled.written),  # type: ignore[arg-type]
         settlements=settled,
         budget=retry_budget.RetryBudget(),
