Retry an attempt whose agent has gone silent

Cause: cancelling the call also cancelled its reader, so the caller's connection was closed. Change: such a cancellation counts as a lost attempt.

--- a/packages/daemon/src/yuccarouter/request_path/attempt.py
+++ b/packages/daemon/src/yuccarouter/request_path/attempt.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import attrs
 import grpc
@@ -61,21 +61,38 @@
     await _connect(daemon)
     timeout_s = request.deadline_ms / _MS_PER_S
     call = daemon.stub.Run(request, metadata=metadata, timeout=timeout_s)
-    sequence = 0
+    abandoned: list[bool] = []
+
+    def abandon() -> None:
+        abandoned.append(True)
+        call.cancel()
+
     try:
-        with calling(call.cancel):
-            async for message in call:
-                event = _event(message, request.attempt_id, sequence)
-                if event is None:
-                    continue
+        with calling(abandon):
+            async for event in _events(call, request.attempt_id):
                 yield event
-                if isinstance(event, Finished):
-                    return
-                sequence += 1
     except aio.AioRpcError as fault:
         raise _converted(fault) from fault
+    except asyncio.CancelledError:
+        # A call that is cancelled here cancels its reader in the same way as
+        # a caller who leaves.
+        if abandoned:
+            raise errors.AttemptLostError('the agent is silent') from None
+        raise
     finally:
         call.cancel()
+
+
+async def _events(call: Any, attempt_id: str) -> AsyncGenerator[Event]:
+    sequence = 0
+    async for message in call:
+        event = _event(message, attempt_id, sequence)
+        if event is None:
+            continue
+        yield event
+        if isinstance(event, Finished):
+            return
+        sequence += 1
     raise errors.AttemptLostError('the agent ended the attempt early')
 
 
--- a/packages/daemon/tests/request_path/test_front.py
+++ b/packages/daemon/tests/request_path/test_front.py
@@ -219,6 +219,19 @@
         await asyncio.sleep(0.01)
 
 
+async def test_silent_agent(entry: Any) -> None:
+    """Guards against a frozen agent that holds a request to its deadline."""
+    entry.agent.scripts = [fake.hang, fake.answer]
+    sent = asyncio.create_task(entry.chat())
+    while not entry.agent.requests:
+        await asyncio.sleep(0.01)
+    lost = sum(map(entry.shared.watch.lost, ('e1', 'e2', 'e3', 'e4')))
+    assert lost == 1
+    response = await sent
+    assert response.status == 200
+    assert len(entry.agent.requests) == 2
+
+
 async def test_draining(entry: Any) -> None:
     """Guards against new work at a process that is about to stop."""
     entry.shared.load.is_draining = True
