Add the load tool

Cause: latency, completeness and truthful rejections have to be measured as callers see them, at a rate that does not fall when answers are slow.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,12 @@
 bench: setup
 	$(PY) -m yuccarouter_testkit.bench
 
+# Example: make load URL=http://127.0.0.1:8080 LOAD='--rate 50 --mix thanupp'
+URL ?= http://127.0.0.1:8080
+LOAD ?=
+load: setup
+	$(PY) -m yuccarouter_testkit.load --url $(URL) $(LOAD)
+
 proto: setup
 	$(PY) -m grpc_tools.protoc -I packages/common/src --python_out=packages/common/src \
 		--grpc_python_out=packages/common/src --pyi_out=packages/common/src \
