--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/completions.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/completions.py
@@ -103,6 +103,8 @@
 def _parse(body: bytes) -> _Call:
     document = orjson.loads(body)
     max_tokens = document.get('max_tokens')
+    if max_tokens is not None and int(max_tokens) < 1:
+        raise ValueError('max_tokens must be positive')
     return _Call(
         model=str(document['model']),
         prompt=texts.prompt_text(document['messages']),
@@ -123,7 +125,7 @@
     prefixes = texts.prefix_hashes(call.prompt)
     missing = len(prefixes) - engine.cache.use(prefixes)
     served = engine_state.Served(
-        stream_id=attempt_id or uuid.uuid4().hex,
+        stream_id=_stream_id(engine, attempt_id),
         attempt_id=attempt_id,
         idempotency_key=request.headers.get('Idempotency-Key', ''),
         model=call.model,
@@ -144,6 +146,13 @@
     return _Run(engine, request, call, served, stream, reason)
 
 
+def _stream_id(engine: engine_state.Engine, attempt_id: str) -> str:
+    # An id that runs already would end the other stream's place in the batch.
+    if attempt_id and attempt_id not in engine.streams:
+        return attempt_id
+    return uuid.uuid4().hex
+
+
 def _remaining(
     engine: engine_state.Engine,
     call: _Call,
