Do not release a claim that was reported as won a moment before

A repeated call of an attempt that ran out of time in the same turn of the loop in which the first call was answered released the claim, so that a second attempt could win the key.

--- a/packages/daemon/src/yuccarouter/registry/owner.py
+++ b/packages/daemon/src/yuccarouter/registry/owner.py
@@ -150,6 +150,9 @@
                 while claiming in self._claiming:
                     await self._claiming[claiming].wait()
         except TimeoutError:
+            # The earlier call may have been answered as the time ran out.
+            if claiming not in self._claiming:
+                return True
             self._release(served, items.Release(*claiming, self.owner_id))
             return False
         return True
--- a/packages/daemon/tests/registry/test_owner.py
+++ b/packages/daemon/tests/registry/test_owner.py
@@ -4,11 +4,19 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import AsyncIterator
 from typing import Any
 
 import pytest
-from yuccarouter.registry import answers, items, loading, owner, partitions
+from yuccarouter.registry import (
+    answers,
+    items,
+    loading,
+    owner,
+    partitions,
+    writer,
+)
 
 from yuccarouter_common.proto import router_pb2
 from yuccarouter_testkit import memory_log
@@ -277,3 +285,32 @@
     moved = [old for old, new in zip(before, after, strict=True) if old != new]
     assert set(moved) <= {'agent-0'}
     assert len(set(before)) > 10
+
+
+async def test_repeated_call_times_out_as_the_first_wins(
+    log: memory_log.MemoryLog, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against releasing a claim that was just reported as won.
+
+    The loop is held up until the second call's time-out falls between the
+    answer to the first call and the second one's wake-up.
+    """
+    add = writer.Writer.add
+
+    def slow_add(queue: writer.Writer, item: items.Item) -> writer.Ticket:
+        ticket = add(queue, item)
+        ticket.read_back.add_done_callback(lambda _: time.sleep(0.3))
+        return ticket
+
+    async with running(log, 2) as [one, two]:
+        assert (await one.claim(claim('a'))).state == answers.WON
+        assert (await one.record(record('a', 'release'))).recorded
+        monkeypatch.setattr(writer.Writer, 'add', slow_add)
+        first = asyncio.create_task(one.claim(claim('b')))
+        second = asyncio.create_task(one.claim(claim('b', timeout_ms=200)))
+        states = {(await first).state, (await second).state}
+        monkeypatch.undo()
+        await asyncio.sleep(0.05)
+        reply = await two.claim(claim('c'))
+    assert answers.WON in states
+    assert reply.state == answers.LOST
