Add roll-outs by evidence

Cause: a roll-out by the clock exposes every caller of a step to a bad version until somebody looks.

--- /dev/null
+++ b/packages/daemon/src/yuccarouter/rollout/errors.py
@@ -0,0 +1,27 @@
+"""Errors of roll-outs."""
+
+from __future__ import annotations
+
+from yuccarouter_common import errors
+
+
+class RolloutError(errors.RouterError):
+    """A roll-out could not be advanced."""
+
+    code = 'rollout_failed'
+
+
+class LoadRefusedError(RolloutError):
+    """The weight store asks to come back later."""
+
+    code = 'load_refused'
+
+    def __init__(self, message: str, retry_after_ms: int) -> None:
+        super().__init__(message)
+        self.retry_after_ms = retry_after_ms
+
+
+class LoadFailedError(RolloutError):
+    """An endpoint could not load a version."""
+
+    code = 'load_failed'
--- /dev/null
+++ b/packages/daemon/tests/test_rollout_controller.py
@@ -0,0 +1,372 @@
+"""Tests of the policy, the controller and the loading of weights."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import attrs
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from yuccarouter.rollout import controller, errors, evidence, policy, weights
+from yuccarouter_common import apply, model, records
+from yuccarouter_common.platform import errors as platform_errors
+
+_LONG_MS = 10**8
+_ROLLING = model.Rollout(
+    'c@2', 'c', '2', 'c@1', state='rolling', step=1, share=0.05
+)
+
+
+@pytest.mark.parametrize(
+    ('rollout', 'known', 'expected'),
+    [
+        ({}, {'harm': 99.0}, policy.Hold(0.05, 'more evidence is needed on ')),
+        (
+            {},
+            {'harm': 100.0, 'harm_cause': 'errors of a', 'sent': 7},
+            policy.Withdraw(
+                'errors of a are worse than those of c@1 '
+                '(e-value 100 after 7 requests)'
+            ),
+        ),
+        ({'state': 'held'}, {'no_harm': 99.0}, policy.Hold(0.05, '')),
+        (
+            {'state': 'held'},
+            {'harm': 100.0},
+            policy.Withdraw(
+                ' are worse than those of c@1 (e-value 100 after 0 requests)'
+            ),
+        ),
+        (
+            {'state': 'created', 'step': 0, 'share': 0},
+            {'loaded': False},
+            policy.Hold(0, 'weights are being loaded'),
+        ),
+        (
+            {'state': 'created', 'step': 0, 'share': 0},
+            {},
+            policy.Advance(0, 0.01, 'weights are loaded'),
+        ),
+        (
+            {},
+            {'no_harm': 20.0, 'weakest': 'rating of a'},
+            policy.Advance(
+                2,
+                0.2,
+                'no harm at step 1 (weakest e-value 20, rating of a)',
+            ),
+        ),
+        (
+            {},
+            {'no_harm': 20.0, 'in_step_ms': 1000},
+            policy.Hold(0.05, 'step 1 goes on'),
+        ),
+        (
+            {},
+            {'no_harm': 99.0, 'missing_share': 0.3},
+            policy.Hold(0.05, 'ratings are missing'),
+        ),
+        (
+            {},
+            {'no_harm': 99.0, 'unrated': 200},
+            policy.Hold(0, '200 requests are not rated yet'),
+        ),
+        # 100 of 200 allowed requests are unrated with a lag of 20 s, 1000
+        # requests/s and a share of 0.005.
+        (
+            {},
+            {'rating_lag_ms': 20_000.0, 'requests_per_s': 1000.0},
+            policy.Hold(0.005, '0 requests are not rated yet'),
+        ),
+        (
+            {'share': 0},
+            {'unrated': 10},
+            policy.Hold(0.05, 'more evidence is needed on '),
+        ),
+        (
+            {'step': 3, 'share': 0.5},
+            {'no_harm': 20.0},
+            policy.Advance(4, 0.95, 'no harm at step 3 (weakest e-value 20, )'),
+        ),
+        (
+            {'step': 4, 'share': 0.95},
+            {'no_harm': 20.0},
+            policy.Finish('no harm at step 4 (weakest e-value 20, )'),
+        ),
+    ],
+)
+def test_decide(
+    rollout: dict[str, Any],
+    known: dict[str, Any],
+    expected: policy.Decision,
+) -> None:
+    """Guards against growing without evidence, and holding what is bad."""
+    decision = policy.decide(
+        attrs.evolve(_ROLLING, **rollout),
+        evidence.Evidence(**{'in_step_ms': _LONG_MS, **known}),
+    )
+    assert decision == expected
+
+
+@attrs.define
+class _Fleet:
+    """The log, the lease and the evidence of one controller's world."""
+
+    configuration: model.Configuration
+    known: evidence.Evidence = evidence.Evidence()
+    valid: bool = True
+    number: int = 5
+    lose_after: int = 10**6
+    written: list[records.Record] = attrs.field(factory=list)
+    steps: list[int] = attrs.field(factory=list)
+    fault: platform_errors.PlatformError | None = None
+
+    def fencing_number(self) -> int:
+        return self.number
+
+    def is_valid(self) -> bool:
+        return self.valid and len(self.written) < self.lose_after
+
+    def evidence(self, rollout: model.Rollout) -> evidence.Evidence:
+        return self.known
+
+    def start_step(self, rollout: model.Rollout) -> None:
+        self.steps.append(rollout.step)
+
+    async def publish(self, record: records.Record) -> None:
+        if self.fault is not None:
+            raise self.fault
+        self.written.append(record)
+        self.configuration, _ = apply.apply_record(
+            self.configuration,
+            self.configuration.position.offset + 1,
+            record,
+        )
+
+    def controller(self) -> controller.Controller:
+        return controller.Controller(
+            lease=self,
+            source=self,
+            configuration=lambda: self.configuration,
+            publish=self.publish,
+        )
+
+    @property
+    def rollout(self) -> model.Rollout:
+        return self.configuration.rollouts['c@2']
+
+
+@pytest.fixture
+def fleet() -> _Fleet:
+    """A fleet with a roll-out at its second step."""
+    return _Fleet(
+        model.Configuration(
+            position=model.Position(0, 9),
+            versions={'c@2': model.ModelVersion('c', '2', 'p')},
+            rollouts={'c@2': _ROLLING},
+        )
+    )
+
+
+_PROVEN = evidence.Evidence(no_harm=50, in_step_ms=_LONG_MS)
+_HARMFUL = evidence.Evidence(harm=500, harm_cause='errors of a')
+
+
+async def test_advance(fleet: _Fleet) -> None:
+    """Guards against a change that is not fenced or not conditional."""
+    fleet.known = _PROVEN
+    await fleet.controller().step()
+    assert (fleet.rollout.step, fleet.rollout.share) == (2, 0.2)
+    assert fleet.rollout.fencing_number == 5
+    assert fleet.written[0].condition.expected_offset == -1
+
+
+async def test_hold_writes_nothing(fleet: _Fleet) -> None:
+    """Guards against a record every second while there is no news."""
+    await fleet.controller().step()
+    assert not fleet.written
+
+
+@pytest.mark.parametrize(
+    ('changes', 'count'),
+    [({'valid': False}, 0), ({'number': 4}, 0), ({'lose_after': 1}, 1)],
+)
+async def test_without_lease(
+    fleet: _Fleet, changes: dict[str, Any], count: int
+) -> None:
+    """Guards against acting without the lease, also when lost half way."""
+    fleet.known = _HARMFUL
+    fleet.configuration.rollouts['c@2'] = attrs.evolve(
+        _ROLLING, fencing_number=5
+    )
+    for name, value in changes.items():
+        setattr(fleet, name, value)
+    await fleet.controller().step()
+    assert len(fleet.written) == count
+
+
+async def test_withdraw(fleet: _Fleet) -> None:
+    """Guards against a roll-out that ends while sessions keep the version."""
+    fleet.known = _HARMFUL
+    await fleet.controller().step()
+    assert fleet.configuration.versions['c@2'].state == model.WITHDRAWN
+    assert (fleet.rollout.state, fleet.rollout.share) == ('withdrawn', 0)
+
+
+async def test_withdraw_half_done(fleet: _Fleet) -> None:
+    """Guards against a withdrawal that a lost record leaves half done."""
+    fleet.configuration.rollouts['c@2'] = attrs.evolve(
+        _ROLLING, state='withdrawn'
+    )
+    await fleet.controller().step()
+    assert fleet.configuration.versions['c@2'].state == model.WITHDRAWN
+
+
+async def test_withdrawn_by_operator(fleet: _Fleet) -> None:
+    """Guards against rolling on with a version that operators withdrew."""
+    fleet.known = _PROVEN
+    version = model.ModelVersion('c', '2', 'p', state=model.WITHDRAWN)
+    fleet.configuration.versions['c@2'] = version
+    await fleet.controller().step()
+    assert fleet.rollout.state == 'withdrawn'
+    assert fleet.rollout.reason == 'the version is withdrawn'
+
+
+async def test_takeover(fleet: _Fleet) -> None:
+    """Guards against a successor that starts over or trusts old evidence."""
+    fleet.known = _PROVEN
+    first = fleet.controller()
+    await first.step()
+    fleet.number = 8
+    second = fleet.controller()
+    await second.step()
+    assert fleet.rollout.step == 3
+    assert fleet.steps == [1, 2]
+    fleet.number = 5
+    await first.step()
+    assert fleet.rollout.step == 3
+
+
+async def test_paused(fleet: _Fleet) -> None:
+    """Guards against a decision on a state that has changed since."""
+    fleet.known = _PROVEN
+    stale = fleet.configuration
+    await fleet.controller().step()
+    late = controller.Controller(
+        lease=fleet,
+        source=fleet,
+        configuration=lambda: stale,
+        publish=fleet.publish,
+    )
+    await late.step()
+    assert len(fleet.written) == 2
+    assert fleet.rollout.step == 2
+
+
+@pytest.mark.parametrize(
+    'fault',
+    [
+        platform_errors.UnavailableError('down'),
+        platform_errors.AnswerLostError('lost'),
+    ],
+)
+async def test_log_fault(
+    fleet: _Fleet, fault: platform_errors.PlatformError
+) -> None:
+    """Guards against a controller that stops when the log is down."""
+    fleet.known = _PROVEN
+    fleet.fault = fault
+    running = fleet.controller()
+    await running.step()
+    fleet.fault = None
+    await running.step()
+    assert fleet.rollout.step == 2
+
+
+async def test_service(fleet: _Fleet) -> None:
+    """Guards against a service that does not act or does not stop."""
+    fleet.known = _PROVEN
+    async with fleet.controller():
+        async with asyncio.timeout(10):
+            while fleet.rollout.step == 1:
+                await asyncio.sleep(0.01)
+
+
+_TARGETS = strategies.lists(
+    strategies.sampled_from('xyz'), min_size=1, max_size=20
+).map(
+    lambda places: [
+        weights.Target(f'e{number}', place)
+        for number, place in enumerate(places)
+    ]
+)
+
+
+@hypothesis.given(_TARGETS)
+def test_even_warming(targets: list[weights.Target]) -> None:
+    """Guards against one data centre that waits until another is loaded."""
+    while True:
+        target = weights.next_target(targets, frozenset())
+        if target is None:
+            break
+        share = _loaded_share(targets, target.data_centre)
+        others = [_loaded_share(targets, each.data_centre) for each in targets]
+        assert share == min(others)
+        targets = [
+            attrs.evolve(each, is_loaded=True) if each == target else each
+            for each in targets
+        ]
+    assert all(target.is_loaded for target in targets)
+
+
+def _loaded_share(targets: list[weights.Target], place: str) -> float:
+    here = [each.is_loaded for each in targets if each.data_centre == place]
+    return sum(here) / len(here)
+
+
+async def test_loading_rate() -> None:
+    """Guards against overrunning the store and against a failing endpoint
+    that keeps the others from loading."""
+    loaded: set[str] = set()
+    attempts: list[tuple[int, str]] = []
+    now_ms = 0
+
+    async def load(target: weights.Target) -> None:
+        attempts.append((now_ms, target.endpoint))
+        if target.endpoint == 'a':
+            raise errors.LoadFailedError('no memory')
+        if len(attempts) == 2:
+            raise errors.LoadRefusedError('busy', retry_after_ms=5000)
+        loaded.add(target.endpoint)
+
+    loader = weights.Loader(load, lambda: now_ms)
+    names = ('a', 'b', 'c')
+    while loaded != {'b', 'c'}:
+        await loader.step(
+            [weights.Target(name, 'x', name in loaded) for name in names]
+        )
+        now_ms += 500
+    assert attempts == [
+        (0, 'a'),
+        (1000, 'b'),
+        (6000, 'a'),
+        (7000, 'b'),
+        (8000, 'c'),
+    ]
+
+
+async def test_loading_ends() -> None:
+    """Guards against loading that never ends or skips an endpoint."""
+    loaded: set[str] = set()
+
+    async def load(target: weights.Target) -> None:
+        loaded.add(target.endpoint)
+
+    loader = weights.Loader(load, lambda: 0, interval_ms=0)
+    await loader.run(
+        lambda: [weights.Target(name, 'x', name in loaded) for name in 'ab']
+    )
+    assert loaded == {'a', 'b'}
