Let the plain services take PUT and DELETE

Cause: aiohttp's client repeats a PUT or DELETE on its own when a reused connection closes, so a call that must run once could run twice. Change: the double takes and counts both methods, so that tests of the agent can show it.

--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/plain_service.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/plain_service.py
@@ -1,7 +1,7 @@
 """Double of a plain service: the desk app and the ledger app.
 
-Every POST has its effect again each time it is called, so that a request that
-is run twice shows in ``GET /calls``.
+Every POST, PUT and DELETE has its effect again each time it is called, so that
+a request that is run twice shows in ``GET /calls``.
 """
 
 from __future__ import annotations
@@ -115,6 +115,10 @@
     app.router.add_get('/load', functools.partial(_load, service))
     for path in ('/payments', '/acceptances', '/handovers'):
         app.router.add_post(path, call)
+        # aiohttp's client repeats these two on its own when a connection that
+        # was used before closes, which a router must not let happen.
+        app.router.add_put(f'{path}/{{number}}', call)
+        app.router.add_delete(f'{path}/{{number}}', call)
     app.router.add_get('/certificates/{certificate}', call)
     return app
 
--- a/packages/testkit/tests/test_services.py
+++ b/packages/testkit/tests/test_services.py
@@ -294,6 +294,19 @@
     for key in ('k1', 'k2', 'k1'):
         assert await _pay(session, url, key) == 201
     assert await _count(session, url) == {'k1': 2, 'k2': 1}
+    for method in ('PUT', 'DELETE'):
+        async with session.request(
+            method,
+            f'{url}/payments/7',
+            headers={'Idempotency-Key': method},
+        ) as response:
+            assert response.status == 201
+    assert await _count(session, url) == {
+        'k1': 2,
+        'k2': 1,
+        'PUT': 1,
+        'DELETE': 1,
+    }
 
 
 async def test_cold_service(
