Answer with cascades; keep taking work until the balancer has seen a stop

Cause: the cascade's decisions were not used on the path. An entry refused work at once when it was stopped, although the balancer had not yet seen it. The launcher listed entries in the order in which they got ready, so scenarios stopped the wrong one now and then. Change: steps with a rating in time, one bill; work is taken during the drain delay; entries are listed by number.

--- a/packages/daemon/src/yuccarouter/admission/calls.py
+++ b/packages/daemon/src/yuccarouter/admission/calls.py
@@ -122,7 +122,10 @@
 
 
 def _headers(request: router_pb2.RunRequest) -> dict[str, str]:
-    headers = {'X-Request-Id': request.attempt_id}
+    headers = {
+        'X-Request-Id': request.attempt_id,
+        'X-Attempt-Id': request.attempt_id,
+    }
     if request.traceparent:
         headers['traceparent'] = request.traceparent
     if not request.service:
--- a/packages/daemon/src/yuccarouter/admission/tracing.py
+++ b/packages/daemon/src/yuccarouter/admission/tracing.py
@@ -23,5 +23,8 @@
         attributes={'attempt_id': request.attempt_id},
         record_exception=False,
     ) as span:
-        request.traceparent = telemetry.traceparent(span)
+        # Without tracing in this process the caller's context goes on.
+        request.traceparent = (
+            telemetry.traceparent(span) or request.traceparent
+        )
         yield
--- a/packages/daemon/src/yuccarouter/request_path/completions.py
+++ b/packages/daemon/src/yuccarouter/request_path/completions.py
@@ -59,11 +59,15 @@
     except routing_errors.RoutingError as fault:
         raise sender.refusal(fault, progress) from fault
     work = cascading.Work(
-        planned, resolution, progress, prefixes.of_prompt(asked.prompt)
+        planned,
+        resolution,
+        progress,
+        prefixes.of_prompt(asked.prompt),
+        asked.prompt,
     )
     if asked.is_stream:
         return await _stream(shared, request, work)
-    answer = await cascading.answer(shared, work, asked.prompt)
+    answer = await cascading.answer(shared, work)
     _close(shared, planned, answer, progress)
     return replies.whole(shared, planned, answer)
 
--- a/packages/daemon/src/yuccarouter/request_path/plan.py
+++ b/packages/daemon/src/yuccarouter/request_path/plan.py
@@ -87,12 +87,24 @@
     tried: set[str] = attrs.field(factory=set)
     reasons: list[dict[str, Any]] = attrs.field(factory=list)
     may_have_run: bool = False
+    # Attempts of earlier steps of a cascade, which don't count as retries.
+    earlier_attempts: int = 0
     # A configured name, never the caller's text: it labels metrics.
     kind: str = 'default'
     bound_ms: int = 0
     # Why a stream that had begun could not be made whole.
     cut: refusals.RefusalError | None = None
 
+    @property
+    def attempts_of_step(self) -> int:
+        """Number of attempts of the present step."""
+        return len(self.attempts) - self.earlier_attempts
+
+    def start_step(self) -> None:
+        """Let the next step of a cascade use every endpoint."""
+        self.earlier_attempts = len(self.attempts)
+        self.tried.clear()
+
     def of_kind(self, kind: model.RequestKind) -> None:
         """Note the kind of the request."""
         self.kind = kind.name
--- a/packages/daemon/src/yuccarouter/request_path/retries.py
+++ b/packages/daemon/src/yuccarouter/request_path/retries.py
@@ -51,7 +51,7 @@
         is_final = True
     is_whole = request.kind.whole and request.is_idempotent
     limit = _MAX_WHOLE_ATTEMPTS if is_whole else _MAX_ATTEMPTS
-    if is_final or len(progress.attempts) >= limit:
+    if is_final or progress.attempts_of_step >= limit:
         raise refusal_of(fault, progress)
     if not request.remaining_ms() and not is_whole:
         raise refusal_of(fault, progress)
@@ -61,7 +61,7 @@
     _RETRIES.labels(fault.code).inc()
     progress.explain('retry', code=fault.code, message=fault.message)
     pause_ms = retry_budget.backoff_ms(
-        len(progress.attempts), 0, shared.rng.random
+        progress.attempts_of_step, 0, shared.rng.random
     )
     await asyncio.sleep(pause_ms / _MS_PER_S)
     if is_whole:
--- a/packages/daemon/src/yuccarouter/request_path/router.py
+++ b/packages/daemon/src/yuccarouter/request_path/router.py
@@ -29,8 +29,9 @@
     from yuccarouter.request_path import (
         settlements as pending_settlements,
     )
-    from yuccarouter.routing import latency, retry_budget, views
+    from yuccarouter.routing import cascade, latency, retry_budget, views
     from yuccarouter_common import model, settings
+    from yuccarouter_common.platform import ratings as rating_clients
 
 _MS_PER_S: Final = 1000
 _BUSY_RETRY_MS: Final = 500
@@ -45,6 +46,7 @@
     by_organisation: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
+    is_leaving: bool = False
     is_draining: bool = False
     idle: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -101,6 +103,8 @@
     settlements: pending_settlements.Settlements
     budget: retry_budget.RetryBudget
     latencies: latency.Latencies
+    cascades: cascade.Cascades
+    ratings: rating_clients.Client
     answers: held_answers.HeldAnswers
     explanations: kept_explanations.Explanations
     load: Load
--- a/packages/daemon/src/yuccarouter/roles/entry.py
+++ b/packages/daemon/src/yuccarouter/roles/entry.py
@@ -23,8 +23,8 @@
     settlements,
 )
 from yuccarouter.roles import admin, peering, servers
-from yuccarouter.routing import latency, retry_budget, views
-from yuccarouter_common.platform import log, vms
+from yuccarouter.routing import cascade, latency, quality, retry_budget, views
+from yuccarouter_common.platform import log, ratings, vms
 
 if TYPE_CHECKING:
     from yuccarouter_common import settings, telemetry
@@ -58,6 +58,7 @@
         rng = random.Random()  # noqa: S311
         daemons = channels.Channels(conf.secrets.peer_key)
         settled = settlements.Settlements(daemons)
+        latencies = latency.Latencies(router.now_ms)
         shared = router.Router(
             conf=conf,
             store=store.Store(),
@@ -70,7 +71,11 @@
             ),
             settlements=settled,
             budget=retry_budget.RetryBudget(),
-            latencies=latency.Latencies(router.now_ms),
+            latencies=latencies,
+            cascades=cascade.Cascades(
+                quality.Estimates(router.now_ms), latencies, rng.random
+            ),
+            ratings=ratings.Client(session, conf.platform.ratings_url),
             answers=answers.HeldAnswers(conf.limits.held_answers_bytes),
             explanations=explanations.Explanations(),
             load=router.Load(conf.limits.requests),
@@ -107,9 +112,11 @@
             return
         timing = self._conf.timing
         load = self.shared.load
-        load.is_draining = True
+        # Work is taken until the balancer has seen that this entry leaves.
+        load.is_leaving = True
         eliot.log_message('draining', in_progress=load.total)
         await asyncio.sleep(timing.drain_delay_ms / _MS_PER_S)
+        load.is_draining = True
         if load.total:
             await _bounded(load.idle.wait(), timing.drain_limit_ms / _MS_PER_S)
         await _bounded(self.shared.ledger.flush(), _FLUSH_LIMIT_S)
@@ -130,7 +137,7 @@
 
 
 def _why_not_ready(shared: router.Router) -> str:
-    if shared.load.is_draining:
+    if shared.load.is_leaving:
         return 'draining'
     if not shared.store.ready:
         return 'no configuration: neither the log nor a peer has given one'
--- a/packages/daemon/src/yuccarouter/rollout/controller.py
+++ b/packages/daemon/src/yuccarouter/rollout/controller.py
@@ -47,7 +47,7 @@
 CurrentConfiguration = Callable[[], model.Configuration]
 
 
-class Controller(mode.Service):  # type: ignore[misc]
+class Controller(mode.Service):
     """Advances, holds and withdraws roll-outs while its lease is valid.
 
     All state is in the ``rollout`` records, so that another controller goes
@@ -183,7 +183,7 @@
                 message_type='rollout:not_recorded', reason=fault.code
             )
 
-    @mode.Service.task  # type: ignore[untyped-decorator]
+    @mode.Service.task
     async def _run(self) -> None:
         while not self.should_stop:
             await self.step()
--- a/packages/daemon/tests/request_path/conftest.py
+++ b/packages/daemon/tests/request_path/conftest.py
@@ -7,10 +7,11 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+import aiohttp
 import attrs
 import pytest
 import yarl
-from aiohttp import test_utils
+from aiohttp import test_utils, web
 from grpc import aio
 
 from yuccarouter.billing import ledger
@@ -24,15 +25,27 @@
     session_versions,
     settlements,
 )
-from yuccarouter.routing import latency, retry_budget, views
+from yuccarouter.routing import cascade, latency, quality, retry_budget, views
 from yuccarouter_common import model, settings
-from yuccarouter_common.platform import vms
+from yuccarouter_common.platform import ratings, vms
 from yuccarouter_common.proto import router_pb2_grpc
 from yuccarouter_testkit import fake_agent, memory_log
 
 KEY = 'caller-key'
 
 
+@attrs.define
+class Scores:
+    """The rating service; ``None`` stands for an outage."""
+
+    score: float | None = 1.0
+
+    async def rate(self, request: web.Request) -> web.Response:
+        if self.score is None:
+            return web.Response(status=503)
+        return web.json_response({'score': self.score})
+
+
 @attrs.define
 class Entry:
     """An entry's application, its fake agent and the log."""
@@ -41,6 +54,7 @@
     agent: fake_agent.FakeAgent
     shared: router.Router
     log: memory_log.MemoryLog
+    scores: Scores
 
     async def send(
         self, path: str | yarl.URL = '/v1/chat/completions', **options: Any
@@ -78,12 +92,13 @@
             'o': model.Organisation(
                 'o',
                 (digest,),
-                allowed=('clue@1',),
+                allowed=('clue@1', 'mini@1'),
                 services=('desk',),
                 max_concurrent=3,
             )
         },
         versions={
+            'mini@1': model.ModelVersion('mini', '1', 'engines', 0, 1),
             'clue@1': model.ModelVersion('clue', '1', 'engines', 1, 10),
             'clue@2': model.ModelVersion('clue', '2', 'engines', 1, 10),
         },
@@ -91,6 +106,12 @@
             'quick': model.RequestKind('quick', bound_ms=400),
             'long': model.RequestKind('long', bound_ms=5000, whole=True),
         },
+        cascades={
+            'cheap-first': model.Cascade(
+                'cheap-first',
+                (model.CascadeStep('mini'), model.CascadeStep('clue')),
+            )
+        },
         services={
             'desk': model.Service(
                 'desk',
@@ -129,7 +150,7 @@
         pool='engines',
         address=address,
         limit=8,
-        versions=('clue@1', 'clue@2', ''),
+        versions=('clue@1', 'clue@2', 'mini@1', ''),
         received_ms=router.now_ms(),
         sequence=1,
     )
@@ -156,6 +177,13 @@
     log = memory_log.MemoryLog()
     daemons = channels.Channels(conf.secrets.peer_key)
     settled = settlements.Settlements(daemons)
+    latencies = latency.Latencies(router.now_ms)
+    session = aiohttp.ClientSession()
+    rating = web.Application()
+    scores = Scores()
+    rating.router.add_post('/ratings', scores.rate)
+    rating_server = test_utils.TestServer(rating)
+    await rating_server.start_server()
     shared = router.Router(
         conf=conf,
         store=store.Store(),
@@ -166,7 +194,13 @@
         ledger=ledger.Ledger(log, 1, settled.written),  # type: ignore[arg-type]
         settlements=settled,
         budget=retry_budget.RetryBudget(),
-        latencies=latency.Latencies(router.now_ms),
+        latencies=latencies,
+        cascades=cascade.Cascades(
+            quality.Estimates(router.now_ms), latencies, rng.random
+        ),
+        ratings=ratings.Client(
+            session, str(rating_server.make_url('')).rstrip('/')
+        ),
         answers=answers.HeldAnswers(100_000),
         explanations=explanations.Explanations(),
         load=router.Load(8),
@@ -181,7 +215,9 @@
         test_utils.TestServer(app, handler_cancellation=True)
     )
     await client.start_server()
-    yield Entry(client, agent, shared, log)
+    yield Entry(client, agent, shared, log, scores)
     await client.close()
+    await rating_server.close()
+    await session.close()
     await daemons.close()
     await server.stop(0)
--- a/packages/daemon/tests/request_path/test_front.py
+++ b/packages/daemon/tests/request_path/test_front.py
@@ -305,8 +305,34 @@
     assert await _refusal(response) == (408, 'request_timeout', 'not_run')
 
 
+@pytest.mark.parametrize(
+    ('score', 'script', 'versions', 'cost'),
+    [
+        (1.0, fake.answer, ['mini@1'], 5),
+        (0.0, fake.answer, ['mini@1', 'clue@1'], 57),
+        # Without ratings and with nothing learned, the best step answers.
+        (None, fake.answer, ['mini@1', 'clue@1'], 57),
+        (1.0, fake.refuse('version_not_allowed'), ['mini@1', 'clue@1'], 57),
+    ],
+)
+async def test_cascade(
+    entry: Any, score: Any, script: Any, versions: list[str], cost: int
+) -> None:
+    """Guards against an answer below the target, and against two bills."""
+    entry.scores.score = score
+    entry.agent.scripts = [script, fake.answer]
+    response = await entry.chat(model='cheap-first')
+    assert response.status == 200
+    assert response.headers['X-Served-Version'] == versions[-1]
+    asked = [f'{run.model}@{run.version}' for run in entry.agent.requests]
+    assert asked == versions
+    [row] = await entry.billed()
+    assert row['cost_microcents'] == cost
+
+
 async def test_models(entry: Any) -> None:
     """Guards against showing versions that the organisation may not use."""
     response = await entry.send('/v1/models', method='GET')
     listed = (await response.json())['data']
-    assert [shown['id'] for shown in listed] == ['clue', 'clue@1']
+    names = ['cheap-first', 'clue', 'clue@1', 'mini', 'mini@1']
+    assert [shown['id'] for shown in listed] == names
--- a/packages/testkit/src/yuccarouter_testkit/demo/fleet.py
+++ b/packages/testkit/src/yuccarouter_testkit/demo/fleet.py
@@ -67,7 +67,11 @@
             for index in range(group.count)
         ]
         fronts = [self._start_entry(index) for index in range(entries)]
-        await asyncio.gather(*agents, *fronts)
+        await asyncio.gather(*agents)
+        # In the order of their numbers, whichever is ready first.
+        for url, admin in await asyncio.gather(*fronts):
+            self.entries.append(url)
+            self.admins.append(admin)
         await self._wait_for_endpoints()
 
     async def publish_all(self, changes: list[dict[str, Any]]) -> int:
@@ -155,7 +159,7 @@
         admin = await self._start_daemon(settings)
         self.endpoints.append(Endpoint(name, group.pool, place, url, admin))
 
-    async def _start_entry(self, index: int) -> None:
+    async def _start_entry(self, index: int) -> tuple[str, str]:
         places = self.deployment.data_centres
         name = f'{self.deployment.name}-entry-{index + 1}'
         settings = self._settings('entry', name, places[index % len(places)])
@@ -163,8 +167,7 @@
         settings['listen'] = {'host': _HOST, 'port': port}
         self.operator_key = settings['secrets']['operator_key']
         admin = await self._start_daemon(settings)
-        self.entries.append(f'http://{_HOST}:{port}')
-        self.admins.append(admin)
+        return f'http://{_HOST}:{port}', admin
 
     def _settings(self, role: str, name: str, place: str) -> dict[str, Any]:
         settings: dict[str, Any] = self._example(role)
--- a/packages/testkit/src/yuccarouter_testkit/mixes.py
+++ b/packages/testkit/src/yuccarouter_testkit/mixes.py
@@ -73,7 +73,7 @@
 
 MIXES: Final[dict[str, Mix]] = {
     'ratselwerk': Mix(
-        'clue-checker',
+        'clue',
         (
             ChatKind('grid_critique', 0.15, 30_000, True, 200, 120),
             ChatKind('clue_notes', 0.35, 15_000, True, 80, 40),
@@ -87,7 +87,7 @@
         ),
     ),
     'thanupp': Mix(
-        'record-assistant',
+        'record',
         (
             ChatKind('service_history', 0.15, 60_000, True, 250, 200),
             ChatKind('recovery_note', 0.3, 15_000, True, 40, 30),
