--- a/packages/daemon/src/yuccarouter/configuration/store.py
+++ b/packages/daemon/src/yuccarouter/configuration/store.py
@@ -12,7 +12,7 @@
 
 from yuccarouter.configuration import freshness as freshnesses
 from yuccarouter.configuration import recent as recents
-from yuccarouter_common import history, model
+from yuccarouter_common import history, model, records
 
 _MAX_VOIDS: Final = 256
 _MS: Final = 1000
@@ -44,6 +44,8 @@
         recent: recents.Recent | None = None,
     ) -> None:
         self.rewound = False
+        # Offset of the newest snapshot seen, or from which the store began.
+        self.snapshot_offset = -1
         self.freshness = freshnesses.Freshness(clock)
         self.recent = recent or recents.Recent()
         self._current = model.Configuration()
@@ -85,9 +87,12 @@
         position, or one that leaves a gap, has no effect; only a snapshot of
         a later generation is applied from anywhere.
         """
+        is_next = offset == self.position.offset + 1
+        if not (is_next or _is_snapshot(payload)):
+            return False
         changed, void = history.step(self._current, offset, payload)
         new_generation = changed.position.generation > self.position.generation
-        if not new_generation and offset != self.position.offset + 1:
+        if not (is_next or new_generation):
             return False
         if new_generation:
             self.recent.clear()
@@ -99,6 +104,8 @@
             self.recent.add(offset, record_digest, payload)
         if void is not None:
             self._voids.append(void)
+        elif _is_snapshot(payload):
+            self.snapshot_offset = offset
         self._replace(changed)
         return True
 
@@ -118,6 +125,7 @@
             self.rewound = False
         self.recent.clear()
         self._tip_digest = record_digest
+        self.snapshot_offset = configuration.position.offset
         self._replace(configuration)
         return True
 
@@ -156,3 +164,8 @@
         self._moved = asyncio.Event()
         for listener in tuple(self._listeners):
             listener(event)
+
+
+def _is_snapshot(payload: Any) -> bool:
+    kind = payload.get('kind') if isinstance(payload, dict) else None
+    return bool(kind == records.Kind.SNAPSHOT)
