Parse an engine request's body once and bound the reports of an agent

The body was parsed three times for each stream. Reports grew with the number of entries: 57 entries at 250 ms are 228 reports a second. The interval now grows with the number of subscribers and a report holds 16 prefixes.

--- a/packages/daemon/src/yuccarouter/admission/attempt.py
+++ b/packages/daemon/src/yuccarouter/admission/attempt.py
@@ -14,6 +14,7 @@
     errors,
     events,
     ports,
+    prepare,
     relay,
     slots,
     stream,
@@ -92,7 +93,11 @@
         """
         request = attempt.request
         async with calls.opened(
-            self.session, self.place.url, request, attempt.exchange
+            self.session,
+            self.place.url,
+            request,
+            attempt.body,
+            attempt.exchange,
         ) as response:
             if attempt.reader is not None:
                 return await relay.engine_stream(
@@ -129,6 +134,7 @@
     """
 
     request: router_pb2.RunRequest
+    body: bytes
     out: events.Events
     slot: slots.Slot
     deadline: float | None
@@ -172,6 +178,7 @@
 
 def new_attempt(
     request: router_pb2.RunRequest,
+    prepared: prepare.Prepared,
     out: events.Events,
     slot: slots.Slot,
     deadline: float | None,
@@ -179,7 +186,13 @@
     """Return an attempt that has not been sent."""
     reader = None
     if request.stream and not request.service:
-        reader = stream.EventReader(
-            hide_usage=not stream.asks_for_usage(request.body)
-        )
-    return Attempt(request, out, slot, deadline, calls.Exchange(), reader)
+        reader = stream.EventReader(hide_usage=not prepared.shows_usage)
+    return Attempt(
+        request,
+        prepared.body,
+        out,
+        slot,
+        deadline,
+        calls.Exchange(),
+        reader,
+    )
--- a/packages/daemon/src/yuccarouter/admission/cache.py
+++ b/packages/daemon/src/yuccarouter/admission/cache.py
@@ -16,7 +16,7 @@
 _CLEARED: Final = 'cleared'
 # Bounds the agent's memory and, with _REPORTED, the size of a report.
 _MAX_PREFIXES: Final = 4096
-_REPORTED: Final = 64
+_REPORTED: Final = 16
 
 
 @attrs.frozen
--- a/packages/daemon/src/yuccarouter/admission/calls.py
+++ b/packages/daemon/src/yuccarouter/admission/calls.py
@@ -10,7 +10,6 @@
 
 import aiohttp
 import attrs
-import orjson
 
 from yuccarouter.admission import errors
 from yuccarouter_common.proto import router_pb2
@@ -64,6 +63,7 @@
     session: aiohttp.ClientSession,
     url: str,
     request: router_pb2.RunRequest,
+    body: bytes,
     exchange: Exchange,
 ) -> AsyncIterator[aiohttp.ClientResponse]:
     """Send an attempt to the endpoint and hold its response open.
@@ -76,7 +76,7 @@
         async with session.request(
             request.method or 'POST',
             f'{url}/{path.lstrip("/")}',
-            data=_body(request),
+            data=body,
             headers=_headers(request),
             allow_redirects=False,
             trace_request_ctx=exchange,
@@ -102,29 +102,6 @@
         return False
 
 
-def engine_body(request: router_pb2.RunRequest) -> bytes:
-    """Return the body for an engine, naming the version to run.
-
-    Raises ``ValueError`` when the request's body is not a JSON object.
-    """
-    document: Any = orjson.loads(request.body)
-    if not isinstance(document, dict):
-        raise ValueError('the body is not a JSON object')
-    document['model'] = f'{request.model}@{request.version}'
-    document['stream'] = request.stream
-    document['priority'] = request.priority
-    if request.stream:
-        # Billing needs the usage event of each stream.
-        document['stream_options'] = {'include_usage': True}
-    if request.resume_text:
-        document['resume_text'] = request.resume_text
-    return orjson.dumps(document)
-
-
-def _body(request: router_pb2.RunRequest) -> bytes:
-    return request.body if request.service else engine_body(request)
-
-
 def _headers(request: router_pb2.RunRequest) -> dict[str, str]:
     headers = {'X-Request-Id': request.attempt_id}
     if request.traceparent:
--- a/packages/daemon/src/yuccarouter/admission/runner.py
+++ b/packages/daemon/src/yuccarouter/admission/runner.py
@@ -9,12 +9,12 @@
 
 from yuccarouter.admission import (
     attempt,
-    calls,
     cancellable,
     checks,
     events,
     once,
     ports,
+    prepare,
     slots,
 )
 from yuccarouter_common import refusals
@@ -42,6 +42,7 @@
         deadline = self.caller.clock() + request.deadline_ms / 1000
         is_once = bool(request.service) and not request.idempotent
         try:
+            prepared = prepare.prepare(request)
             slot = await self._admit(request, deadline)
         except refusals.RefusalError as refusal:
             await out.refused(refusal)
@@ -52,7 +53,7 @@
             raise
         late = checks.is_whole(self.caller.parts.configuration(), request)
         started = attempt.new_attempt(
-            request, out, slot, None if late else deadline
+            request, prepared, out, slot, None if late else deadline
         )
         if is_once:
             await once.run(self.caller, started)
@@ -66,7 +67,6 @@
     async def _admit(
         self, request: router_pb2.RunRequest, deadline: float
     ) -> slots.Slot:
-        _check_body(request)
         await self._catch_up(request)
         self._check(request)
         slot = await self.admission.enter(request, deadline)
@@ -92,12 +92,3 @@
         except TimeoutError:
             # The agent's own view decides; see checks for unknown versions.
             return
-
-
-def _check_body(request: router_pb2.RunRequest) -> None:
-    if request.service:
-        return
-    try:
-        calls.engine_body(request)
-    except ValueError as fault:
-        raise refusals.RefusalError('invalid_request', str(fault)) from None
--- a/packages/daemon/src/yuccarouter/admission/servicer.py
+++ b/packages/daemon/src/yuccarouter/admission/servicer.py
@@ -13,6 +13,9 @@
 
 _DEFAULT_INTERVAL_MS: Final = 250
 _MIN_INTERVAL_MS: Final = 50
+# Bounds reports to about 67 a second for all entries together, which keeps
+# them within the 25 KB/s that a daemon may use for control.
+_INTERVAL_PER_ENTRY_MS: Final = 15
 
 _Context = aio.ServicerContext[Any, Any]
 
@@ -29,6 +32,7 @@
     ) -> None:
         """Serve with the given parts; ``report`` builds a current report."""
         self._orders = orders
+        self._subscribers = 0
         self._runner = attempts
         self._parts = parts
         self._report = report
@@ -47,10 +51,18 @@
     ) -> AsyncIterator[router_pb2.EndpointReport]:
         """Stream a report of the endpoint each interval."""
         wanted_ms = request.interval_ms or _DEFAULT_INTERVAL_MS
-        interval_ms = max(wanted_ms, _MIN_INTERVAL_MS)
-        while True:
-            yield self._report()
-            await asyncio.sleep(interval_ms / 1000)
+        self._subscribers += 1
+        try:
+            while True:
+                yield self._report()
+                interval_ms = max(
+                    wanted_ms,
+                    _MIN_INTERVAL_MS,
+                    _INTERVAL_PER_ENTRY_MS * self._subscribers,
+                )
+                await asyncio.sleep(interval_ms / 1000)
+        finally:
+            self._subscribers -= 1
 
     async def Settle(  # noqa: N802
         self, request: router_pb2.SettleRequest, context: _Context
--- a/packages/daemon/src/yuccarouter/admission/stream.py
+++ b/packages/daemon/src/yuccarouter/admission/stream.py
@@ -106,9 +106,3 @@
     if isinstance(document, dict):
         return document
     raise errors.BrokenCallError('the engine sent no JSON object')
-
-
-def asks_for_usage(body: bytes) -> bool:
-    """Return whether the caller asked for the usage event of a stream."""
-    options = orjson.loads(body).get('stream_options')
-    return isinstance(options, dict) and bool(options.get('include_usage'))
--- a/packages/daemon/tests/admission/conftest.py
+++ b/packages/daemon/tests/admission/conftest.py
@@ -29,6 +29,8 @@
     bodies: list[Any] = attrs.field(factory=list)
     cancelled: list[str] = attrs.field(factory=list)
     finished: int = 0
+    in_flight: int = 0
+    most_in_flight: int = 0
     tokens: int = 3
     status: int = 200
     breaks: str = ''
@@ -39,6 +41,14 @@
     cache_events: dict[str, Any] = attrs.field(factory=dict)
 
     async def completions(self, request: web.Request) -> web.StreamResponse:
+        self.in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        try:
+            return await self.complete(request)
+        finally:
+            self.in_flight -= 1
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
         self.calls.append(request)
         body = orjson.loads(await request.read())
         self.bodies.append(body)
--- a/packages/daemon/tests/admission/test_run.py
+++ b/packages/daemon/tests/admission/test_run.py
@@ -193,6 +193,25 @@
     assert parts.usages[0][3] is False
 
 
+async def test_many_entries_and_a_cold_engine(
+    agent: Any, endpoint: Any, engine_request: Any
+) -> None:
+    """Guards against entries that together overload a cold engine."""
+    endpoint.load = {'in_flight': 0, 'cold': True}
+    await agent.parts.endpoint.poll_load()
+    endings = await asyncio.gather(
+        *[
+            agent.events(engine_request(attempt_id=f'a{number}'))
+            for number in range(20)
+        ]
+    )
+    last = [_kinds(events)[-1] for events in endings]
+    # The pool's cold limit is 1 and its queue holds 4 requests.
+    assert endpoint.most_in_flight == 1
+    assert last.count('done') >= 5
+    assert set(last) == {'done', 'refused'}
+
+
 async def test_deadline_at_engine(
     agent: Any, endpoint: Any, engine_request: Any
 ) -> None:
