--- a/packages/daemon/src/yuccarouter/admission/slots.py
+++ b/packages/daemon/src/yuccarouter/admission/slots.py
@@ -126,9 +126,6 @@
             if entry is None:
                 break
             self._grant(entry)
-        counters.LIMIT.set(self.gate.limit)
-        counters.IN_FLIGHT.set(self.gate.in_flight)
-        counters.QUEUED.set(self.queued)
 
     def review(self) -> None:
         """Refuse queued requests that can no longer run in time.
@@ -144,6 +141,9 @@
             elif self._queue.withdraw(entry):
                 _refuse(entry, refusal)
         self.pump()
+        counters.LIMIT.set(self.gate.limit)
+        counters.IN_FLIGHT.set(self.gate.in_flight)
+        counters.QUEUED.set(self.queued)
 
     def leave(self) -> None:
         """Refuse queued and new work; running work finishes."""
--- a/packages/daemon/src/yuccarouter/admission/wiring.py
+++ b/packages/daemon/src/yuccarouter/admission/wiring.py
@@ -37,9 +37,11 @@
 ) -> Parts:
     """Build admission to one endpoint over one HTTP session."""
 
+    unknown_pool = model.Pool(place.pool)
+
     def pool() -> model.Pool:  # noqa: WPS430
-        known = collaborators.configuration().pools
-        return known.get(place.pool, model.Pool(place.pool))
+        known = collaborators.configuration().pools.get(place.pool)
+        return unknown_pool if known is None else known
 
     def check(request: router_pb2.RunRequest) -> None:  # noqa: WPS430
         checks.check(collaborators.configuration(), place, request)
