Fall on overdue first tokens and keep the gate open for mixed prompts

An endpoint that turns cold shows by the wait for a first token before it answers, so the gate now also falls after ten times the baseline. The baseline was a running minimum. With first tokens of 30 ms and 400 ms at random, as with cached and uncached prompts, the limit was 2 of 8 after 2000 requests; with a slow average that follows faster times sooner it stays at 8.

The load is polled every 100 ms instead of 250 ms.

--- a/packages/daemon/src/yuccarouter/admission/endpoint.py
+++ b/packages/daemon/src/yuccarouter/admission/endpoint.py
@@ -28,8 +28,7 @@
 DOWN: Final = 'down'
 
 _POLL_TIMEOUT_S: Final = 1.0
-# A report this old says too little about a cold start, and three polls at the
-# default interval have failed by then.
+# A report this old says too little about a cold start.
 _STALE_S: Final = 1.5
 _LEAVE_POLL_S: Final = 0.02
 _PPM: Final = 1_000_000
@@ -94,6 +93,7 @@
         else:
             counters.LOAD_POLLS.labels('ok').inc()
             self._take(report, asked)
+        self.gate.check_first_tokens()
         self.admission.review()
         self._note_state()
 
--- a/packages/daemon/src/yuccarouter/admission/gate.py
+++ b/packages/daemon/src/yuccarouter/admission/gate.py
@@ -66,9 +66,9 @@
         """Return whether one more request may start."""
         return self.in_flight < self.limit
 
-    def start(self, kind: str) -> ledger.Work:
+    def start(self, kind: str, *, has_first_token: bool = True) -> ledger.Work:
         """Count one more request; only when the gate is free."""
-        work = ledger.Work(kind, self.epoch, self.clock())
+        work = ledger.Work(kind, self.epoch, self.clock(), has_first_token)
         self._ledger.start(work)
         return work
 
@@ -83,6 +83,20 @@
         if self.first_tokens.is_sharp(work.kind):
             self.drop('times_rose')
 
+    def check_first_tokens(self) -> None:
+        """Fall when a first token is overdue.
+
+        A cold endpoint shows itself by the wait before it does by an answer.
+        """
+        now = self.clock()
+        for work in self._ledger.running:
+            is_waiting = work.has_first_token and work.first_token is None
+            if not is_waiting or work.sent is None or work.epoch != self.epoch:
+                continue
+            if self.first_tokens.is_overdue(work.kind, now - work.sent):
+                self.drop('first_token_overdue')
+                return
+
     def finish(
         self, work: ledger.Work, *, served: bool, lost: bool = False
     ) -> None:
--- a/packages/daemon/src/yuccarouter/admission/ledger.py
+++ b/packages/daemon/src/yuccarouter/admission/ledger.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 import attrs
@@ -32,11 +32,16 @@
 
 @attrs.define(eq=False)
 class Work:
-    """One request of this agent; times are in seconds of its clock."""
+    """One request of this agent; times are in seconds of its clock.
+
+    ``has_first_token`` is false for an answer that arrives in one piece after
+    a time that depends on its length.
+    """
 
     kind: str
     epoch: int
     started: float
+    has_first_token: bool
     sent: float | None = None
     first_token: float | None = None
     ended: float | None = None
@@ -63,6 +68,11 @@
         """Requests of this agent in flight."""
         return len(self._running)
 
+    @property
+    def running(self) -> Iterable[Work]:
+        """The agent's own requests in flight."""
+        return self._running.values()
+
     def start(self, work: Work) -> None:
         """Count a request from now on."""
         self._running[id(work)] = work
--- a/packages/daemon/src/yuccarouter/admission/service.py
+++ b/packages/daemon/src/yuccarouter/admission/service.py
@@ -18,7 +18,8 @@
 )
 from yuccarouter_common.proto import router_pb2_grpc
 
-_LOAD_INTERVAL_S: Final = 0.25
+# How long a cold start can stay unnoticed, besides the report's own lag.
+_LOAD_INTERVAL_S: Final = 0.1
 _CACHE_INTERVAL_S: Final = 1.0
 # A poller only crashes by a fault of the program; repeated crashes end it.
 _MAX_RESTARTS: Final = 10
--- a/packages/daemon/src/yuccarouter/admission/slots.py
+++ b/packages/daemon/src/yuccarouter/admission/slots.py
@@ -216,7 +216,11 @@
             return
         name = entry.organisation
         self._shares.take(name)
-        work = self.gate.start(waiter.request.kind)
+        request = waiter.request
+        work = self.gate.start(
+            request.kind,
+            has_first_token=request.stream or bool(request.service),
+        )
         waiter.turn.set_result(Slot(0, work, self, name))
 
     def _reason(
--- a/packages/daemon/src/yuccarouter/admission/timing.py
+++ b/packages/daemon/src/yuccarouter/admission/timing.py
@@ -14,24 +14,39 @@
 _SHARP_FACTOR: Final = 5.0
 # Keeps scheduling delays of a few milliseconds from counting as a rise.
 _SLACK_S: Final = 0.05
-# Lets a baseline follow a lasting change, by 1% with each slower sample.
-_DRIFT: Final = 1.01
+# A wait is one sample only, so it must be further off to count.
+_OVERDUE_FACTOR: Final = 10.0
+# A baseline follows faster samples sooner than slower ones. The minimum would
+# make a kind with cached and uncached prompts look slow most of the time.
+_DOWN: Final = 0.05
+_UP: Final = 0.02
 _MIN_SAMPLES: Final = 4
 _MAX_KINDS: Final = 256
 
 
 @attrs.define
 class _Series:
-    """Samples of one kind of request, in seconds."""
+    """Samples of one kind of request, in seconds.
+
+    ``samples`` counts those since the limit last fell, ``seen`` all.
+    """
 
     baseline_s: float
     recent_s: float
     samples: int = 1
+    seen: int = 1
 
     def add(self, sample_s: float) -> None:
         self.samples += 1
+        self.seen += 1
         self.recent_s += _WEIGHT * (sample_s - self.recent_s)
-        self.baseline_s = min(sample_s, self.baseline_s * _DRIFT)
+        step = _DOWN if sample_s < self.baseline_s else _UP
+        # The first samples count equally.
+        step = max(step, 1 / self.seen) if self.seen <= _MIN_SAMPLES else step
+        self.baseline_s += step * (sample_s - self.baseline_s)
+
+    def exceeds(self, time_s: float, factor: float) -> bool:
+        return time_s > self.baseline_s * factor + _SLACK_S
 
 
 @attrs.define
@@ -59,6 +74,11 @@
         """Return whether recent times have risen far above the baseline."""
         return self._exceeds(kind, _SHARP_FACTOR)
 
+    def is_overdue(self, kind: str, waited_s: float) -> bool:
+        """Return whether a wait alone shows a sharp rise."""
+        series = self._series.get(kind)
+        return series is not None and series.exceeds(waited_s, _OVERDUE_FACTOR)
+
     def mean_s(self, kind: str) -> float:
         """Return the recent time of a kind, or of all while it is unknown.
 
@@ -87,4 +107,4 @@
         series = self._series.get(kind)
         if series is None or series.samples < _MIN_SAMPLES:
             return False
-        return series.recent_s > series.baseline_s * factor + _SLACK_S
+        return series.exceeds(series.recent_s, factor)
--- a/packages/daemon/tests/admission/test_gate.py
+++ b/packages/daemon/tests/admission/test_gate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import Any
 
 import attrs
@@ -66,7 +67,7 @@
     assert idle.limit == 2
 
 
-@pytest.mark.parametrize('reason', ['reported', 'failed', 'rose'])
+@pytest.mark.parametrize('reason', ['reported', 'failed', 'rose', 'overdue'])
 def test_falls_at_once(reason: str) -> None:
     """Guards against full load on an endpoint that shows it is cold."""
     clock = _Clock()
@@ -76,6 +77,15 @@
         gate.observe(_load(clock, cold=True))
     elif reason == 'failed':
         gate.drop('request_failed')
+    elif reason == 'overdue':
+        whole = gate.start('', has_first_token=False)
+        whole.sent = clock.now
+        clock.now += 2
+        gate.check_first_tokens()
+        assert gate.limit == 8
+        _started(gate)
+        clock.now += 2
+        gate.check_first_tokens()
     else:
         for _ in range(4):
             work = _started(gate)
@@ -85,6 +95,24 @@
     assert gate.limit == 2
 
 
+def test_mixed_times_keep_the_gate_open() -> None:
+    """Guards against falls because some prompts are cached and some not."""
+    clock = _Clock()
+    gate = _open_gate(clock, 6)
+    chance = random.Random(1)
+    running = [_started(gate) for _ in range(7)]
+    for work in running:
+        gate.first_token(work)
+    for _ in range(2000):
+        running.append(_started(gate))
+        clock.now += chance.choice([0.03, 0.4])
+        gate.check_first_tokens()
+        work = running.pop()
+        gate.first_token(work)
+        gate.finish(work, served=True)
+    assert gate.limit == 8
+
+
 def test_old_evidence_does_not_open() -> None:
     """Guards against work or reports from before a fall opening the gate."""
     clock = _Clock()
