--- a/packages/daemon/src/yuccarouter/admission/attempt.py
+++ b/packages/daemon/src/yuccarouter/admission/attempt.py
@@ -14,6 +14,7 @@
     errors,
     events,
     ports,
+    prepare,
     relay,
     slots,
     stream,
@@ -24,6 +25,8 @@
 
 RETRY_MS: Final = 500
 
+_MAX_BEGUN: Final = 10_000
+
 _Result = TypeVar('_Result')
 # A complete answer, or why there is none.
 Ended = relay.Answer | errors.AdmissionError
@@ -50,6 +53,29 @@
             await asyncio.wait(self._tasks)
 
 
+@attrs.frozen
+class Begun:
+    """Non-idempotent attempts that have begun, to reject repeats.
+
+    The oldest are forgotten; the registry's claims cover longer times.
+    """
+
+    _ids: dict[str, None] = attrs.field(factory=dict)
+
+    def add(self, attempt_id: str) -> bool:
+        """Add an attempt and return whether it is new."""
+        if attempt_id in self._ids:
+            return False
+        self._ids[attempt_id] = None
+        if len(self._ids) > _MAX_BEGUN:
+            self._ids.pop(next(iter(self._ids)))
+        return True
+
+    def discard(self, attempt_id: str) -> None:
+        """Forget an attempt that was not sent."""
+        self._ids.pop(attempt_id, None)
+
+
 @attrs.frozen
 class Caller:
     """Calls one endpoint over one HTTP session."""
@@ -59,6 +85,7 @@
     session: aiohttp.ClientSession
     clock: ports.Clock
     background: Background = attrs.field(factory=Background)
+    begun: Begun = attrs.field(factory=Begun)
 
     async def call(self, attempt: Attempt) -> relay.Answer:
         """Send an attempt and return the complete answer.
@@ -72,7 +99,11 @@
     async def _call(self, attempt: Attempt) -> relay.Answer:
         request = attempt.request
         async with calls.opened(
-            self.session, self.place.url, request, attempt.exchange
+            self.session,
+            self.place.url,
+            request,
+            attempt.body,
+            attempt.exchange,
         ) as response:
             if attempt.reader is not None:
                 return await relay.engine_stream(
@@ -109,6 +140,7 @@
     """
 
     request: router_pb2.RunRequest
+    body: bytes
     out: events.Events
     slot: slots.Slot
     deadline: float | None
@@ -152,6 +184,7 @@
 
 def new_attempt(
     request: router_pb2.RunRequest,
+    prepared: prepare.Prepared,
     out: events.Events,
     slot: slots.Slot,
     deadline: float | None,
@@ -159,7 +192,13 @@
     """Return an attempt that has not been sent."""
     reader = None
     if request.stream and not request.service:
-        reader = stream.EventReader(
-            hide_usage=not stream.asks_for_usage(request.body)
-        )
-    return Attempt(request, out, slot, deadline, calls.Exchange(), reader)
+        reader = stream.EventReader(hide_usage=not prepared.shows_usage)
+    return Attempt(
+        request,
+        prepared.body,
+        out,
+        slot,
+        deadline,
+        calls.Exchange(),
+        reader,
+    )
--- a/packages/daemon/src/yuccarouter/admission/calls.py
+++ b/packages/daemon/src/yuccarouter/admission/calls.py
@@ -10,12 +10,13 @@
 
 import aiohttp
 import attrs
-import orjson
 
 from yuccarouter.admission import errors
 from yuccarouter_common.proto import router_pb2
 
 _CONNECT_TIMEOUT_S: Final = 1.0
+# Ends calls without a deadline at an endpoint that hangs.
+_SILENCE_S: Final = 300.0
 _CANCEL_TIMEOUT_S: Final = 2.0
 # Shorter than the idle timeout of common HTTP servers, so that a call is
 # rarely sent on a connection that the endpoint is closing.
@@ -49,7 +50,9 @@
         connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=_KEEPALIVE_S),
         trace_configs=[tracing],
         timeout=aiohttp.ClientTimeout(
-            total=None, sock_connect=_CONNECT_TIMEOUT_S
+            total=None,
+            sock_connect=_CONNECT_TIMEOUT_S,
+            sock_read=_SILENCE_S,
         ),
         auto_decompress=False,
     )
@@ -60,6 +63,7 @@
     session: aiohttp.ClientSession,
     url: str,
     request: router_pb2.RunRequest,
+    body: bytes,
     exchange: Exchange,
 ) -> AsyncIterator[aiohttp.ClientResponse]:
     """Send an attempt to the endpoint and hold its response open.
@@ -72,7 +76,7 @@
         async with session.request(
             request.method or 'POST',
             f'{url}/{path.lstrip("/")}',
-            data=_body(request),
+            data=body,
             headers=_headers(request),
             allow_redirects=False,
             trace_request_ctx=exchange,
@@ -98,29 +102,6 @@
         return False
 
 
-def engine_body(request: router_pb2.RunRequest) -> bytes:
-    """Return the body for an engine, naming the version to run.
-
-    Raises ``ValueError`` when the request's body is not a JSON object.
-    """
-    document: Any = orjson.loads(request.body)
-    if not isinstance(document, dict):
-        raise ValueError('the body is not a JSON object')
-    document['model'] = f'{request.model}@{request.version}'
-    document['stream'] = request.stream
-    document['priority'] = request.priority
-    if request.stream:
-        # Billing needs the usage event of each stream.
-        document['stream_options'] = {'include_usage': True}
-    if request.resume_text:
-        document['resume_text'] = request.resume_text
-    return orjson.dumps(document)
-
-
-def _body(request: router_pb2.RunRequest) -> bytes:
-    return request.body if request.service else engine_body(request)
-
-
 def _headers(request: router_pb2.RunRequest) -> dict[str, str]:
     headers = {
         'X-Request-Id': request.attempt_id,
