Reindex an endpoint only where its report changes its place

Cause: a report took 32 to 34 us, because each one removed and added the endpoint in every group. At 810 reports a second that is 2.7% of a core, above the 1% of control overhead. Change: a report with the same pool, data centre and versions changes only the prefixes that differ. The stateful test covers replaced VMs, prefix holders and own requests.

--- a/packages/daemon/src/yuccarouter/routing/_index.py
+++ b/packages/daemon/src/yuccarouter/routing/_index.py
@@ -37,9 +37,7 @@
             members = parts.setdefault(place.data_centre, _members.Members())
             members.add(place.endpoint)
         for prefix in place.prefixes:
-            key = (place.pool, prefix)
-            holders = self._holders.setdefault(key, _members.Members())
-            holders.add(place.endpoint)
+            self._hold(place, prefix)
 
     def discard(self, place: Place) -> None:
         """Remove an endpoint, and every group that it leaves empty."""
@@ -52,6 +50,18 @@
         for prefix in place.prefixes:
             _drop(self._holders, (place.pool, prefix), place.endpoint)
 
+    def replace(self, old: Place, new: Place) -> None:
+        """Change an endpoint's place; most reports change prefixes only."""
+        is_same = (old.pool, old.data_centre) == (new.pool, new.data_centre)
+        if not is_same or old.versions != new.versions:
+            self.discard(old)
+            self.add(new)
+            return
+        for gone in old.prefixes - new.prefixes:
+            _drop(self._holders, (old.pool, gone), old.endpoint)
+        for prefix in new.prefixes - old.prefixes:
+            self._hold(new, prefix)
+
     def data_centres(self, group: tuple[str, str]) -> list[str]:
         """Return the data centres in which a group has endpoints."""
         return list(self._groups.get(group, ()))
@@ -83,6 +93,11 @@
             return ''
         return holders[int(rng() * len(holders))]
 
+    def _hold(self, place: Place, prefix: int) -> None:
+        key = (place.pool, prefix)
+        holders = self._holders.setdefault(key, _members.Members())
+        holders.add(place.endpoint)
+
 
 def _at(parts: list[_members.Members], index: int) -> str:
     place = index
--- a/packages/daemon/src/yuccarouter/routing/views.py
+++ b/packages/daemon/src/yuccarouter/routing/views.py
@@ -88,8 +88,9 @@
     # Own requests in flight.
     own: int = 0
 
-    def count(self, view: EndpointView, sign: int) -> None:
-        """Add (1) or subtract (-1) a report."""
+    def count(self, view: EndpointView, own: int, sign: int) -> None:
+        """Add (1) or subtract (-1) a report and the own requests."""
+        self.own += sign * own
         if view.state in _ROUTABLE:
             self.load += sign * view.load
             self.limit += sign * view.limit
@@ -125,8 +126,8 @@
         if held is not None and not _is_newer(view, held):
             return False
         if held is not None:
-            self._index.discard(held.place)
-            self._discount(held)
+            own = self._evidence[view.endpoint].in_flight
+            self._pools[held.pool].count(held, own, -1)
             if held.vm != view.vm:
                 # What is known of a replaced VM says nothing about the new one.
                 self._evidence.pop(view.endpoint)
@@ -136,9 +137,8 @@
         self._views[view.endpoint] = view
         evidence.reported(view.measured_ms)
         pool = self._pools.setdefault(view.pool, _PoolLoad())
-        pool.count(view, 1)
-        pool.own += evidence.in_flight
-        self._add(view)
+        pool.count(view, evidence.in_flight, 1)
+        self._reindex(held, view)
         return True
 
     def remove(self, endpoint: str) -> None:
@@ -146,8 +146,8 @@
         held = self._views.pop(endpoint, None)
         if held is not None:
             self._index.discard(held.place)
-            self._discount(held)
-            self._evidence.pop(endpoint)
+            own = self._evidence.pop(endpoint).in_flight
+            self._pools[held.pool].count(held, own, -1)
 
     def started(self, endpoint: str) -> None:
         """Count an own request that is being sent to an endpoint."""
@@ -244,10 +244,19 @@
             return 0
         return max(0, self._returns[0][0] - self._now_ms())
 
-    def _discount(self, view: EndpointView) -> None:
-        pool = self._pools[view.pool]
-        pool.count(view, -1)
-        pool.own -= self._evidence[view.endpoint].in_flight
+    def _reindex(self, held: EndpointView | None, view: EndpointView) -> None:
+        if held is None:
+            self._add(view)
+            return
+        index = self.index
+        served = held.served[0]
+        group = (held.pool, served)
+        was_in = index.contains(group, held.data_centre, held.endpoint)
+        if was_in and view.state in _ROUTABLE:
+            index.replace(held.place, view.place)
+        else:
+            index.discard(held.place)
+            self._add(view)
 
     def _add(self, view: EndpointView) -> None:
         backoff_until_ms = self._evidence[view.endpoint].backoff_until_ms
--- a/packages/daemon/tests/routing/test_fleet.py
+++ b/packages/daemon/tests/routing/test_fleet.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from typing import Any
 
+import attrs
 import hypothesis
 import pytest
 from hypothesis import stateful
@@ -46,9 +48,10 @@
         self, name: str, zone: str, versions: set[str], **fields: Any
     ) -> None:
         self.sequence += 1
+        held = self.naive.get(name)
         view = views.EndpointView(
             name,
-            'vm',
+            'vm' if held is None else held.vm,
             zone,
             address='127.0.0.1:1',
             versions=tuple(versions),
@@ -91,6 +94,27 @@
             if name in self.naive:
                 self.own[name] -= 1
 
+    @stateful.invariant()
+    def own_requests_add_up(self) -> None:
+        for name, count in self.own.items():
+            assert self.fleet.evidence(name).in_flight == count
+
+    @stateful.rule(name=st.sampled_from(_NAMES), zone=st.sampled_from(_ZONES))
+    def replace_vm(self, name: str, zone: str) -> None:
+        held = self.naive.get(name)
+        if held is None or held.received_ms == self.now_ms:
+            return
+        self.naive[name] = attrs.evolve(
+            held,
+            vm=f'{held.vm}+',
+            data_centre=zone,
+            received_ms=self.now_ms,
+            sequence=0,
+        )
+        assert self.fleet.update(self.naive[name])
+        self.suspect.pop(name, None)
+        self.own[name] = 0
+
     @stateful.invariant()
     def same_candidates(self) -> None:
         for pool in ('p', 'q'):
@@ -112,10 +136,21 @@
     @stateful.invariant()
     def prefix_holders_are_routable(self) -> None:
         for prefix in (1, 2, 3):
-            name = self.fleet.index.holder('p', prefix, self.rng.random)
-            if name:
-                assert prefix in self.naive[name].prefixes
-                assert self.naive[name].state in {'ready', 'cold'}
+            expected = {
+                view.endpoint
+                for view in self.naive.values()
+                if view.pool == 'p'
+                and prefix in view.prefixes
+                and view.state in {'ready', 'cold'}
+                and self.now_ms >= self.suspect.get(view.endpoint, 0)
+            }
+            drawn = {
+                self.fleet.index.holder(
+                    'p', prefix, functools.partial(float, place / 7)
+                )
+                for place in range(7)
+            }
+            assert drawn - {''} == expected
 
 
 TestFleet = FleetMachine.TestCase
