--- a/packages/yuccactl/src/yuccactl/main.py
+++ b/packages/yuccactl/src/yuccactl/main.py
@@ -6,6 +6,7 @@
 import collections
 import pathlib
 import sys
+from typing import Final
 
 import aiohttp
 import attrs
@@ -14,7 +15,8 @@
 from yuccactl import errors, execute, output, parser, prompt, settings
 from yuccactl import sources, statements
 
-_COMMENT = '#'
+_COMMENT: Final = '#'
+_USAGE: Final = 'usage: yuccactl [flags] [statement]\n'
 
 
 @attrs.frozen
@@ -26,6 +28,7 @@
     file_path: str
     wait_ms: int
     text: str
+    help_text: str = ''
 
 
 def run() -> None:
@@ -69,11 +72,14 @@
         lower_bound=0,
         flag_values=values,
     )
+    flags.DEFINE_boolean(
+        'help', default=False, help='Show this text.', flag_values=values
+    )
     try:
         rest = values(argv)
     except flags.Error as fault:
         raise errors.UsageError(
-            f'{fault}\n{values.main_module_help()}'
+            f'{fault}\n{_USAGE}{values.get_help()}'
         ) from fault
     return Options(
         values.settings,
@@ -81,10 +87,14 @@
         values.file,
         values.wait_ms,
         ' '.join(rest[1:]),
+        f'{_USAGE}{values.get_help()}' if values.help else '',
     )
 
 
 async def _run(options: Options) -> int:
+    if options.help_text:
+        sys.stdout.write(f'{options.help_text}\n')
+        return errors.DONE
     if options.text and options.file_path:
         raise errors.UsageError('give either a statement or --file, not both')
     if options.text:
--- a/packages/yuccactl/tests/test_main.py
+++ b/packages/yuccactl/tests/test_main.py
@@ -108,3 +108,9 @@
     with pytest.raises(errors.UsageError) as caught:
         settings.load(str(path))
     assert message in caught.value.message
+
+
+async def test_help(capsys: pytest.CaptureFixture[str]) -> None:
+    """Guards against help that names no flags or counts as an error."""
+    assert await _main('--help') == errors.DONE
+    assert '--settings' in capsys.readouterr().out
