Collect evidence of several roll-outs

Cause: the controller needs evidence by roll-out, without that of an earlier roll-out of the same version. Change: collectors for all active roll-outs, forgotten when one ends; the time of the first step begins with its traffic; the benchmark's versions are in a module of their own.

--- a/packages/daemon/src/yuccarouter/rollout/controller.py
+++ b/packages/daemon/src/yuccarouter/rollout/controller.py
@@ -42,6 +42,9 @@
     def start_step(self, rollout: model.Rollout) -> None:
         """The recorded step is ``rollout.step`` now."""
 
+    def stop(self, name: str) -> None:
+        """A roll-out has ended."""
+
 
 Publish = Callable[[records.Record], Awaitable[Any]]
 CurrentConfiguration = Callable[[], model.Configuration]
@@ -71,7 +74,7 @@
         self._configuration = configuration
         self._publish = publish
         # Steps by roll-out that this controller collects evidence on.
-        self._steps: dict[str, tuple[int, int]] = {}
+        self._steps: dict[str, tuple[bool, int, int]] = {}
 
     async def step(self) -> None:
         """Decide once on every active roll-out and record what changes."""
@@ -91,6 +94,7 @@
             # The withdrawal of the version may have been void or not written.
             await self._withdraw_version(version, rollout.reason)
         if rollout.state not in _ACTIVE_STATES:
+            self._forget(name)
             return
         self._follow_step(rollout, fencing_number)
         if version is None or version.state == model.WITHDRAWN:
@@ -106,11 +110,18 @@
             await self._record(rollout, changed)
 
     def _follow_step(self, rollout: model.Rollout, fencing_number: int) -> None:
-        followed = (rollout.step, fencing_number)
+        # The time of a step begins with its traffic, not with the loading.
+        loading = rollout.state == 'created'
+        followed = (loading, rollout.step, fencing_number)
         if self._steps.get(rollout.name) != followed:
             self._steps[rollout.name] = followed
             self._source.start_step(rollout)
 
+    def _forget(self, name: str) -> None:
+        # So that a later roll-out of the same name starts without evidence.
+        if self._steps.pop(name, None) is not None:
+            self._source.stop(name)
+
     async def _withdraw_version(
         self,
         version: model.ModelVersion | None,
--- a/packages/daemon/tests/test_rollout_controller.py
+++ b/packages/daemon/tests/test_rollout_controller.py
@@ -10,7 +10,8 @@
 import pytest
 from hypothesis import strategies
 
-from yuccarouter.rollout import controller, errors, evidence, policy, weights
+from yuccarouter.rollout import collectors, controller, errors, evidence
+from yuccarouter.rollout import policy, weights
 from yuccarouter_common import apply, model, records
 from yuccarouter_common.platform import errors as platform_errors
 
@@ -136,6 +137,9 @@
     def start_step(self, rollout: model.Rollout) -> None:
         self.steps.append(rollout.step)
 
+    def stop(self, name: str) -> None:
+        self.steps.append(-1)
+
     async def publish(self, record: records.Record) -> None:
         if self.fault is not None:
             raise self.fault
@@ -295,6 +299,54 @@
                 await asyncio.sleep(0.01)
 
 
+async def test_second_rollout_of_a_version(fleet: _Fleet) -> None:
+    """Guards against evidence of an earlier roll-out of the same name."""
+    running = fleet.controller()
+    await running.step()
+    fleet.configuration.rollouts['c@2'] = attrs.evolve(
+        _ROLLING, state='finished'
+    )
+    await running.step()
+    fleet.configuration.rollouts['c@2'] = attrs.evolve(
+        _ROLLING, state='created', step=0, share=0
+    )
+    await running.step()
+    await running.step()
+    assert fleet.steps == [1, -1, 0, 0]
+
+
+def test_collectors() -> None:
+    """Guards against requests that count for the wrong version."""
+    now_ms = 0
+    source = collectors.Collectors(('a',), lambda: now_ms, lambda rollout: True)
+    source.start_step(_ROLLING)
+    for number in range(600):
+        now_ms += 100
+        for version, failed in (('c@1', False), ('c@2', True), ('d@1', True)):
+            source.add_request(
+                version,
+                evidence.Request(
+                    f'{version}/{number}', 'a', False, failed, 1, now_ms
+                ),
+            )
+            source.add_rating(
+                version,
+                evidence.Rating(
+                    f'{version}/{number}', 'a', False, 0.5, now_ms + 5
+                ),
+            )
+    known = source.evidence(_ROLLING)
+    assert known.harm_cause.startswith('errors')
+    assert known.harm > 100
+    assert known.sent == 600
+    assert known.rating_lag_ms == 5
+    # 20 requests/s, seen through one time constant of the average.
+    assert known.requests_per_s == pytest.approx(20 * (1 - 0.368), rel=0.05)
+    source.stop('c@2')
+    source.start_step(_ROLLING)
+    assert source.evidence(_ROLLING).sent == 0
+
+
 _TARGETS = strategies.lists(
     strategies.sampled_from('xyz'), min_size=1, max_size=20
 ).map(
--- a/packages/testkit/src/yuccarouter_testkit/bench/rollouts.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/rollouts.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import heapq
-import math
 import random
 import statistics
 from collections.abc import Callable
@@ -19,6 +18,7 @@
 
 from yuccarouter.rollout import controller, evidence, policy
 from yuccarouter_common import model
+from yuccarouter_testkit.bench import versions
 
 _GOOD_ROLLOUTS: Final = 60
 _BAD_ROLLOUTS: Final = 20
@@ -39,50 +39,12 @@
 # Time between decisions at large shares, to keep the simulation short.
 _LONG_TICK_MS: Final = 5000
 _LARGE_SHARE: Final = 0.3
-_KINDS: Final = (('critique', 0.5), ('notes', 0.3), ('check', 0.2))
-
-_FAILED: Final = 0.005
-_SCORE: Final = 0.8
-_SCORE_SPREAD: Final = 0.15
-_LATENCY_SPREAD: Final = 0.5
-# Part of the baseline's requests over its 90th percentile of latency.
-_SLOW: Final = 0.1
-
 _CLOCK_STEP_MS: Final = 3_600_000
-# Differences of means at which the roll-out by the clock withdraws.
-_CLOCK_SCORE: Final = 0.05
-_CLOCK_FAILED: Final = 0.02
-_CLOCK_SLOW: Final = 0.1
 _CLOCK_SAMPLES: Final = 2000
 # Both end here, finished or not.
 _HORIZON_MS: Final = 5 * _CLOCK_STEP_MS
 
 
-@attrs.frozen
-class Fault:
-    """How much worse a version is than its baseline, once it is bad.
-
-    The fault grows from nothing to its full size between ``from_ms`` and
-    ``full_ms`` and concerns one kind, or every kind when ``kind`` is empty.
-    """
-
-    score: float = 0
-    failed: float = 0
-    latency: float = 0
-    kind: str = ''
-    from_ms: int = 0
-    full_ms: int = 0
-
-    def part(self, kind: str, now_ms: float) -> float:
-        """Part of the full fault that a request meets, from 0 to 1."""
-        if self.kind not in {'', kind}:
-            return 0
-        if now_ms >= self.full_ms:
-            return 1
-        grown = (now_ms - self.from_ms) / (self.full_ms - self.from_ms)
-        return max(grown, 0)
-
-
 @attrs.frozen
 class Outcome:
     """How one roll-out ended, and how many requests met the bad version."""
@@ -97,7 +59,7 @@
     """One roll-out by evidence."""
 
     rng: random.Random
-    fault: Fault
+    fault: versions.Fault
     collector: evidence.Collector
     rollout: model.Rollout
     observed_per_s: float
@@ -130,13 +92,13 @@
         share = 1 if finished else self.share
         arrivals = _REQUESTS_PER_S * share * _TICK_MS / 1000
         for now_ms in range(ended_ms, until_ms, _TICK_MS):
-            self.exposed += arrivals * _bad_part(self.fault, now_ms)
+            self.exposed += arrivals * versions.bad_part(self.fault, now_ms)
 
     def _traffic(self, now_ms: int, tick_ms: int) -> None:
         while self.changes and self.changes[0][0] <= now_ms:
             self.share = self.changes.pop(0)[1]
         arrivals = _REQUESTS_PER_S * self.share * tick_ms / 1000
-        self.exposed += arrivals * _bad_part(self.fault, now_ms)
+        self.exposed += arrivals * versions.bad_part(self.fault, now_ms)
         others = _REQUESTS_PER_S * tick_ms / 1000 - arrivals
         most = self.observed_per_s * tick_ms / 1000
         observed = min(arrivals, others, most)
@@ -148,7 +110,7 @@
         return whole + (self.rng.random() < expected - whole)
 
     def _compare(self, now_ms: int, baseline: float) -> None:
-        kind = _choose_kind(self.rng)
+        kind = versions.choose_kind(self.rng)
         new_per_s = _REQUESTS_PER_S * self.share
         observed_per_s = min(new_per_s, self.observed_per_s)
         is_rated = self.rng.random() < _RATED_PER_S / observed_per_s
@@ -166,13 +128,13 @@
     ) -> None:
         part = self.fault.part(kind, now_ms) if is_new else 0
         self.requests += 1
-        failed = self.rng.random() < _FAILED + part * self.fault.failed
+        failed = self.rng.random() < versions.FAILED + part * self.fault.failed
         request = evidence.Request(
             str(self.requests),
             kind,
             is_new,
             failed=failed,
-            latency_ms=self.rng.lognormvariate(0, _LATENCY_SPREAD)
+            latency_ms=self.rng.lognormvariate(0, versions.LATENCY_SPREAD)
             * (1 + part * self.fault.latency),
             time_ms=now_ms,
             is_rated=is_rated and not failed,
@@ -180,7 +142,9 @@
         self.collector.add_request(request)
         if not request.is_rated:
             return
-        score = self.rng.gauss(_SCORE - part * self.fault.score, _SCORE_SPREAD)
+        score = self.rng.gauss(
+            versions.SCORE - part * self.fault.score, versions.SCORE_SPREAD
+        )
         due_ms = now_ms + int(self.rng.expovariate(1 / _RATING_LAG_MS))
         rating = evidence.Rating(
             request.request_id, kind, is_new, min(max(score, 0), 1), due_ms
@@ -204,20 +168,20 @@
         return changed.state in {'withdrawn', 'finished'}
 
 
-def by_evidence(rng: random.Random, fault: Fault) -> Outcome:
+def by_evidence(rng: random.Random, fault: versions.Fault) -> Outcome:
     """Run a roll-out of a version with ``fault`` as the daemon does."""
-    kinds = tuple(name for name, _ in _KINDS)
+    kinds = tuple(name for name, _ in versions.KINDS)
     simulation = _Simulation(
         rng,
         fault,
         evidence.Collector(kinds),
         model.Rollout('m@2', 'm', '2', 'm@1'),
-        _OBSERVED_GOOD_PER_S if fault == Fault() else _OBSERVED_PER_S,
+        _OBSERVED_GOOD_PER_S if fault == versions.Fault() else _OBSERVED_PER_S,
     )
     return simulation.run()
 
 
-def by_clock(rng: random.Random, fault: Fault) -> Outcome:
+def by_clock(rng: random.Random, fault: versions.Fault) -> Outcome:
     """Run a roll-out of a version with ``fault`` by the clock."""
     exposed: float = 0
     end_ms = 0
@@ -226,7 +190,7 @@
         end_ms += _CLOCK_STEP_MS
         for now_ms in range(started_ms, end_ms, _TICK_MS):
             arrivals = _REQUESTS_PER_S * share * _TICK_MS / 1000
-            exposed += arrivals * _bad_part(fault, now_ms)
+            exposed += arrivals * versions.bad_part(fault, now_ms)
         if _clock_withdraws(rng, fault, started_ms):
             return Outcome('withdrawn', exposed, end_ms)
     return Outcome('finished', exposed, end_ms)
@@ -246,14 +210,14 @@
         sort: _compare_sort(
             choose,
             f'{seed}/{sort}',
-            good_rollouts if sort == _GOOD else bad_rollouts,
+            good_rollouts if sort == versions.GOOD else bad_rollouts,
         )
-        for sort, choose in _SORTS.items()
+        for sort, choose in versions.SORTS.items()
     }
-    bad = [figures[sort] for sort in _SORTS if sort != _GOOD]
+    bad = [figures[sort] for sort in versions.SORTS if sort != versions.GOOD]
     by_evidence_total = sum(row['exposed'] for row in bad)
     by_clock_total = sum(row['clock_exposed'] for row in bad)
-    good = figures[_GOOD]
+    good = figures[versions.GOOD]
     figures['exposure_ratio'] = by_evidence_total / by_clock_total
     figures['good_withdrawn_share'] = good['withdrawn'] / max(
         good['rollouts'], 1
@@ -262,7 +226,7 @@
 
 
 def _compare_sort(
-    choose: Callable[[random.Random], Fault],
+    choose: Callable[[random.Random], versions.Fault],
     seed: str,
     count: int,
 ) -> dict[str, Any]:
@@ -289,7 +253,7 @@
 
 def _run_pair(
     rng: random.Random,
-    choose: Callable[[random.Random], Fault],
+    choose: Callable[[random.Random], versions.Fault],
 ) -> tuple[Outcome, Outcome]:
     fault = choose(rng)
     return by_evidence(rng, fault), by_clock(rng, fault)
@@ -305,101 +269,27 @@
     return statistics.median(outcome.end_ms for outcome in outcomes) / 1000
 
 
-def _bad_part(fault: Fault, now_ms: float) -> float:
-    """Part of the requests at a time that meet the fault."""
-    if fault == Fault():
-        return 0
-    return sum(
-        weight
-        for kind, weight in _KINDS
-        if _is_bad(fault, fault.part(kind, now_ms))
-    )
-
-
-def _is_bad(fault: Fault, part: float) -> bool:
-    """Whether a part of a fault is more than the one by the clock accepts."""
-    return (
-        part * fault.score > _CLOCK_SCORE
-        or part * fault.failed > _CLOCK_FAILED
-        or _slow_share(part * fault.latency) - _SLOW > _CLOCK_SLOW
-    )
-
-
-def _slow_share(latency: float) -> float:
-    """Part of the requests over the baseline's 90th percentile."""
-    standard = statistics.NormalDist()
-    limit = standard.inv_cdf(1 - _SLOW)
-    return 1 - standard.cdf(limit - math.log1p(latency) / _LATENCY_SPREAD)
-
-
 def _clock_withdraws(
     rng: random.Random,
-    fault: Fault,
+    fault: versions.Fault,
     started_ms: int,
 ) -> bool:
     failed = 0
     slow = 0
     score: float = 0
-    threshold = _slow_threshold()
+    threshold = versions.slow_threshold()
     for _ in range(_CLOCK_SAMPLES):
-        kind = _choose_kind(rng)
+        kind = versions.choose_kind(rng)
         part = fault.part(kind, started_ms + rng.random() * _CLOCK_STEP_MS)
-        failed += rng.random() < _FAILED + part * fault.failed
-        latency = rng.lognormvariate(0, _LATENCY_SPREAD)
+        failed += rng.random() < versions.FAILED + part * fault.failed
+        latency = rng.lognormvariate(0, versions.LATENCY_SPREAD)
         slow += latency * (1 + part * fault.latency) > threshold
-        own_score = rng.gauss(_SCORE - part * fault.score, _SCORE_SPREAD)
+        own_score = rng.gauss(
+            versions.SCORE - part * fault.score, versions.SCORE_SPREAD
+        )
         score += min(max(own_score, 0), 1)
     return (
-        _SCORE - score / _CLOCK_SAMPLES > _CLOCK_SCORE
-        or failed / _CLOCK_SAMPLES - _FAILED > _CLOCK_FAILED
-        or slow / _CLOCK_SAMPLES - _SLOW > _CLOCK_SLOW
-    )
-
-
-def _slow_threshold() -> float:
-    limit = statistics.NormalDist().inv_cdf(1 - _SLOW)
-    return math.exp(limit * _LATENCY_SPREAD)
-
-
-def _choose_kind(rng: random.Random) -> str:
-    names = [name for name, _ in _KINDS]
-    weights = [weight for _, weight in _KINDS]
-    return rng.choices(names, weights)[0]
-
-
-def _any_fault(rng: random.Random) -> Fault:
-    faults = (
-        Fault(score=rng.uniform(0.1, 0.4)),
-        Fault(failed=rng.uniform(0.05, 0.5)),
-        Fault(latency=rng.uniform(0.5, 3)),
+        versions.SCORE - score / _CLOCK_SAMPLES > versions.TOLERATED_SCORE
+        or failed / _CLOCK_SAMPLES - versions.FAILED > versions.TOLERATED_FAILED
+        or slow / _CLOCK_SAMPLES - versions.SLOW > versions.TOLERATED_SLOW
     )
-    return rng.choice(faults)
-
-
-def _bad_at_once(rng: random.Random) -> Fault:
-    return _any_fault(rng)
-
-
-def _worsening(rng: random.Random) -> Fault:
-    from_ms = rng.randrange(_CLOCK_STEP_MS)
-    lasts_ms = rng.randrange(_CLOCK_STEP_MS // 3, 3 * _CLOCK_STEP_MS)
-    return attrs.evolve(
-        _any_fault(rng), from_ms=from_ms, full_ms=from_ms + lasts_ms
-    )
-
-
-def _bad_for_one_kind(rng: random.Random) -> Fault:
-    return attrs.evolve(_any_fault(rng), kind=_choose_kind(rng))
-
-
-def _good(rng: random.Random) -> Fault:
-    return Fault()
-
-
-_GOOD: Final = 'good'
-_SORTS: Final[dict[str, Callable[[random.Random], Fault]]] = {
-    'bad at once': _bad_at_once,
-    'slowly worsening': _worsening,
-    'bad for one kind': _bad_for_one_kind,
-    _GOOD: _good,
-}
--- a/packages/yuccactl/src/yuccactl/views.py
+++ b/packages/yuccactl/src/yuccactl/views.py
@@ -49,6 +49,12 @@
 
 def _reports(answer: sources.Answer) -> list[output.Row]:
     reports = answer.document.get('endpoints')
+    if isinstance(reports, dict):
+        reports = [
+            {'endpoint': name, **report}
+            for name, report in reports.items()
+            if isinstance(report, dict)
+        ]
     if not isinstance(reports, list):
         return []
     return [
