Treat a dropped record as unknown and keep the step on resume

Cause: a record that the log drops after confirming it was reported as in effect; resuming a roll-out that waited for ratings at share 0 started it over; a log that reports more records but gives none was read for ever. Conclusion: the first two faults are covered by tests, the third is not.

--- a/packages/yuccactl/src/yuccactl/execute.py
+++ b/packages/yuccactl/src/yuccactl/execute.py
@@ -129,21 +129,25 @@
     """Return the position of the change, once it is known to have effect.
 
     Raises ``errors.RejectedError`` with the change that won when the record
-    is void.
+    is void, and ``errors.UnknownError`` when it can't be read back.
     """
     replay = await _replay_after(context, offset)
-    own = next(
-        (change for change in replay.changes if change.offset == offset), None
-    )
+    own = [change for change in replay.changes if change.offset == offset]
+    if not own:
+        raise errors.UnknownError(
+            f'recorded at offset {offset}, but the log does not hold it now; '
+            'it may have been restored to older data'
+        )
+    void = own[0].void
     position = model.Position(replay.configuration.position.generation, offset)
-    if own is None or own.void is None:
+    if void is None:
         return position
     author = context.settings.author
     plan = functools.partial(orders.plan, order, author=author)
     if plan(replay.configuration).record is None:
         context.progress('another change did the same first')
         return position
-    raise errors.RejectedError(_void_text(replay, own.void))
+    raise errors.RejectedError(_void_text(replay, void))
 
 
 async def _replay_after(
--- a/packages/yuccactl/src/yuccactl/rollout_orders.py
+++ b/packages/yuccactl/src/yuccactl/rollout_orders.py
@@ -94,7 +94,9 @@
         )
     if rollout.state != 'held':
         return _rollout_change(rollout, rollout.state, rollout.reason)
-    state = 'rolling' if rollout.share else 'created'
+    # A roll-out at a later step may have share 0 while ratings are missing.
+    has_begun = rollout.share > 0 or rollout.step > 0
+    state = 'rolling' if has_begun else 'created'
     return _rollout_change(rollout, state, 'resumed by an operator')
 
 
--- a/packages/yuccactl/src/yuccactl/sources.py
+++ b/packages/yuccactl/src/yuccactl/sources.py
@@ -198,11 +198,14 @@
                 f'stream {stream} can not be read: {fault.message}'
             ) from fault
         yield batch
-        start = max(start, batch.first_offset)
+        following = max(start, batch.first_offset)
         if batch.records:
-            start = batch.records[-1].offset + 1
-        if start >= batch.end_offset:
+            following = batch.records[-1].offset + 1
+        # A log that gives nothing although it says that there is more would
+        # keep the program reading for ever.
+        if following >= batch.end_offset or following == start:
             return
+        start = following
 
 
 def _apply(
--- a/packages/yuccactl/tests/conftest.py
+++ b/packages/yuccactl/tests/conftest.py
@@ -21,7 +21,8 @@
     """A log and daemons that are as far as the log, unless told otherwise.
 
     ``lose`` answers are dropped after ``lost_takes_effect`` or not.
-    ``before_append`` records are put before the next appended one.
+    ``before_append`` records are put before the next appended one. ``rewind``
+    drops each record after its append was confirmed.
     """
 
     streams: dict[str, list[dict[str, Any]]] = attrs.field(factory=dict)
@@ -30,6 +31,7 @@
     lose: bool = False
     lost_takes_effect: bool = True
     refuse: bool = False
+    rewind: bool = False
     before_append: list[records.Record] = attrs.field(factory=list)
     appends: int = 0
     authorizations: set[str | None] = attrs.field(factory=set)
@@ -84,6 +86,8 @@
                 document['append_id'],
                 document['payload'],
             )
+        if self.rewind:
+            self.streams[request.match_info['name']].pop()
         if self.lose:
             assert request.transport is not None
             request.transport.abort()
--- a/packages/yuccactl/tests/test_orders.py
+++ b/packages/yuccactl/tests/test_orders.py
@@ -207,6 +207,21 @@
         await _do(bench, 'allow c@2 for o')
 
 
+async def test_rewound(bench: Any) -> None:
+    """Guards against reporting a record that the log has dropped as done."""
+    bench.platform.rewind = True
+    with pytest.raises(errors.UnknownError, match='does not hold it'):
+        await _do(bench, 'allow c@2 for o')
+
+
+async def test_resume_keeps_step(bench: Any) -> None:
+    """Guards against starting over a roll-out that waited for ratings."""
+    held = {**_ROLLOUT, 'state': 'held', 'step': 2, 'share': 0}
+    bench.platform.change('rollout', held)
+    await _do(bench, 'resume rollout c@2')
+    assert bench.platform.last()['body']['state'] == 'rolling'
+
+
 async def test_void(bench: Any) -> None:
     """Guards against reporting a change as done that lost to another one."""
     winner = records.Record(
