Follow agents through wrong VM lists and replaced VMs

Cause: tests with fakes of the list and of agents showed faults in reports.py. An agent missing from one list was dropped with its calls; a VM that changed its address was still followed at the old one; what a replaced VM at the same address had reported was never removed; the loss of an old VM removed its successor's endpoint; only an agent's first loss was logged.

Change: a follower remembers what it has fed and removes only that. An agent that is missing from the list is followed until its stream ends. Channels to unlisted daemons close when their calls have ended, after at most 60 s.

Conclusion: a wrong VM list no longer takes a working endpoint out.

--- a/packages/daemon/src/yuccarouter/membership/channels.py
+++ b/packages/daemon/src/yuccarouter/membership/channels.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Final
 
 import attrs
@@ -24,6 +25,10 @@
     ('grpc.enable_http_proxy', 0),
 )
 
+# Calls to a daemon that has left the VM list may still end well; they get as
+# long as a graceful shutdown takes by default.
+_CLOSE_GRACE_S: Final = 60.0
+
 
 @attrs.frozen
 class Daemon:
@@ -41,6 +46,7 @@
     def __init__(self, peer_key: str) -> None:
         self.metadata = peer_auth.metadata(peer_key)
         self._daemons: dict[str, Daemon] = {}
+        self._closing: set[asyncio.Task[None]] = set()
 
     def at(self, address: str) -> Daemon:
         """Return the channel to ``host:port``."""
@@ -57,13 +63,21 @@
         return known
 
     async def keep_only(self, addresses: set[str]) -> None:
-        """Close the channels to daemons that are gone."""
+        """Close the other channels when the calls on them have ended."""
         gone = [
             address for address in self._daemons if address not in addresses
         ]
         for address in gone:
-            await self._daemons.pop(address).channel.close()
+            channel = self._daemons.pop(address).channel
+            closing = asyncio.create_task(channel.close(_CLOSE_GRACE_S))
+            self._closing.add(closing)
+            closing.add_done_callback(self._closing.discard)
 
     async def close(self) -> None:
-        """Close all channels."""
-        await self.keep_only(set())
+        """Close all channels at once."""
+        for closing in tuple(self._closing):
+            closing.cancel()
+        open_channels = [known.channel for known in self._daemons.values()]
+        self._daemons.clear()
+        for channel in open_channels:
+            await channel.close()
--- a/packages/daemon/src/yuccarouter/membership/reports.py
+++ b/packages/daemon/src/yuccarouter/membership/reports.py
@@ -6,17 +6,18 @@
 import time
 from typing import TYPE_CHECKING, Any, Final
 
+import attrs
 import eliot
 import grpc
 import mode
 from grpc import aio
 
-from yuccarouter.membership import subset
+from yuccarouter.membership import directory, subset
 from yuccarouter.routing import views
 from yuccarouter_common.proto import router_pb2
 
 if TYPE_CHECKING:
-    from yuccarouter.membership import channels, directory
+    from yuccarouter.membership import channels
     from yuccarouter.membership import watch as watches
     from yuccarouter_common import settings
     from yuccarouter_common.platform import vms
@@ -29,11 +30,25 @@
 _MS_PER_S: Final = 1000
 
 
+@attrs.define
+class _Follower:
+    """One followed agent and the endpoint that its reports have named."""
+
+    vm: vms.Vm
+    task: asyncio.Task[None] | None = None
+    is_listed: bool = True
+    # What the fleet holds from this follower; empty while it is down.
+    fed_endpoint: str = ''
+    fed_vm: str = ''
+    is_loss_logged: bool = False
+
+
 class Reports(mode.Service):
     """Feeds the reports of the followed agents into the fleet.
 
-    Silence, a broken stream and a VM that is gone take the endpoint out of
-    the fleet, whatever the VM list says.
+    Silence and a broken stream take the endpoint out of the fleet, whatever
+    the VM list says. An agent that is missing from the list is followed until
+    its stream ends, since the list may be wrong.
     """
 
     def __init__(
@@ -49,63 +64,100 @@
         self._fleet = fleet
         self._daemons = daemons
         self._watch = watch
-        self._followers: dict[str, asyncio.Task[None]] = {}
+        self._followers: dict[str, _Follower] = {}
         known.subscribe(self.on_list)
 
     async def on_list(self, listed: list[vms.Vm]) -> None:
         """Start and stop followers so that they match the VM list."""
-        agents = [vm for vm in listed if vm.role == 'agent']
-        wanted = {
-            vm.vm: vm
-            for vm in subset.followed(
-                self._conf.name, self._conf.data_centre, agents
-            )
-        }
-        for name in self._followers.keys() - wanted.keys():
-            await self._stop_following(name)
-        for name, vm in wanted.items():
-            if name not in self._followers:
-                self._followers[name] = asyncio.create_task(self._follow(vm))
-        await self._daemons.keep_only({known.address for known in listed})
+        agents = _one_per_endpoint([vm for vm in listed if vm.role == 'agent'])
+        chosen = subset.followed(
+            self._conf.name, self._conf.data_centre, agents
+        )
+        wanted = {vm.vm: vm for vm in chosen}
+        places = {vm.endpoint for vm in agents} | {vm.address for vm in agents}
+        for name, follower in tuple(self._followers.items()):
+            vm = follower.vm
+            follower.is_listed = name in wanted
+            if follower.is_listed:
+                is_kept = _same_place(wanted[name], vm)
+            else:
+                is_replaced = bool(places & {vm.endpoint, vm.address})
+                is_kept = bool(follower.fed_endpoint) and not is_replaced
+            if not is_kept:
+                await self._stop_following(name)
+        for new_name, new_vm in wanted.items():
+            if new_name not in self._followers:
+                self._start_following(new_vm)
+        in_use = {held.vm.address for held in self._followers.values()}
+        await self._daemons.keep_only(
+            in_use.union(known.address for known in listed)
+        )
 
     async def on_stop(self) -> None:
         """Stop all followers."""
-        for name in list(self._followers):
+        for name in tuple(self._followers):
             await self._stop_following(name)
 
+    def _start_following(self, vm: vms.Vm) -> None:
+        follower = _Follower(vm)
+        self._followers[vm.vm] = follower
+        follower.task = asyncio.create_task(self._follow(follower))
+
     async def _stop_following(self, name: str) -> None:
-        task = self._followers.pop(name)
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-
-    async def _follow(self, vm: vms.Vm) -> None:
-        """Follow one agent until cancelled."""
-        endpoint = vm.endpoint
-        is_up = True
+        task = self._followers.pop(name).task
+        if task is not None:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    async def _follow(self, follower: _Follower) -> None:
+        """Follow one agent until cancelled, or lost and not listed."""
         try:
             while not self.should_stop:
-                reason = await self._read_reports(vm)
-                self._fleet.remove(endpoint)
-                cancelled = self._watch.lost(endpoint)
-                if is_up:
-                    eliot.log_message(
-                        'endpoint_lost',
-                        endpoint=endpoint,
-                        reason=reason,
-                        cancelled_calls=cancelled,
-                    )
-                is_up = False
+                reason = await self._read_reports(follower)
+                self._lose(follower, reason)
+                if not follower.is_listed:
+                    self._followers.pop(follower.vm.vm)
+                    return
                 await asyncio.sleep(_RECONNECT_DELAY_S)
         finally:
-            self._fleet.remove(endpoint)
+            self._forget(follower)
+
+    def _lose(self, follower: _Follower, reason: str) -> None:
+        """Take a lost endpoint out and cancel the calls to it."""
+        endpoint = follower.fed_endpoint or follower.vm.endpoint
+        cancelled = 0
+        if self._forget(follower):
+            cancelled = self._watch.lost(endpoint)
+        if not follower.is_loss_logged:
+            follower.is_loss_logged = True
+            eliot.log_message(
+                'endpoint_lost',
+                endpoint=endpoint,
+                reason=reason,
+                cancelled_calls=cancelled,
+            )
+
+    def _forget(self, follower: _Follower) -> bool:
+        """Remove what the follower has fed, unless another VM has taken over.
+
+        Returns whether it was removed.
+        """
+        endpoint, vm = follower.fed_endpoint, follower.fed_vm
+        follower.fed_endpoint = ''
+        held = self._fleet.find(endpoint)
+        if held is None or held.vm != vm:
+            return False
+        self._fleet.remove(endpoint)
+        return True
 
-    async def _read_reports(self, vm: vms.Vm) -> str:
+    async def _read_reports(self, follower: _Follower) -> str:
         """Read reports until the stream ends; return why it ended."""
+        address = follower.vm.address
         interval_ms = self._conf.timing.report_interval_ms
         silence_s = max(
             _MIN_SILENCE_S, interval_ms * _MISSED_INTERVALS / _MS_PER_S
         )
-        call = self._daemons.at(vm.address).stub.Reports(
+        call = self._daemons.at(address).stub.Reports(
             router_pb2.ReportsRequest(
                 entry=self._conf.name, interval_ms=interval_ms
             ),
@@ -118,12 +170,39 @@
                     return 'no report in time'
                 if report is aio.EOF:
                     return 'the agent ended the reports'
-                self._fleet.update(view_of(report, vm.address))
+                self._feed(follower, report)
         except aio.AioRpcError as fault:
             return _reason(fault)
         finally:
             call.cancel()
 
+    def _feed(
+        self, follower: _Follower, report: router_pb2.EndpointReport
+    ) -> None:
+        # Another VM may have taken the address before the list shows it, so
+        # the report tells which endpoint is there.
+        self._fleet.update(view_of(report, follower.vm.address))
+        follower.fed_endpoint = report.endpoint
+        follower.fed_vm = report.vm
+        follower.is_loss_logged = False
+
+
+def _one_per_endpoint(agents: list[vms.Vm]) -> list[vms.Vm]:
+    """Drop leaving VMs whose endpoint a live VM has taken over."""
+    live = {vm.endpoint for vm in agents if vm.state == directory.LIVE}
+    return [
+        vm
+        for vm in agents
+        if vm.state == directory.LIVE or vm.endpoint not in live
+    ]
+
+
+def _same_place(listed: vms.Vm, followed: vms.Vm) -> bool:
+    return (listed.address, listed.endpoint) == (
+        followed.address,
+        followed.endpoint,
+    )
+
 
 async def _read(call: Any, silence_s: float) -> Any:
     """Return the next report, or ``None`` when none comes in time.
--- /dev/null
+++ b/packages/daemon/tests/membership/test_reports.py
@@ -0,0 +1,103 @@
+"""Tests of following agents through list faults and lost streams."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from grpc import aio
+
+from yuccarouter.membership import reports
+
+
+@pytest.mark.parametrize('fault', ['missing list', 'empty list', 'late list'])
+async def test_list_faults_keep_reporting_agents(
+    world: Any, fault: str
+) -> None:
+    """Guards against a wrong VM list that takes out working endpoints."""
+    await world.list(world.vm('x'), world.vm('y'))
+    await world.daemons.send('x:1', world.report('x'))
+    if fault == 'missing list':
+        world.listed = None
+        await world.known.refresh()
+    else:
+        await world.list(*([] if fault == 'empty list' else [world.vm('y')]))
+    assert world.endpoints() == {'e-x': 'x:1'}
+    if fault == 'missing list':
+        assert len(world.known.live('agent')) == 2
+    else:
+        assert 'x:1' in world.daemons.kept
+        await world.daemons.send('x:1', aio.EOF)
+        assert world.endpoints() == {}
+        await world.list(world.vm('x'))
+        await world.daemons.send('x:1', world.report('x'))
+        assert world.endpoints() == {'e-x': 'x:1'}
+        assert len(world.daemons.calls['x:1']) == 2
+
+
+@pytest.mark.parametrize('loss', ['silent', 'end', 'break'])
+async def test_lost_stream_takes_the_endpoint_out(
+    world: Any, monkeypatch: pytest.MonkeyPatch, loss: str
+) -> None:
+    """Guards against calls that wait for an agent that has gone."""
+    logged = []
+    monkeypatch.setattr(
+        reports.eliot, 'log_message', lambda name, **_: logged.append(name)
+    )
+    messages = {'silent': None, 'end': aio.EOF, 'break': world.rpc_error()}
+    await world.list(world.vm('x'))
+    for lost_before in (0, 1):
+        cancels: list[str] = []
+        await world.daemons.send('x:1', world.report('x'))
+        assert world.endpoints() == {'e-x': 'x:1'}
+        with world.watch.calling('e-x', lambda: cancels.append('call')):
+            await world.daemons.send('x:1', messages[loss])
+        assert world.endpoints() == {}
+        assert cancels == ['call']
+        # Each loss is logged once, however often the agent is tried again.
+        await world.daemons.send('x:1', messages[loss])
+        assert logged == ['endpoint_lost'] * (lost_before + 1)
+
+
+async def test_silence_ends_a_read(
+    world: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a frozen agent that keeps its stream open."""
+    monkeypatch.setattr(reports, '_GRACE_S', 0)
+    call = world.daemons.at('x:1').stub.Reports(None)
+    assert await reports._read(call, 0.001) is None
+    await world.daemons.send('x:1', 'report')
+    assert await reports._read(call, 60) == 'report'
+
+
+async def test_replaced_agent_at_the_same_address(world: Any) -> None:
+    """Guards against endpoints that nobody removes after a replacement."""
+    await world.list(world.vm('x'))
+    await world.daemons.send('x:1', world.report('x', sequence=90))
+    await world.daemons.send('x:1', aio.EOF)
+    # The list still shows the old VM while the new one answers.
+    await world.daemons.send('x:1', world.report('z'))
+    assert world.endpoints() == {'e-z': 'x:1'}
+    await world.list(world.vm('z', address='x:1'))
+    assert world.endpoints() == {}
+    await world.daemons.send('x:1', world.report('z'))
+    assert world.endpoints() == {'e-z': 'x:1'}
+    await world.daemons.send('x:1', aio.EOF)
+    assert world.endpoints() == {}
+
+
+async def test_endpoint_moves_to_another_vm(world: Any) -> None:
+    """Guards against a loss of the old VM that removes the new one."""
+    old = world.vm('x', endpoint='e')
+    new = world.vm('y', endpoint='e')
+    await world.list(old)
+    await world.daemons.send('x:1', world.report('x', endpoint='e'))
+    await world.list(world.vm('x', endpoint='e', state='leaving'), new)
+    await world.daemons.settle()
+    assert world.daemons.calls['x:1'][0].cancelled
+    await world.daemons.send('y:1', world.report('y', endpoint='e'))
+    assert world.endpoints() == {'e': 'y:1'}
+    # The VM keeps its name and gets another address.
+    await world.list(world.vm('y', endpoint='e', address='w:1'))
+    await world.daemons.send('w:1', world.report('y', endpoint='e'))
+    assert world.endpoints() == {'e': 'w:1'}
--- /dev/null
+++ b/packages/daemon/tests/membership/test_subset.py
@@ -0,0 +1,69 @@
+"""Tests of the subset of followed agents and of the kept channels."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yuccarouter.membership import channels, subset
+from yuccarouter_common.platform import vms
+
+_ZONES = ('a', 'b')
+
+
+def _vms(names: set[int]) -> list[vms.Vm]:
+    return [
+        vms.Vm(
+            f'v{name}', f'{name}:1', _ZONES[name % 2], vms.State.LIVE, 'agent'
+        )
+        for name in sorted(names)
+    ]
+
+
+@given(
+    names=st.sets(st.integers(0, 60), max_size=40),
+    change=st.integers(0, 60),
+    bounds=st.tuples(st.integers(0, 8), st.integers(0, 8)),
+    order=st.randoms(use_true_random=False),
+)
+def test_subset_is_stable_and_bounded(
+    names: set[int], change: int, bounds: tuple[int, int], order: Any
+) -> None:
+    """Guards against streams that move when one VM comes or goes."""
+    listed = _vms(names)
+    before = {vm.vm for vm in subset.followed('me', 'a', listed, *bounds)}
+    for zone, bound in zip(_ZONES, bounds, strict=True):
+        of_zone = {vm.vm for vm in listed if vm.data_centre == zone}
+        assert len(before & of_zone) == min(bound, len(of_zone))
+    order.shuffle(listed)
+    again = {vm.vm for vm in subset.followed('me', 'a', listed, *bounds)}
+    assert again == before
+    changed = _vms(names ^ {change})
+    after = {vm.vm for vm in subset.followed('me', 'a', changed, *bounds)}
+    others = (before ^ after) - {f'v{change}'}
+    assert len(others) <= 1
+
+
+async def test_calls_outlive_their_vm_in_the_list() -> None:
+    """Guards against a list without a VM that cuts the calls to it."""
+    opened = channels.Channels('k')
+    closed: list[float | None] = []
+
+    class _Channel:
+        async def close(self, grace: float | None = None) -> None:
+            closed.append(grace)
+
+    made: Any = _Channel()
+    stub: Any = None
+    opened._daemons['x:1'] = channels.Daemon('x:1', made, stub, stub)
+    known = opened.at('y:1')
+    await opened.keep_only({'y:1'})
+    await asyncio.sleep(0)
+    assert closed == [channels._CLOSE_GRACE_S]
+    assert opened.at('y:1') is known
+    await opened.close()
+    assert opened.at('y:1') is not known
+    await opened.close()
