--- a/packages/daemon/src/yuccarouter/admission/tracing.py
+++ b/packages/daemon/src/yuccarouter/admission/tracing.py
@@ -24,7 +24,5 @@
         record_exception=False,
     ) as span:
         # Without tracing in this process the caller's context goes on.
-        request.traceparent = (
-            telemetry.traceparent(span) or request.traceparent
-        )
+        request.traceparent = telemetry.traceparent(span) or request.traceparent
         yield
--- a/packages/daemon/src/yuccarouter/configuration/peers.py
+++ b/packages/daemon/src/yuccarouter/configuration/peers.py
@@ -91,7 +91,7 @@
         return delta
 
 
-class PeerClient(mode.Service):  # type: ignore[misc]
+class PeerClient(mode.Service):
     """Asks a few random peers each second for what this process lacks.
 
     ``channels`` returns the channels to live peers by address. ``extend``
@@ -106,6 +106,7 @@
         extend: Callable[[router_pb2.Digest], None] | None = None,
         on_delta: Callable[[str, router_pb2.Delta], None] | None = None,
         interval_s: float = _INTERVAL_S,
+        metadata: tuple[tuple[str, str], ...] = (),
     ) -> None:
         super().__init__()
         self.counters = Counters()
@@ -115,6 +116,7 @@
         self._extend = extend
         self._on_delta = on_delta
         self._interval_s = interval_s
+        self._metadata = metadata
         self._random = random.Random()
 
     async def on_started(self) -> None:
@@ -151,7 +153,9 @@
         new_stub: Callable[[grpc.aio.Channel], Any] = router_pb2_grpc.PeerStub
         stub = new_stub(channel)
         try:
-            delta = await stub.Exchange(digest, timeout=_TIMEOUT_S)
+            delta = await stub.Exchange(
+                digest, timeout=_TIMEOUT_S, metadata=self._metadata
+            )
         except grpc.aio.AioRpcError:
             self.counters.failed += 1
             return
--- a/packages/daemon/src/yuccarouter/configuration/snapshots.py
+++ b/packages/daemon/src/yuccarouter/configuration/snapshots.py
@@ -45,7 +45,7 @@
     return scale * math.log(uniform * math.expm1(steepness) + 1)
 
 
-class SnapshotWriter(mode.Service):  # type: ignore[misc]
+class SnapshotWriter(mode.Service):
     """Writes a snapshot when one is due and no other process has.
 
     ``processes`` returns the number of processes that may write.
--- a/packages/daemon/src/yuccarouter/request_path/freshness.py
+++ b/packages/daemon/src/yuccarouter/request_path/freshness.py
@@ -4,9 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from yuccarouter_common import model, refusals
+from yuccarouter.configuration import staleness
+from yuccarouter_common import refusals
 
 if TYPE_CHECKING:
+    from yuccarouter_common import model
     from yuccarouter.request_path import router
 
 
@@ -15,10 +17,8 @@
 
     It is old when neither the log nor a peer has confirmed it lately.
     """
-    if organisation.stale_policy != model.REFUSE:
-        return
     age_ms = shared.store.freshness.age_ms()
-    if age_ms > organisation.stale_limit_ms:
+    if staleness.is_refused(organisation, age_ms):
         raise refusals.RefusalError(
             'configuration_stale',
             'neither the log nor a peer has confirmed the configuration',
--- a/packages/daemon/src/yuccarouter/roles/agent.py
+++ b/packages/daemon/src/yuccarouter/roles/agent.py
@@ -13,10 +13,11 @@
 from yuccarouter.admission import ports, service
 from yuccarouter.billing import cover, ledger
 from yuccarouter.configuration import follower, store
+from yuccarouter.membership import channels, directory
 from yuccarouter.registry import owner
 from yuccarouter.roles import admin, peering, servers
 from yuccarouter_common import errors
-from yuccarouter_common.platform import log
+from yuccarouter_common.platform import log, vms
 from yuccarouter_common.proto import router_pb2_grpc
 
 if TYPE_CHECKING:
@@ -25,6 +26,8 @@
     from yuccarouter_common import billing_rows, model, settings, telemetry
 
 _CATCH_UP_MS: Final = 1000
+# Agents only need the list to find peers, so they read it less often.
+_VM_LIST_FACTOR: Final = 5
 _MS_PER_S: Final = 1000
 
 
@@ -42,6 +45,7 @@
         self._is_draining = False
         self._admission: service.AdmissionService | None = None
         self._rows: ledger.Ledger | None = None
+        self._daemons: channels.Channels | None = None
 
     async def on_start(self) -> None:
         """Build the parts and start them, the gRPC port last."""
@@ -79,7 +83,16 @@
                 usage=usage,
             ),
         )
+        daemons = channels.Channels(conf.secrets.peer_key)
+        self._daemons = daemons
+        known = directory.Directory(
+            vms.Client(session, conf.platform.vms_url).fetch,
+            conf.timing.vm_list_interval_ms * _VM_LIST_FACTOR,
+        )
+        exchange = peering.Peering(conf, self._store, known, daemons)
         for part in (
+            known,
+            exchange.client(),
             follower.Follower(client, self._store),
             self._rows,
             usage,
@@ -99,6 +112,8 @@
         """Close the HTTP session when nothing uses it any more."""
         if self._session is not None:
             await self._session.close()
+        if self._daemons is not None:
+            await self._daemons.close()
 
     async def drain(self) -> None:
         """Announce leaving, then let the work in progress finish."""
@@ -126,6 +141,9 @@
             router_pb2_grpc.add_AgentServicer_to_server(
                 self._admission.servicer, server
             )
+        peering.add_servicer(
+            peering.PeerServicer(self._store, self._status), server
+        )
 
     def _admin(self) -> servers.HttpServer:
         shown = admin.Views(
--- a/packages/daemon/src/yuccarouter/roles/entry.py
+++ b/packages/daemon/src/yuccarouter/roles/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 from typing import TYPE_CHECKING, Any, Final
 
@@ -90,7 +91,13 @@
         await self.add_runtime_dependency(
             follower.Follower(log_client, shared.store)
         )
+        peering_parts = peering.Peering(conf, shared.store, known, daemons)
+        await self.add_runtime_dependency(peering_parts.client())
+        await self.add_runtime_dependency(
+            peering_parts.snapshot_writer(log_client)
+        )
         await self.add_runtime_dependency(shared.ledger)
+        await self.add_runtime_dependency(self._peer_server(shared))
         await self.add_runtime_dependency(self._admin(shared))
         if conf.listen is not None:
             await self.add_runtime_dependency(
@@ -123,6 +130,14 @@
         await self.shared.settlements.finish()
         await self.shared.daemons.close()
 
+    def _peer_server(self, shared: router.Router) -> servers.GrpcServer:
+        servicer = peering.PeerServicer(shared.store, lambda: _status(shared))
+        return servers.GrpcServer(
+            self._conf.peer,
+            self._conf.secrets.peer_key,
+            functools.partial(peering.add_servicer, servicer),
+        )
+
     def _admin(self, shared: router.Router) -> servers.HttpServer:
         shown = admin.Views(
             why_not_ready=lambda: _why_not_ready(shared),
--- a/packages/daemon/src/yuccarouter/roles/peering.py
+++ b/packages/daemon/src/yuccarouter/roles/peering.py
@@ -1,4 +1,4 @@
-"""What both roles show of themselves."""
+"""What both roles show to peers and operators."""
 
 from __future__ import annotations
 
@@ -6,12 +6,95 @@
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
+import orjson
+
+from yuccarouter.configuration import peers, snapshots
+from yuccarouter.membership import subset
+from yuccarouter_common.proto import router_pb2, router_pb2_grpc
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    import grpc
+
     from yuccarouter.configuration import store
-    from yuccarouter_common import settings
+    from yuccarouter.membership import channels, directory
+    from yuccarouter_common import history, settings
 
 _VOIDS_SHOWN: Final = 20
+# Daemons that a process exchanges its position with: enough that a change
+# spreads in seconds, few enough to keep their channels open.
+_LOCAL_PEERS: Final = 8
+_REMOTE_PEERS: Final = 4
+_MS_PER_S: Final = 1000
+
+
+@attrs.frozen
+class Peering:
+    """What a role needs to exchange configuration with peers."""
+
+    conf: settings.Settings
+    held: store.Store
+    known: directory.Directory
+    daemons: channels.Channels
+
+    def client(self) -> peers.PeerClient:
+        """Return the service that asks peers for what is missing here."""
+        return peers.PeerClient(
+            self.held,
+            self.conf.name,
+            self._channels,
+            interval_s=self.conf.timing.exchange_interval_ms / _MS_PER_S,
+            metadata=self.daemons.metadata,
+        )
+
+    def snapshot_writer(
+        self, client: history.LogClient
+    ) -> snapshots.SnapshotWriter:
+        """Return the service that writes snapshots of the configuration."""
+        return snapshots.SnapshotWriter(
+            client,
+            self.held,
+            self.conf.name,
+            lambda: max(1, len(self.known.live('entry'))),
+        )
+
+    def _channels(self) -> Mapping[str, grpc.aio.Channel]:
+        others = [vm for vm in self.known.vms() if vm.vm != self.conf.vm]
+        chosen = subset.followed(
+            self.conf.name,
+            self.conf.data_centre,
+            others,
+            _LOCAL_PEERS,
+            _REMOTE_PEERS,
+        )
+        addresses = {vm.address for vm in chosen} | set(self.conf.peers)
+        return {
+            address: self.daemons.at(address).channel for address in addresses
+        }
+
+
+class PeerServicer(peers.PeerService):
+    """Serves peers' exchanges and operators' status over gRPC."""
+
+    def __init__(
+        self, held: store.Store, status: Callable[[], dict[str, Any]]
+    ) -> None:
+        super().__init__(held)
+        self._status = status
+
+    async def Status(  # noqa: N802
+        self, request: router_pb2.StatusRequest, context: Any
+    ) -> router_pb2.StatusReply:
+        """Return the document that the admin port shows."""
+        return router_pb2.StatusReply(
+            json=orjson.dumps(self._status(), default=str)
+        )
+
+
+def add_servicer(servicer: PeerServicer, server: grpc.aio.Server) -> None:
+    """Register the servicer at a server."""
+    router_pb2_grpc.add_PeerServicer_to_server(servicer, server)
 
 
 def status_of(conf: settings.Settings, held: store.Store) -> dict[str, Any]:
