Answer registry faults as unavailable and count records that are lost

An error of the registry reached entries as an unknown gRPC status, from which they could not tell that a claim was not usable.

--- a/packages/daemon/src/yuccarouter/admission/once.py
+++ b/packages/daemon/src/yuccarouter/admission/once.py
@@ -107,8 +107,10 @@
 ) -> None:
     try:
         async with asyncio.timeout(_RECORD_S):
-            await caller.parts.registry.record(record)
+            reply = await caller.parts.registry.record(record)
     except (common_errors.RouterError, grpc.RpcError, OSError):
+        reply = router_pb2.RecordReply(recorded=False)
+    if not reply.recorded:
         # Without a record a repeated request gets outcome_unknown.
         counters.UNRECORDED.labels(record.item).inc()
 
--- a/packages/daemon/src/yuccarouter/admission/runner.py
+++ b/packages/daemon/src/yuccarouter/admission/runner.py
@@ -17,7 +17,7 @@
     prepare,
     slots,
 )
-from yuccarouter_common import refusals
+from yuccarouter_common import errors, refusals
 from yuccarouter_common.proto import router_pb2
 
 _CATCH_UP_S: Final = 1.0
@@ -89,6 +89,6 @@
         try:
             async with asyncio.timeout(_CATCH_UP_S):
                 await self.caller.parts.catch_up(wanted)
-        except TimeoutError:
+        except (TimeoutError, errors.RouterError):
             # The agent's own view decides; see checks for unknown versions.
             return
--- a/packages/daemon/src/yuccarouter/admission/service.py
+++ b/packages/daemon/src/yuccarouter/admission/service.py
@@ -100,7 +100,8 @@
 
     async def on_stop(self) -> None:
         """Drain; calls that outlive their request are waited for as well."""
-        await self.leaving()
+        if self._session is not None:
+            await self.leaving()
 
     async def on_shutdown(self) -> None:
         """Close the HTTP session."""
--- a/packages/daemon/src/yuccarouter/admission/servicer.py
+++ b/packages/daemon/src/yuccarouter/admission/servicer.py
@@ -9,8 +9,10 @@
 from grpc import aio
 
 from yuccarouter.admission import orders, ports, runner
+from yuccarouter_common import errors
 from yuccarouter_common.proto import router_pb2, router_pb2_grpc
 
+_RETRY_MS: Final = 1000
 _DEFAULT_INTERVAL_MS: Final = 250
 _MIN_INTERVAL_MS: Final = 50
 # Bounds reports to about 67 a second for all entries together, which keeps
@@ -75,13 +77,22 @@
         self, request: router_pb2.ClaimRequest, context: _Context
     ) -> router_pb2.ClaimReply:
         """Claim a key in a registry partition."""
-        return await self._parts.registry.claim(request)
+        try:
+            return await self._parts.registry.claim(request)
+        except errors.RouterError:
+            # Whether the claim was appended or not, the entry runs nothing.
+            return router_pb2.ClaimReply(
+                state='unavailable', retry_after_ms=_RETRY_MS
+            )
 
     async def Record(  # noqa: N802
         self, request: router_pb2.RecordRequest, context: _Context
     ) -> router_pb2.RecordReply:
         """Record an outcome or a release in a registry partition."""
-        return await self._parts.registry.record(request)
+        try:
+            return await self._parts.registry.record(request)
+        except errors.RouterError:
+            return router_pb2.RecordReply(recorded=False)
 
     async def Order(  # noqa: N802
         self, request: router_pb2.OrderRequest, context: _Context
--- a/packages/daemon/tests/admission/conftest.py
+++ b/packages/daemon/tests/admission/conftest.py
@@ -148,6 +148,8 @@
     async def claim(
         self, request: router_pb2.ClaimRequest
     ) -> router_pb2.ClaimReply:
+        if self.record_fault is not None:
+            raise self.record_fault
         return router_pb2.ClaimReply(state='won', value=request.key)
 
     async def record(
--- a/packages/daemon/tests/admission/test_endpoint.py
+++ b/packages/daemon/tests/admission/test_endpoint.py
@@ -9,7 +9,7 @@
 import pytest
 
 from yuccarouter.admission import cache, ports, service
-from yuccarouter_common import model
+from yuccarouter_common import model, refusals
 from yuccarouter_common.proto import router_pb2
 
 
@@ -154,6 +154,11 @@
     assert (claim.state, claim.value) == ('won', 'k')
     record = await agent.stub.Record(router_pb2.RecordRequest(key='k'))
     assert record.recorded
+    parts.record_fault = refusals.RefusalError('log_unavailable', 'down')
+    record = await agent.stub.Record(router_pb2.RecordRequest(key='k'))
+    assert not record.recorded
+    claim = await agent.stub.Claim(router_pb2.ClaimRequest(key='k'))
+    assert claim.state == 'unavailable'
     settlement = router_pb2.Settlement(attempt_id='a1', billed=True)
     await agent.stub.Settle(router_pb2.SettleRequest(settlements=[settlement]))
     assert (len(parts.recorded), parts.settled) == (1, ['a1'])
