--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/engine_state.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/engine_state.py
@@ -224,12 +224,13 @@
             'events': [
                 {
                     'offset': event.offset,
-                    'event': event.event,
+                    'kind': event.event,
                     'prefix': event.prefix,
                 }
                 for event in old
                 if event.offset >= start
             ],
+            'first_offset': old[0].offset if old else end,
             'end_offset': end,
         }
 
--- a/packages/testkit/tests/test_engine.py
+++ b/packages/testkit/tests/test_engine.py
@@ -354,7 +354,7 @@
     await _call(session, url, messages=messages)
     hashes = texts.prefix_hashes(prompt)
     seen = await _get(session, f'{url}/cache-events?from=0')
-    assert [(event['event'], event['prefix']) for event in seen['events']] == [
+    assert [(event['kind'], event['prefix']) for event in seen['events']] == [
         ('stored', hashes[0]),
         ('stored', hashes[1]),
         ('stored', hashes[2]),
