--- /dev/null
+++ b/packages/daemon/tests/rollout/test_lease.py
@@ -0,0 +1,335 @@
+"""Tests of leases, against a naive model that reads the whole stream."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+from yuccarouter.rollout import lease, leases
+
+from yuccarouter_common.platform import errors
+from yuccarouter_common.platform import log as platform_log
+from yuccarouter_testkit import memory_log, virtual_time
+
+_HOLDERS = 3
+_TERMS = lease.Terms(jitter_ms=1000, wait_ms=0)
+
+
+class _Clock:
+    """The log's time, from which each holder's clock deviates."""
+
+    now_ms = 1_000_000.0
+
+    def log_ms(self) -> int:
+        return int(self.now_ms)
+
+
+def naive_holder(records: list[Any], now_ms: int) -> tuple[str, int] | None:
+    """Return the holder and its number by reading all records again."""
+    held: tuple[str, int, int] | None = None
+    previous = -1
+    for entry in records:
+        body = entry.payload
+        if held is not None and entry.time_ms >= held[2]:
+            held = None
+        until = entry.time_ms + body['ttl_ms']
+        is_own = held is not None and held[:2] == (
+            body['holder'],
+            body['fencing_number'],
+        )
+        if body['action'] == 'acquire':
+            if held is None and body['after_offset'] == previous:
+                held = body['holder'], entry.offset, until
+        elif is_own and held is not None:
+            renewed = held[0], held[1], until
+            held = renewed if body['action'] == 'renew' else None
+        previous = entry.offset
+    if held is None or now_ms >= held[2]:
+        return None
+    return held[0], held[1]
+
+
+class Contenders(stateful.RuleBasedStateMachine):
+    """Holders that are paused and restarted while the log has faults."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.clock = _Clock()
+        self.log = memory_log.MemoryLog(self.clock.log_ms)
+        self.records: list[Any] = []
+        self.seeds = 0
+        self.holders = [self._start(number) for number in range(_HOLDERS)]
+        self.paused = [False] * _HOLDERS
+        self.highest = -1
+        self.highest_holder = ''
+
+    def teardown(self) -> None:
+        self.loop.close()
+
+    @stateful.rule(number=st.integers(0, _HOLDERS - 1), count=st.integers(1, 3))
+    def step(self, number: int, count: int) -> None:
+        """A process reads and acts, unless it is paused."""
+        for _ in range(0 if self.paused[number] else count):
+            self._step(number)
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 0.5, 1, 1.9, 3, 9, 13, 31]))
+    def advance(self, seconds: float) -> None:
+        """Time passes."""
+        self.clock.now_ms += seconds * 1000
+
+    @stateful.rule(rounds=st.integers(1, 80))
+    def run(self, rounds: int) -> None:
+        """All processes that are not paused run for some time."""
+        for _ in range(rounds):
+            self.clock.now_ms += 250
+            for number in range(_HOLDERS):
+                self.step(number, 1)
+            self.at_most_one()
+
+    @stateful.rule(number=st.integers(0, _HOLDERS - 1), is_paused=st.booleans())
+    def pause(self, number: int, is_paused: bool) -> None:
+        """A process stops to run, or goes on."""
+        self.paused[number] = is_paused
+
+    @stateful.rule(number=st.integers(0, _HOLDERS - 1))
+    def restart(self, number: int) -> None:
+        """A VM is replaced."""
+        self.holders[number] = self._start(number)
+
+    @stateful.rule(number=st.integers(0, _HOLDERS - 1))
+    def stop(self, number: int) -> None:
+        """A process stops as planned and is started again."""
+        if not self.paused[number]:
+            self.loop.run_until_complete(self.holders[number].on_stop())
+            self.holders[number] = self._start(number)
+
+    @stateful.rule(lose=st.integers(0, 2), delay=st.integers(0, 2))
+    def lose_answers(self, lose: int, delay: int) -> None:
+        """The next appends lose their answers, before or after effect."""
+        self.log.lose_answers = lose
+        self.log.delay_appends = delay
+
+    @stateful.rule()
+    def deliver_late(self) -> None:
+        """Delayed appends arrive."""
+        self.log.deliver_late()
+
+    @stateful.rule(down=st.booleans())
+    def switch_log(self, down: bool) -> None:
+        """The log fails or returns."""
+        self.log.down = down
+
+    @stateful.rule(kept=st.integers(0, 3))
+    def truncate(self, kept: int) -> None:
+        """The log drops old records."""
+        self._remember()
+        stream = self.log.stream(leases.STREAM)
+        first = max(stream.first_offset, stream.end_offset - kept)
+        self.log.truncate(leases.STREAM, first)
+
+    @stateful.invariant()
+    def at_most_one(self) -> None:
+        """Who believes to hold the lease does; its number is the newest."""
+        self._remember()
+        expected = naive_holder(self.records, self.clock.log_ms())
+        for number, holder in enumerate(self.holders):
+            fencing_number = (
+                None if self.paused[number] else holder.fencing_number()
+            )
+            if fencing_number is None:
+                continue
+            assert expected == (holder.holder, fencing_number)
+            if self.highest_holder == holder.holder:
+                assert fencing_number >= self.highest
+            else:
+                assert fencing_number > self.highest
+            self.highest = fencing_number
+            self.highest_holder = holder.holder
+
+    def _remember(self) -> None:
+        stream = self.log.stream(leases.STREAM)
+        seen = len(self.records) - stream.first_offset
+        self.records.extend(stream.entries[seen:])
+
+    def _start(self, number: int) -> lease.LeaseHolder:
+        self.seeds += 1
+        rate = (0.97, 1.0, 1.03)[number]
+        return lease.LeaseHolder(
+            self.log,
+            'controller',
+            _TERMS,
+            clock=lambda: 5000 * number + rate * self.clock.now_ms / 1000,
+            seed=self.seeds,
+        )
+
+    def _step(self, number: int) -> None:
+        try:
+            self.loop.run_until_complete(self.holders[number].step())
+        except errors.PlatformError:
+            return
+
+
+class TestContenders(Contenders.TestCase):
+    """Guards against two controllers at a time and a number that falls."""
+
+    settings = hypothesis.settings(
+        max_examples=150,
+        stateful_step_count=40,
+        deadline=None,
+        derandomize=True,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+
+
+_ENTRIES = st.lists(
+    st.tuples(
+        st.sampled_from(list(leases.Action)),
+        st.sampled_from(['a', 'b', 'c']),
+        st.sampled_from([0, 1000, 12_000, 30_000]),
+        st.sampled_from([0, 0, 0, 1, 2]),
+        st.integers(0, 4),
+        st.sampled_from([0, 500, 999, 1000, 11_999, 12_000, 29_999, 30_000]),
+    ),
+    max_size=25,
+)
+
+
+@hypothesis.given(entries=_ENTRIES, start=st.integers(0, 8))
+@hypothesis.settings(deadline=None, derandomize=True, max_examples=1500)
+def test_state_against_naive(entries: list[Any], start: int) -> None:
+    """Guards against readers that disagree about who holds the lease.
+
+    ``start`` is where a reader begins within the stream.
+    """
+    whole = leases.LeaseState('c', certain=True)
+    late = leases.LeaseState('c', certain=False)
+    records: list[Any] = []
+    now_ms = 0
+    for offset, fields in enumerate(entries):
+        action, holder, ttl_ms, behind, token_back, gap_ms = fields
+        now_ms += gap_ms
+        granted = whole.grant.fencing_number if whole.grant else 0
+        record = leases.LeaseRecord(
+            action,
+            'c',
+            holder,
+            ttl_ms,
+            offset - 1 - behind,
+            granted if token_back < 3 else token_back,
+        )
+        entry = platform_log.Entry(offset, now_ms, '', leases.encode(record))
+        records.append(entry)
+        whole.apply(entry)
+        expected = naive_holder(records, now_ms)
+        states = [whole]
+        if offset >= start:
+            late.apply(entry)
+            states += [late] if late.certain else []
+        for state in states:
+            held = state.grant
+            if held is not None and now_ms >= held.valid_until_ms:
+                held = None
+            assert expected == (held and (held.holder, held.fencing_number))
+
+
+@pytest.fixture
+def contenders() -> Contenders:
+    return Contenders()
+
+
+def test_lease_passes_on(contenders: Contenders) -> None:
+    """Guards against a lease that nobody takes over from a paused holder."""
+    contenders.run(30)
+    first = contenders.highest_holder
+    assert first
+    number = [one.holder for one in contenders.holders].index(first)
+    contenders.pause(number, True)
+    contenders.run(80)
+    assert contenders.highest_holder != first
+    second = contenders.highest_holder
+    contenders.pause(number, False)
+    assert contenders.holders[number].fencing_number() is None
+    contenders.run(160)
+    assert contenders.highest_holder == second
+    contenders.teardown()
+
+
+@pytest.mark.parametrize('kept', [0, 1, 5])
+def test_start_within_the_stream(contenders: Contenders, kept: int) -> None:
+    """Guards against a lease that is lost for good with its old records."""
+    contenders.run(90)
+    contenders.truncate(kept)
+    for number in range(_HOLDERS):
+        contenders.restart(number)
+    before = contenders.highest
+    contenders.run(340)
+    assert contenders.highest > before
+    contenders.teardown()
+
+
+def test_short_pause(contenders: Contenders) -> None:
+    """Guards against acting after a pause before the stream is read."""
+    contenders.run(30)
+    holders = [one.holder for one in contenders.holders]
+    number = holders.index(contenders.highest_holder)
+    assert contenders.holders[number].fencing_number() is not None
+    contenders.clock.now_ms += 2500
+    assert contenders.holders[number].fencing_number() is None
+    contenders.step(number, 1)
+    assert contenders.holders[number].fencing_number() is not None
+    contenders.teardown()
+
+
+def test_term_counts_from_the_send(contenders: Contenders) -> None:
+    """Guards against a term that is counted from a late read."""
+    holder = contenders.holders[0]
+    contenders.clock.now_ms += 5000
+    contenders.step(0, 1)
+    contenders.clock.now_ms += 9000
+    contenders.step(0, 1)
+    assert holder.fencing_number() is not None
+    contenders.log.down = True
+    for _ in range(4):
+        contenders.clock.now_ms += 1000
+        contenders.at_most_one()
+    assert holder.fencing_number() is None
+    contenders.teardown()
+
+
+def test_rewound_stream(contenders: Contenders) -> None:
+    """Guards against a holder that goes on after its acquire was lost."""
+    contenders.run(30)
+    contenders.log.rewind(leases.STREAM, 0)
+    for number, holder in enumerate(contenders.holders):
+        contenders.step(number, 1)
+        assert holder.fencing_number() is None
+    contenders.teardown()
+
+
+def test_service() -> None:
+    """Guards against a service that does not acquire, renew or release."""
+    loop = virtual_time.VirtualTimeLoop()
+    log = memory_log.MemoryLog(lambda: int(loop.time() * 1000))
+
+    async def scenario() -> list[str]:
+        terms = lease.Terms(jitter_ms=100)
+        holder = lease.LeaseHolder(log, 'c', terms, loop.time)
+        async with holder:
+            await asyncio.sleep(10)
+            assert holder.fencing_number() == 0
+        return [
+            str(entry.payload['action'])
+            for entry in log.stream(leases.STREAM).entries
+        ]
+
+    actions = loop.run_until_complete(scenario())
+    loop.close()
+    assert actions[0] == 'acquire'
+    assert set(actions[1:-1]) == {'renew'}
+    assert 2 <= len(actions[1:-1]) <= 4
+    assert actions[-1] == 'release'
