--- a/packages/daemon/tests/configuration/test_exchange.py
+++ b/packages/daemon/tests/configuration/test_exchange.py
@@ -122,6 +122,16 @@
     assert one.position.offset == 2
 
 
+def test_repair_between_question_and_answer() -> None:
+    """Guards against applying records of the generation before a repair."""
+    one = filled(5)
+    delta = exchange.answer(filled(9), exchange.digest_of(one, 'a'))
+    repair = snapshots.repair_record(one.current(), 'fix', 'operator', 0)
+    one.apply(4, records.converter.unstructure(repair))
+    exchange.absorb(one, delta, 'b')
+    assert one.position == model.Position(1, 4)
+
+
 def test_freshness_is_passed_on() -> None:
     """Guards against a cut-off group that keeps itself fresh."""
     now = [100.0]
