--- a/packages/daemon/src/yuccarouter/rollout/errors.py
+++ b/packages/daemon/src/yuccarouter/rollout/errors.py
@@ -1,4 +1,4 @@
-"""Errors of roll-outs."""
+"""Errors of roll-outs and leases."""
 
 from __future__ import annotations
 
@@ -6,9 +6,15 @@
 
 
 class RolloutError(errors.RouterError):
-    """A roll-out could not be advanced."""
+    """A roll-out can't be carried on."""
 
-    code = 'rollout_failed'
+    code = 'rollout_error'
+
+
+class LeaseRecordError(RolloutError):
+    """A record of the stream of leases can't be decoded."""
+
+    code = 'bad_lease_record'
 
 
 class LoadRefusedError(RolloutError):
