Report a log that withholds its newest records

Cause: a log that counts more records than it gives made the configuration look complete. Change: such a replay counts as incomplete; orders on it are rejected. Conclusion: reading ends and says so; covered by a test.

--- a/packages/yuccactl/src/yuccactl/execute.py
+++ b/packages/yuccactl/src/yuccactl/execute.py
@@ -59,8 +59,7 @@
     replay = await sources.replay(context.log)
     if not replay.complete:
         raise errors.RejectedError(
-            'the log no longer holds the whole configuration; '
-            'nothing was changed'
+            'the log does not give the whole configuration; nothing was changed'
         )
     if isinstance(order, (statements.TakeOut, statements.BringBack)):
         await _check_data_centre(context, order, replay.configuration)
--- a/packages/yuccactl/src/yuccactl/sources.py
+++ b/packages/yuccactl/src/yuccactl/sources.py
@@ -60,8 +60,8 @@
 class Replay:
     """The configuration according to the log, and the changes that led to it.
 
-    ``complete`` is false when the log no longer keeps the oldest changes and
-    holds no snapshot of them.
+    ``complete`` is false when the log gave only a part of the changes: the
+    oldest are gone and there is no snapshot of them, or the newest are missing.
     """
 
     configuration: model.Configuration
@@ -113,7 +113,8 @@
         configuration,
         changes,
         end_offset,
-        complete=_is_complete(first_offset, changes),
+        complete=_is_complete(first_offset, changes)
+        and configuration.position.offset + 1 >= end_offset,
     )
 
 
--- a/packages/yuccactl/src/yuccactl/views.py
+++ b/packages/yuccactl/src/yuccactl/views.py
@@ -37,7 +37,7 @@
 ) -> output.Source:
     """Return the log itself as a source, read just now."""
     position = replay.configuration.position
-    state = '' if replay.complete else 'incomplete: oldest changes are gone'
+    state = '' if replay.complete else 'incomplete: changes are missing'
     return output.Source(
         f'log {context.settings.log_url}',
         position.generation,
--- a/packages/yuccactl/tests/conftest.py
+++ b/packages/yuccactl/tests/conftest.py
@@ -22,7 +22,8 @@
 
     ``lose`` answers are dropped after ``lost_takes_effect`` or not.
     ``before_append`` records are put before the next appended one. ``rewind``
-    drops each record after its append was confirmed.
+    drops each record after its append was confirmed, and ``withheld`` records
+    are counted but not given.
     """
 
     streams: dict[str, list[dict[str, Any]]] = attrs.field(factory=dict)
@@ -32,6 +33,7 @@
     lost_takes_effect: bool = True
     refuse: bool = False
     rewind: bool = False
+    withheld: int = 0
     before_append: list[records.Record] = attrs.field(factory=list)
     appends: int = 0
     authorizations: set[str | None] = attrs.field(factory=set)
@@ -102,7 +104,8 @@
                     entry for entry in held if entry['offset'] >= start
                 ],
                 'first_offset': held[0]['offset'] if held else 0,
-                'end_offset': held[-1]['offset'] + 1 if held else 0,
+                'end_offset': self.withheld
+                + (held[-1]['offset'] + 1 if held else 0),
             }
         )
 
--- a/packages/yuccactl/tests/test_queries.py
+++ b/packages/yuccactl/tests/test_queries.py
@@ -155,11 +155,14 @@
     assert len(bench.platform.streams['billing']) == 1
 
 
-async def test_truncated_history(bench: Any) -> None:
+@pytest.mark.parametrize('part', ['oldest', 'newest'])
+async def test_partial_history(bench: Any, part: str) -> None:
     """Guards against changing a configuration that is known in part only."""
-    held = bench.platform.streams['configuration']
-    del held[:2]
+    if part == 'oldest':
+        del bench.platform.streams['configuration'][:2]
+    else:
+        bench.platform.withheld = 2
     answer = await _ask(bench, 'show versions')
     assert 'incomplete' in answer.sources[0].log_state
-    with pytest.raises(errors.RejectedError, match='no longer holds'):
+    with pytest.raises(errors.RejectedError, match='does not give the whole'):
         await _ask(bench, 'limit o to 5 concurrent')
