Wire the control of roll-outs into the entries

Cause: the controller, its lease, evidence and weight loading were not connected. Change: entries report requests of compared versions and ask for ratings of a sample; the holder of the lease collects, decides and loads weights. The baseline of a roll-out is a version without the model's name everywhere; two parts had read it otherwise, so that nothing was compared.

--- a/packages/common/src/yuccarouter_common/model.py
+++ b/packages/common/src/yuccarouter_common/model.py
@@ -178,6 +178,8 @@
 class Rollout:
     """A roll-out of a version in place of another one.
 
+    ``version`` and ``baseline`` are versions of ``model``, without its name.
+
     ``share`` is the part, from 0 to 1, of new sessions and requests without a
     session that get the new version. ``state`` is ``created``, ``rolling``,
     ``held``, ``withdrawn`` or ``finished``.
--- a/packages/daemon/src/yuccarouter/request_path/cascading.py
+++ b/packages/daemon/src/yuccarouter/request_path/cascading.py
@@ -155,7 +155,7 @@
         version=version.version,
         kind=work.request.kind.name,
         prompt=work.prompt,
-        answer=_text_of(found.body),
+        answer=text_of(found.body),
     )
     started_ms = router.now_ms()
     try:
@@ -167,7 +167,8 @@
     return score
 
 
-def _text_of(body: bytes) -> str:
+def text_of(body: bytes) -> str:
+    """Return the text of a chat completion, empty if it has none."""
     try:
         document: Any = orjson.loads(body)
         content = document['choices'][0]['message']['content']
--- a/packages/daemon/src/yuccarouter/request_path/completions.py
+++ b/packages/daemon/src/yuccarouter/request_path/completions.py
@@ -21,6 +21,7 @@
     session_versions,
     streaming,
 )
+from yuccarouter.rollout import observations
 from yuccarouter.routing import allowed, sessions
 from yuccarouter.routing import errors as routing_errors
 from yuccarouter_common import refusals
@@ -67,8 +68,12 @@
     )
     if asked.is_stream:
         return await _stream(shared, request, work)
-    answer = await cascading.answer(shared, work)
-    _close(shared, planned, answer, progress)
+    try:
+        answer = await cascading.answer(shared, work)
+    except refusals.RefusalError:
+        _observe_failure(shared, work)
+        raise
+    _close(shared, work, answer, cascading.text_of(answer.body))
     return replies.whole(shared, planned, answer)
 
 
@@ -129,10 +134,11 @@
                 await response.write(data)
         except refusals.RefusalError as fault:
             work.progress.cut = fault
+            _observe_failure(shared, work)
             work.progress.explain('stream_cut', code=fault.code)
             await response.write(replies.refusal_event(fault))
     if state.answer is not None:
-        _close(shared, planned, state.answer, work.progress)
+        _close(shared, work, state.answer, state.text)
     await response.write_eof()
     return response
 
@@ -145,10 +151,45 @@
 
 def _close(
     shared: router.Router,
-    planned: plan.Plan,
+    work: cascading.Work,
     answer: plan.Answer,
-    progress: plan.Progress,
+    text: str,
 ) -> None:
-    bills.bill(shared, planned, answer, progress)
+    planned = work.request
+    bills.bill(shared, planned, answer, work.progress)
     if planned.idempotency_key:
         shared.answers.keep(planned.request_id, planned.body_digest, answer)
+    if answer.target.version is not None:
+        shared.observations.note(
+            observations.Seen(
+                request_id=planned.request_id,
+                version=answer.target.version,
+                kind=planned.kind.name,
+                failed=False,
+                latency_ms=work.view().elapsed_ms,
+                prompt=work.prompt,
+                answer=text,
+            )
+        )
+
+
+def _observe_failure(shared: router.Router, work: cascading.Work) -> None:
+    """Count a lost request against the version that ran it last.
+
+    A refusal that is certain says nothing about the version.
+    """
+    attempts = work.progress.attempts
+    if not attempts or not work.progress.may_have_run:
+        return
+    versions = shared.store.current().versions
+    version = versions.get(attempts[-1].version)
+    if version is not None:
+        shared.observations.note(
+            observations.Seen(
+                request_id=work.request.request_id,
+                version=version,
+                kind=work.request.kind.name,
+                failed=True,
+                latency_ms=work.view().elapsed_ms,
+            )
+        )
--- a/packages/daemon/src/yuccarouter/request_path/router.py
+++ b/packages/daemon/src/yuccarouter/request_path/router.py
@@ -29,6 +29,7 @@
     from yuccarouter.request_path import (
         settlements as pending_settlements,
     )
+    from yuccarouter.rollout import observations as rollout_observations
     from yuccarouter.routing import cascade, latency, retry_budget, views
     from yuccarouter_common import model, settings
     from yuccarouter_common.platform import ratings as rating_clients
@@ -105,6 +106,7 @@
     latencies: latency.Latencies
     cascades: cascade.Cascades
     ratings: rating_clients.Client
+    observations: rollout_observations.Observations
     answers: held_answers.HeldAnswers
     explanations: kept_explanations.Explanations
     load: Load
--- a/packages/daemon/src/yuccarouter/roles/entry.py
+++ b/packages/daemon/src/yuccarouter/roles/entry.py
@@ -23,9 +23,10 @@
     session_versions,
     settlements,
 )
+from yuccarouter.rollout import control, observations
 from yuccarouter.roles import admin, peering, servers
 from yuccarouter.routing import cascade, latency, quality, retry_budget, views
-from yuccarouter_common.platform import log, ratings, vms
+from yuccarouter_common.platform import log, ratings, vms, weights
 
 if TYPE_CHECKING:
     from yuccarouter_common import settings, telemetry
@@ -60,9 +61,11 @@
         daemons = channels.Channels(conf.secrets.peer_key)
         settled = settlements.Settlements(daemons)
         latencies = latency.Latencies(router.now_ms)
+        rater = ratings.Client(session, conf.platform.ratings_url)
+        held = store.Store()
         shared = router.Router(
             conf=conf,
-            store=store.Store(),
+            store=held,
             fleet=views.Fleet(router.now_ms, rng.random),
             daemons=daemons,
             known=known,
@@ -76,7 +79,10 @@
             cascades=cascade.Cascades(
                 quality.Estimates(router.now_ms), latencies, rng.random
             ),
-            ratings=ratings.Client(session, conf.platform.ratings_url),
+            ratings=rater,
+            observations=observations.Observations(
+                log_client, rater, held.current, rng
+            ),
             answers=answers.HeldAnswers(conf.limits.held_answers_bytes),
             explanations=explanations.Explanations(),
             load=router.Load(conf.limits.requests),
@@ -84,29 +90,31 @@
             rng=rng,
         )
         self.shared = shared
-        await self.add_runtime_dependency(
-            reports.Reports(conf, shared.fleet, known, daemons, shared.watch)
-        )
-        await self.add_runtime_dependency(known)
-        await self.add_runtime_dependency(
-            follower.Follower(log_client, shared.store)
-        )
-        peering_parts = peering.Peering(conf, shared.store, known, daemons)
-        await self.add_runtime_dependency(peering_parts.client())
-        await self.add_runtime_dependency(
-            peering_parts.snapshot_writer(log_client)
-        )
-        await self.add_runtime_dependency(shared.ledger)
-        await self.add_runtime_dependency(self._peer_server(shared))
-        await self.add_runtime_dependency(self._admin(shared))
-        if conf.listen is not None:
-            await self.add_runtime_dependency(
-                servers.HttpServer(
-                    front.make_app(shared),
-                    conf.listen,
-                    conf.limits.header_bytes,
+        exchange = peering.Peering(conf, held, known, daemons)
+        parts: list[mode.ServiceT] = [
+            reports.Reports(conf, shared.fleet, known, daemons, shared.watch),
+            known,
+            follower.Follower(log_client, held),
+            exchange.client(),
+            exchange.snapshot_writer(log_client),
+            shared.ledger,
+            shared.observations,
+            control.RolloutControl(
+                control.Collaborators(
+                    client=log_client,
+                    rater=rater,
+                    weights=weights.Client(session, conf.platform.weights_url),
+                    held=held,
+                    fleet=shared.fleet,
+                    daemons=daemons,
                 )
-            )
+            ),
+            self._peer_server(shared),
+            self._admin(shared),
+            *self._front(shared),
+        ]
+        for part in parts:
+            await self.add_runtime_dependency(part)
 
     async def on_shutdown(self) -> None:
         """Close the HTTP session when nothing uses it any more."""
@@ -130,6 +138,17 @@
         await self.shared.settlements.finish()
         await self.shared.daemons.close()
 
+    def _front(self, shared: router.Router) -> list[mode.ServiceT]:
+        if self._conf.listen is None:
+            return []
+        return [
+            servers.HttpServer(
+                front.make_app(shared),
+                self._conf.listen,
+                self._conf.limits.header_bytes,
+            )
+        ]
+
     def _peer_server(self, shared: router.Router) -> servers.GrpcServer:
         servicer = peering.PeerServicer(shared.store, lambda: _status(shared))
         return servers.GrpcServer(
--- a/packages/daemon/src/yuccarouter/rollout/collectors.py
+++ b/packages/daemon/src/yuccarouter/rollout/collectors.py
@@ -61,9 +61,10 @@
         """Follow a roll-out, and ask for new evidence of no harm."""
         version = f'{rollout.model}@{rollout.version}'
         followed = self._followed.get(rollout.name)
-        if followed is None or followed.baseline != rollout.baseline:
+        baseline = f'{rollout.model}@{rollout.baseline}'
+        if followed is None or followed.baseline != baseline:
             followed = _Followed(
-                version, rollout.baseline, evidence_module.Collector(self.kinds)
+                version, baseline, evidence_module.Collector(self.kinds)
             )
             self._followed[rollout.name] = followed
         followed.collector.start_step(rollout.step, self.clock_ms())
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/rollout/control.py
@@ -0,0 +1,105 @@
+"""Control of roll-outs by the one process that holds their lease."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+import mode
+
+from yuccarouter.rollout import (
+    collectors,
+    controller,
+    feed,
+    lease,
+    loading,
+)
+from yuccarouter_common import publish
+from yuccarouter_common.platform import errors as platform_errors
+
+if TYPE_CHECKING:
+    from yuccarouter.configuration import store
+    from yuccarouter.membership import channels
+    from yuccarouter.routing import views
+    from yuccarouter_common import history, records
+    from yuccarouter_common.platform import ratings
+    from yuccarouter_common.platform import weights as weight_store
+
+_NO_NUMBER: Final = -1
+_MS_PER_S: Final = 1000
+
+
+@attrs.frozen
+class Collaborators:
+    """What control of roll-outs works with."""
+
+    client: history.LogClient
+    rater: ratings.Client
+    weights: weight_store.Client
+    held: store.Store
+    fleet: views.Fleet
+    daemons: channels.Channels
+
+
+@attrs.frozen
+class HeldLease:
+    """The lease as the controller asks for it."""
+
+    holder: lease.LeaseHolder
+
+    def fencing_number(self) -> int:
+        """Return the number of the lease, -1 when it is not held."""
+        number = self.holder.fencing_number()
+        return _NO_NUMBER if number is None else number
+
+    def is_valid(self) -> bool:
+        """Return whether the lease is held now."""
+        return self.holder.fencing_number() is not None
+
+
+class RolloutControl(mode.Service):
+    """Competes for the lease, and controls roll-outs while it holds it."""
+
+    def __init__(self, parts: Collaborators) -> None:
+        super().__init__()
+        self._parts = parts
+        self.holder = lease.LeaseHolder(parts.client, loading.LEASE)
+
+    async def on_start(self) -> None:
+        """Start the parts; each acts only while the lease is held."""
+        parts = self._parts
+        held = HeldLease(self.holder)
+        loader = loading.Loading(
+            parts.held.current, parts.fleet, parts.daemons, parts.weights, held
+        )
+        # Kinds are tested on their own from the start on; one that is
+        # configured later counts in the pooled test.
+        collected = collectors.Collectors(
+            tuple(sorted(parts.held.current().kinds)),
+            _wall_clock_ms,
+            loader.is_loaded,
+        )
+        for part in (
+            self.holder,
+            loader,
+            feed.Feed(parts.client, parts.rater, collected),
+            controller.Controller(
+                lease=held,
+                source=collected,
+                configuration=parts.held.current,
+                publish=self._publish,
+            ),
+        ):
+            await self.add_runtime_dependency(part)
+
+    async def _publish(self, record: records.Record) -> Any:
+        try:
+            return await publish.publish(self._parts.client, record)
+        except publish.PublishError as fault:
+            # The controller decides again from the configuration in effect.
+            raise platform_errors.AnswerLostError(fault.message) from fault
+
+
+def _wall_clock_ms() -> int:
+    return int(time.time() * _MS_PER_S)
--- a/packages/daemon/src/yuccarouter/rollout/lease.py
+++ b/packages/daemon/src/yuccarouter/rollout/lease.py
@@ -53,7 +53,7 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-class LeaseHolder(mode.Service):  # type: ignore[misc]
+class LeaseHolder(mode.Service):
     """Tries to hold a lease while it runs.
 
     The log's order and record times decide who holds the lease. The holder
--- a/packages/daemon/tests/request_path/conftest.py
+++ b/packages/daemon/tests/request_path/conftest.py
@@ -25,6 +25,7 @@
     session_versions,
     settlements,
 )
+from yuccarouter.rollout import observations
 from yuccarouter.routing import cascade, latency, quality, retry_budget, views
 from yuccarouter_common import model, settings
 from yuccarouter_common.platform import ratings, vms
@@ -184,22 +185,26 @@
     rating.router.add_post('/ratings', scores.rate)
     rating_server = test_utils.TestServer(rating)
     await rating_server.start_server()
+    rater = ratings.Client(session, str(rating_server.make_url('')).rstrip('/'))
+    held = store.Store()
+    client: Any = log
     shared = router.Router(
         conf=conf,
-        store=store.Store(),
+        store=held,
         fleet=views.Fleet(router.now_ms, rng.random),
         daemons=daemons,
         known=known,
         watch=watch.EndpointWatch(),
-        ledger=ledger.Ledger(log, 1, settled.written),  # type: ignore[arg-type]
+        ledger=ledger.Ledger(client, 1, settled.written),
         settlements=settled,
         budget=retry_budget.RetryBudget(),
         latencies=latencies,
         cascades=cascade.Cascades(
             quality.Estimates(router.now_ms), latencies, rng.random
         ),
-        ratings=ratings.Client(
-            session, str(rating_server.make_url('')).rstrip('/')
+        ratings=rater,
+        observations=observations.Observations(
+            client, rater, held.current, rng
         ),
         answers=answers.HeldAnswers(100_000),
         explanations=explanations.Explanations(),
@@ -211,12 +216,12 @@
     for name in ('e1', 'e2', 'e3', 'e4'):
         shared.fleet.update(_endpoint(name, address))
     app = front.make_app(shared)
-    client = test_utils.TestClient(
+    entry_client = test_utils.TestClient(
         test_utils.TestServer(app, handler_cancellation=True)
     )
-    await client.start_server()
-    yield Entry(client, agent, shared, log, scores)
-    await client.close()
+    await entry_client.start_server()
+    yield Entry(entry_client, agent, shared, log, scores)
+    await entry_client.close()
     await rating_server.close()
     await session.close()
     await daemons.close()
--- a/packages/yuccactl/src/yuccactl/queries.py
+++ b/packages/yuccactl/src/yuccactl/queries.py
@@ -272,7 +272,8 @@
 def _touches(record: records.Record, version: str) -> bool:
     body = record.body
     own = f'{body.get("model", "")}@{body.get("version", "")}'
-    named = {own, body.get('name'), body.get('baseline')}
+    compared = f'{body.get("model", "")}@{body.get("baseline", "")}'
+    named = {own, body.get('name'), compared}
     allowed = body.get('allowed') or ()
     return version in named or version in allowed
 
--- a/packages/yuccactl/src/yuccactl/rollout_orders.py
+++ b/packages/yuccactl/src/yuccactl/rollout_orders.py
@@ -28,7 +28,7 @@
     body = {
         **lookup.version_body(order.version),
         'name': order.version,
-        'baseline': order.baseline,
+        'baseline': baseline.version,
         # The controller takes the first step, so that no caller gets the
         # version while there is no controller to withdraw it.
         'state': 'created',
@@ -55,9 +55,10 @@
             f'roll-out {rollout.name} of the same model is '
             f'{rollout.state}; to end it: withdraw {rollout.name}'
         )
-    if rollout.baseline != order.baseline:
+    compared = f'{rollout.model}@{rollout.baseline}'
+    if compared != order.baseline:
         raise errors.RejectedError(
-            f'{rollout.name} is being rolled out over {rollout.baseline}'
+            f'{rollout.name} is being rolled out over {compared}'
         )
     if rollout.state == 'held':
         instead = statements.Resume(rollout.name)
--- a/packages/yuccactl/tests/test_orders.py
+++ b/packages/yuccactl/tests/test_orders.py
@@ -19,7 +19,7 @@
     'name': 'c@2',
     'model': 'c',
     'version': '2',
-    'baseline': 'c@1',
+    'baseline': '1',
     'state': 'rolling',
     'share': 0.05,
 }
