Pair ratings with the observations that they overtake

Cause: ratings were published before the batch of observations that named their requests, and the controller ignored them; a bad version was never withdrawn. Change: ratings wait for their observation, bounded.

--- a/packages/daemon/src/yuccarouter/roles/entry.py
+++ b/packages/daemon/src/yuccarouter/roles/entry.py
@@ -49,66 +49,29 @@
 
     async def on_start(self) -> None:
         """Build the parts and start them, the callers' port last."""
-        conf = self._conf
         session = aiohttp.ClientSession()
         self._session = session
-        log_client = log.Client(session, conf.platform.log_url)
-        known = directory.Directory(
-            vms.Client(session, conf.platform.vms_url).fetch,
-            conf.timing.vm_list_interval_ms,
-        )
-        rng = random.Random()  # noqa: S311
-        daemons = channels.Channels(conf.secrets.peer_key)
-        settled = settlements.Settlements(daemons)
-        latencies = latency.Latencies(router.now_ms)
-        rater = ratings.Client(session, conf.platform.ratings_url)
-        held = store.Store()
-        shared = router.Router(
-            conf=conf,
-            store=held,
-            fleet=views.Fleet(router.now_ms, rng.random),
-            daemons=daemons,
-            known=known,
-            watch=watch.EndpointWatch(),
-            ledger=ledger.Ledger(
-                log_client, conf.timing.bill_interval_ms, settled.written
-            ),
-            settlements=settled,
-            budget=retry_budget.RetryBudget(),
-            latencies=latencies,
-            cascades=cascade.Cascades(
-                quality.Estimates(router.now_ms), latencies, rng.random
-            ),
-            ratings=rater,
-            observations=observations.Observations(
-                log_client, rater, held.current, rng
-            ),
-            answers=answers.HeldAnswers(conf.limits.held_answers_bytes),
-            explanations=explanations.Explanations(),
-            load=router.Load(conf.limits.requests),
-            pins=session_versions.KnownPins(),
-            rng=rng,
-        )
+        client = log.Client(session, self._conf.platform.log_url)
+        shared = _router(self._conf, session, client)
         self.shared = shared
-        exchange = peering.Peering(conf, held, known, daemons)
+        exchange = peering.Peering(
+            self._conf, shared.store, shared.known, shared.daemons
+        )
         parts: list[mode.ServiceT] = [
-            reports.Reports(conf, shared.fleet, known, daemons, shared.watch),
-            known,
-            follower.Follower(log_client, held),
+            reports.Reports(
+                self._conf,
+                shared.fleet,
+                shared.known,
+                shared.daemons,
+                shared.watch,
+            ),
+            shared.known,
+            follower.Follower(client, shared.store),
             exchange.client(),
-            exchange.snapshot_writer(log_client),
+            exchange.snapshot_writer(client),
             shared.ledger,
             shared.observations,
-            control.RolloutControl(
-                control.Collaborators(
-                    client=log_client,
-                    rater=rater,
-                    weights=weights.Client(session, conf.platform.weights_url),
-                    held=held,
-                    fleet=shared.fleet,
-                    daemons=daemons,
-                )
-            ),
+            self._rollout_control(shared, session, client),
             self._peer_server(shared),
             self._admin(shared),
             *self._front(shared),
@@ -138,6 +101,25 @@
         await self.shared.settlements.finish()
         await self.shared.daemons.close()
 
+    def _rollout_control(
+        self,
+        shared: router.Router,
+        session: aiohttp.ClientSession,
+        client: log.Client,
+    ) -> control.RolloutControl:
+        return control.RolloutControl(
+            control.Collaborators(
+                client=client,
+                rater=shared.ratings,
+                weights=weights.Client(
+                    session, self._conf.platform.weights_url
+                ),
+                held=shared.store,
+                fleet=shared.fleet,
+                daemons=shared.daemons,
+            )
+        )
+
     def _front(self, shared: router.Router) -> list[mode.ServiceT]:
         if self._conf.listen is None:
             return []
@@ -170,6 +152,48 @@
         )
 
 
+def _router(
+    conf: settings.Settings,
+    session: aiohttp.ClientSession,
+    client: log.Client,
+) -> router.Router:
+    rng = random.Random()
+    daemons = channels.Channels(conf.secrets.peer_key)
+    settled = settlements.Settlements(daemons)
+    latencies = latency.Latencies(router.now_ms)
+    rater = ratings.Client(session, conf.platform.ratings_url)
+    held = store.Store()
+    return router.Router(
+        conf=conf,
+        store=held,
+        fleet=views.Fleet(router.now_ms, rng.random),
+        daemons=daemons,
+        known=directory.Directory(
+            vms.Client(session, conf.platform.vms_url).fetch,
+            conf.timing.vm_list_interval_ms,
+        ),
+        watch=watch.EndpointWatch(),
+        ledger=ledger.Ledger(
+            client, conf.timing.bill_interval_ms, settled.written
+        ),
+        settlements=settled,
+        budget=retry_budget.RetryBudget(),
+        latencies=latencies,
+        cascades=cascade.Cascades(
+            quality.Estimates(router.now_ms), latencies, rng.random
+        ),
+        ratings=rater,
+        observations=observations.Observations(
+            client, rater, held.current, rng
+        ),
+        answers=answers.HeldAnswers(conf.limits.held_answers_bytes),
+        explanations=explanations.Explanations(),
+        load=router.Load(conf.limits.requests),
+        pins=session_versions.KnownPins(),
+        rng=rng,
+    )
+
+
 def _why_not_ready(shared: router.Router) -> str:
     if shared.load.is_leaving:
         return 'draining'
--- a/packages/daemon/src/yuccarouter/rollout/feed.py
+++ b/packages/daemon/src/yuccarouter/rollout/feed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -17,6 +18,7 @@
 
 _INTERVAL_S: Final = 0.5
 _WAIT_MS: Final = 500
+_MAX_PAIRS: Final = 20_000
 
 
 @attrs.define
@@ -26,6 +28,59 @@
     offset: int = -1
 
 
+class Pairs:
+    """Hands a rating on after the observation of its request.
+
+    Entries send observations in batches, so that most ratings are published
+    before them; a collector ignores a rating of a request it does not know.
+    """
+
+    def __init__(self, collected: collectors.Collectors) -> None:
+        self._collected = collected
+        self._early: collections.OrderedDict[str, ratings.Rating] = (
+            collections.OrderedDict()
+        )
+        self._observed: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    def observe(self, one: observations.Observation) -> None:
+        """Count a request, and its rating if that came earlier."""
+        self._collected.add_request(one.version, one.request)
+        if not one.request.is_rated:
+            return
+        request_id = one.request.request_id
+        early = self._early.pop(request_id, None)
+        if early is not None:
+            self._add(early)
+            return
+        self._observed[request_id] = None
+        if len(self._observed) > _MAX_PAIRS:
+            self._observed.popitem(last=False)
+
+    def rate(self, rating: ratings.Rating) -> None:
+        """Count a rating now or when its request is observed."""
+        if rating.request_id in self._observed:
+            self._observed.pop(rating.request_id)
+            self._add(rating)
+            return
+        self._early[rating.request_id] = rating
+        if len(self._early) > _MAX_PAIRS:
+            self._early.popitem(last=False)
+
+    def _add(self, rating: ratings.Rating) -> None:
+        self._collected.add_rating(
+            f'{rating.model}@{rating.version}',
+            evidence.Rating(
+                request_id=rating.request_id,
+                kind=rating.kind,
+                is_new=False,
+                score=rating.score,
+                time_ms=rating.time_ms,
+            ),
+        )
+
+
 class Feed(mode.Service):
     """Feeds collectors from the stream ``evidence`` and published ratings.
 
@@ -42,7 +97,7 @@
         super().__init__()
         self._client = client
         self._rater = rater
-        self._collected = collected
+        self._pairs = Pairs(collected)
         self._seen = Cursor()
         self._rated = Cursor()
 
@@ -62,7 +117,7 @@
             except errors.RolloutError:
                 continue
             for one in observed:
-                self._collected.add_request(one.version, one.request)
+                self._pairs.observe(one)
 
     async def read_ratings(self) -> None:
         """Take the ratings published since; raises ``PlatformError``."""
@@ -72,16 +127,7 @@
             return
         for rating in batch.ratings:
             self._rated.offset = rating.offset + 1
-            self._collected.add_rating(
-                f'{rating.model}@{rating.version}',
-                evidence.Rating(
-                    request_id=rating.request_id,
-                    kind=rating.kind,
-                    is_new=False,
-                    score=rating.score,
-                    time_ms=rating.time_ms,
-                ),
-            )
+            self._pairs.rate(rating)
 
     @mode.Service.task
     async def _follow_observations(self) -> None:
