Let a report's deviation decay within a quarter of the service time

An old report stays attractive too long when four entries steer by it. Change: the trust in a report falls to 1/e in a quarter of the service time instead of the whole; four local candidates instead of three.

--- a/packages/daemon/src/yuccarouter/routing/choice.py
+++ b/packages/daemon/src/yuccarouter/routing/choice.py
@@ -11,7 +11,7 @@
 from yuccarouter.routing import _members, errors, views
 
 # Candidates by distance. What a nearer tier lacks is drawn from the next.
-_LOCAL_SAMPLES: Final = 3
+_LOCAL_SAMPLES: Final = 4
 _REGION_SAMPLES: Final = 2
 _REMOTE_SAMPLES: Final = 1
 
--- a/packages/daemon/src/yuccarouter/routing/views.py
+++ b/packages/daemon/src/yuccarouter/routing/views.py
@@ -21,8 +21,12 @@
 # An agent restarts its sequence at zero. A lower sequence is taken for a
 # restart once the held report is this old, and for a late report before that.
 _RESTART_MS: Final = 3000
-# Used instead of the service time while none is reported.
-_TRUST_MS: Final = 2000
+# A deviation from the pool's mean decays faster than requests end, because all
+# entries steer against it. The share of the service time was chosen by p99 time
+# to first token, see docs/decisions/endpoint-choice.md.
+_TRUST_SHARE: Final = 0.25
+# Used while no service time is reported.
+_DEFAULT_SERVICE_MS: Final = 2000
 
 
 @attrs.frozen
@@ -198,8 +202,8 @@
         others = max(0, view.load - own_at_report)
         mean = max(0, pool.load - pool.own) / max(1, pool.limit) * view.limit
         age_ms = max(0, self._now_ms() - view.measured_ms)
-        # A deviation from the mean lasts about as long as a request.
-        trust = math.exp(-age_ms / (view.service_time_ms or _TRUST_MS))
+        service_ms = view.service_time_ms or _DEFAULT_SERVICE_MS
+        trust = math.exp(-age_ms / (_TRUST_SHARE * service_ms))
         return evidence.in_flight + mean + (others - mean) * trust
 
     @property
--- a/packages/daemon/tests/routing/test_choice.py
+++ b/packages/daemon/tests/routing/test_choice.py
@@ -69,6 +69,13 @@
             {'cache': -1},
             {'prefixes': (5,)},
         ),
+        # A cache does not attract requests that would have to queue for it.
+        (
+            {'prefixes': frozenset([5]), 'in_flight': 8},
+            {'in_flight': 7},
+            {},
+            {'prefixes': (5,)},
+        ),
         ({}, {}, {}, {'session_endpoint': 'better'}),
         ({}, {'in_flight': 8}, {}, {'excluded': frozenset(['worse'])}),
         ({'data_centre': 'out'}, {'queued': 50}, {}, {}),
--- a/packages/daemon/tests/routing/test_fleet.py
+++ b/packages/daemon/tests/routing/test_fleet.py
@@ -99,6 +99,21 @@
         for name, count in self.own.items():
             assert self.fleet.evidence(name).in_flight == count
 
+    @stateful.rule(
+        name=st.sampled_from(_NAMES),
+        prefixes=st.frozensets(st.integers(1, 3)),
+    )
+    def change_cache(self, name: str, prefixes: frozenset[int]) -> None:
+        if name in self.naive:
+            self.sequence += 1
+            self.naive[name] = attrs.evolve(
+                self.naive[name],
+                prefixes=prefixes,
+                received_ms=self.now_ms,
+                sequence=self.sequence,
+            )
+            assert self.fleet.update(self.naive[name])
+
     @stateful.rule(name=st.sampled_from(_NAMES), zone=st.sampled_from(_ZONES))
     def replace_vm(self, name: str, zone: str) -> None:
         held = self.naive.get(name)
--- a/packages/daemon/tests/routing/test_retries.py
+++ b/packages/daemon/tests/routing/test_retries.py
@@ -145,5 +145,6 @@
     assert latencies.count('k') == 2
     now[0] = 62_000
     assert latencies.count('k') == 1
+    latencies.record('k', 10)
     now[0] = 200_000
     assert latencies.quantile_ms('k', 0.5) is None
