--- a/packages/daemon/src/yuccarouter/routing/choice.py
+++ b/packages/daemon/src/yuccarouter/routing/choice.py
@@ -30,8 +30,11 @@
 # Part of a prompt that the cache of a session's last endpoint likely holds.
 _SESSION_SHARE: Final = 0.8
 
-# Hint for a caller when no backoff is about to end.
+# Hint for a caller when no endpoint is in backoff, and the bounds of the hint
+# otherwise: the next endpoint to return may be of another pool.
 _RETRY_AFTER_MS: Final = 1000
+_MIN_RETRY_AFTER_MS: Final = 100
+_MAX_RETRY_AFTER_MS: Final = 2000
 
 _DEFAULT_WEIGHTS: Final = model.Weights()
 
@@ -136,6 +139,7 @@
 
 def _no_endpoint(fleet: views.Fleet, request: Request) -> errors.RoutingError:
     hint_ms = math.ceil(fleet.retry_after_ms()) or _RETRY_AFTER_MS
+    hint_ms = min(_MAX_RETRY_AFTER_MS, max(_MIN_RETRY_AFTER_MS, hint_ms))
     return errors.RoutingError(
         f'no endpoint of pool {request.pool!r} can run {request.version!r}',
         code='no_endpoint',
--- a/packages/daemon/tests/routing/test_choice.py
+++ b/packages/daemon/tests/routing/test_choice.py
@@ -8,6 +8,7 @@
 
 import pytest
 from yuccarouter_common import model
+from yuccarouter_testkit.bench import _first_token
 
 from yuccarouter.routing import choice, errors, views
 
@@ -118,6 +119,21 @@
     assert raised.value.retry_after_ms > 0
 
 
+@pytest.mark.parametrize(
+    ('now_ms', 'expected_ms'), [(0, 250), (249, 100), (-9000, 2000)]
+)
+def test_hint_follows_the_backoff(now_ms: float, expected_ms: int) -> None:
+    """Guards against hints that make rejected callers return in a loop."""
+    now = [0.0]
+    fleet = views.Fleet(lambda: now[0], lambda: 0)
+    fleet.update(_view('e'))
+    fleet.failed('e')
+    now[0] = now_ms
+    with pytest.raises(errors.RoutingError) as raised:
+        choice.choose(fleet, _REQUEST, _configuration(), 0, random.random)
+    assert raised.value.retry_after_ms == expected_ms
+
+
 def test_failures_count_by_weight() -> None:
     """Guards against an endpoint that fails fast looking the least loaded."""
     fleet = _fleet([_view('bad'), _view('good', in_flight=4)])
@@ -169,3 +185,10 @@
             counts[chosen.endpoint] += 1
     # The share of the idle endpoint in the samples bounds its share of work.
     assert counts['e0'] <= 0.25 * 500
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_first_token_against_round_robin(seed: int) -> None:
+    """Guards against choices by old reports that are worse than no choice."""
+    shape = _first_token.Shape(service_ms=400, limit=8)
+    assert _first_token.run(seed, shape)['ratio'] <= 0.6
