--- /dev/null
+++ b/packages/testkit/src/yuccarouter_testkit/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each module has ``run(seed) -> dict``."""
