Drop reports that were buffered during a pause

Cause: after a pause of this process its streams hold reports that look new, and the silence meanwhile looks like lost agents.

Reports and digests check after each read, drop the stream and open another. Entry.pauses offers the watch to a lease holder.

Conclusion: views from before the pause stay in use until a fresh report comes, since agents enforce their own limits and an empty fleet would reject requests.

--- a/packages/daemon/src/yuccarouter/membership/remote.py
+++ b/packages/daemon/src/yuccarouter/membership/remote.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from yuccarouter.membership import channels, directory
+    from yuccarouter.membership import channels, directory, pause
     from yuccarouter_common import settings
     from yuccarouter_common.platform import vms
 
@@ -75,12 +75,14 @@
         fleet: views.Fleet,
         known: directory.Directory,
         daemons: channels.Channels,
+        pauses: pause.PauseWatch,
         now_ms: Callable[[], float] = _now_ms,
     ) -> None:
         super().__init__()
         self._conf = conf
         self._fleet = fleet
         self._daemons = daemons
+        self._pauses = pauses
         self._now_ms = now_ms
         self._centres: dict[str, _Centre] = {}
         self._remote_agents = 0
@@ -149,8 +151,10 @@
     async def _read_digests(self, centre: _Centre, address: str) -> str:
         """Read digests until the stream ends; return why it ended.
 
-        The text is empty when another source or other shares are wanted.
+        The text is empty when another source or other shares are wanted, and
+        after a pause of this process, as for reports.
         """
+        pauses = self._pauses.count
         shares = self.shares()
         call = self._daemons.at(address).peer.Endpoints(
             router_pb2.EndpointsRequest(
@@ -167,6 +171,9 @@
         try:
             while self.shares() == shares and address in centre.sources:
                 digest = await reports.read(call, _SILENCE_S)
+                self._pauses.check()
+                if pauses != self._pauses.count:
+                    return ''
                 if digest is None:
                     return 'no digest in time'
                 if digest is aio.EOF:
--- a/packages/daemon/src/yuccarouter/membership/reports.py
+++ b/packages/daemon/src/yuccarouter/membership/reports.py
@@ -17,7 +17,7 @@
 from yuccarouter_common.proto import router_pb2
 
 if TYPE_CHECKING:
-    from yuccarouter.membership import channels
+    from yuccarouter.membership import channels, pause
     from yuccarouter.membership import watch as watches
     from yuccarouter_common import settings
     from yuccarouter_common.platform import vms
@@ -54,6 +54,9 @@
     Silence and a broken stream take the endpoint out of the fleet, whatever
     the VM list says. An agent that is missing from the list is followed until
     its stream ends, since the list may be wrong.
+
+    After a pause of this process the streams hold reports that look new, so
+    they are dropped with their streams, and silence before it does not count.
     """
 
     def __init__(
@@ -63,12 +66,14 @@
         known: directory.Directory,
         daemons: channels.Channels,
         watch: watches.EndpointWatch,
+        pauses: pause.PauseWatch,
     ) -> None:
         super().__init__()
         self._conf = conf
         self._fleet = fleet
         self._daemons = daemons
         self._watch = watch
+        self._pauses = pauses
         self._followers: dict[str, _Follower] = {}
         self._uses_digests = False
         self._interval_ms = conf.timing.report_interval_ms
@@ -175,8 +180,10 @@
     async def _read_reports(self, follower: _Follower) -> str:
         """Read reports until the stream ends; return why it ended.
 
-        The text is empty when another interval is wanted.
+        The text is empty when another stream is wanted: for another interval
+        or after a pause of this process.
         """
+        pauses = self._pauses.count
         interval_ms = self._interval_ms
         shortest_ms = self._conf.timing.report_interval_ms
         call = self._daemons.at(follower.vm.address).stub.Reports(
@@ -190,6 +197,9 @@
         try:
             while interval_ms == self._interval_ms:
                 report = await read(call, _silence_s(interval_ms))
+                self._pauses.check()
+                if pauses != self._pauses.count:
+                    return ''
                 if report is None:
                     return 'no report in time'
                 if report is aio.EOF:
--- a/packages/daemon/src/yuccarouter/roles/entry.py
+++ b/packages/daemon/src/yuccarouter/roles/entry.py
@@ -17,6 +17,7 @@
     channels,
     digests,
     directory,
+    pause,
     peer_service,
     remote,
     reports,
@@ -53,6 +54,8 @@
         self._spans = spans
         self._session: aiohttp.ClientSession | None = None
         self.shared: router.Router | None = None
+        # Also for whoever holds a lease in this process.
+        self.pauses = pause.PauseWatch()
 
     async def on_start(self) -> None:
         """Build the parts and start them, the callers' port last."""
@@ -88,8 +91,13 @@
         )
         self.shared = shared
         for part in (
-            reports.Reports(conf, shared.fleet, known, daemons, shared.watch),
-            remote.RemoteEndpoints(conf, shared.fleet, known, daemons),
+            self.pauses,
+            reports.Reports(
+                conf, shared.fleet, known, daemons, shared.watch, self.pauses
+            ),
+            remote.RemoteEndpoints(
+                conf, shared.fleet, known, daemons, self.pauses
+            ),
             known,
             self._peer_server(shared),
         ):
--- a/packages/daemon/tests/membership/conftest.py
+++ b/packages/daemon/tests/membership/conftest.py
@@ -11,7 +11,7 @@
 import pytest
 from grpc import aio
 
-from yuccarouter.membership import directory, reports, watch
+from yuccarouter.membership import directory, pause, reports, watch
 from yuccarouter.routing import views
 from yuccarouter_common import settings
 from yuccarouter_common.platform import errors, vms
@@ -115,13 +115,21 @@
     conf: settings.Settings = attrs.field(
         factory=lambda: settings.parse(_SETTINGS)
     )
+    now_ms: float = 0
     known: directory.Directory = attrs.field(init=False)
+    pauses: pause.PauseWatch = attrs.field(init=False)
     reports: reports.Reports = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.known = directory.Directory(self.fetch, 1000)
+        self.pauses = pause.PauseWatch(750, (lambda: self.now_ms,))
         self.reports = reports.Reports(
-            self.conf, self.fleet, self.known, self.daemons, self.watch
+            self.conf,
+            self.fleet,
+            self.known,
+            self.daemons,
+            self.watch,
+            self.pauses,
         )
 
     vm = staticmethod(vm)
--- a/packages/daemon/tests/membership/test_digests.py
+++ b/packages/daemon/tests/membership/test_digests.py
@@ -82,7 +82,7 @@
     conf: Any = type('Conf', (), {'name': 'me', 'data_centre': 'a'})()
     receiver = views.Fleet(lambda: now_ms[0], random.Random(seed).random)
     following = remote.RemoteEndpoints(
-        conf, receiver, known, known, lambda: now_ms[0]
+        conf, receiver, known, known, known, lambda: now_ms[0]
     )
     source = digests.Source(
         'b', sender, known, lambda: now_ms[0], lambda: int(now_ms[0])
@@ -152,7 +152,12 @@
     monkeypatch.setattr(remote, '_RETRY_DELAY_S', 0)
     now_ms = [0.0]
     following = remote.RemoteEndpoints(
-        world.conf, world.fleet, world.known, world.daemons, lambda: now_ms[0]
+        world.conf,
+        world.fleet,
+        world.known,
+        world.daemons,
+        world.pauses,
+        lambda: now_ms[0],
     )
     await world.list(*_large_fleet())
     digest = router_pb2.EndpointDigest(
