Gather bill rows of a data centre into one append

Cause: 400 entries that each append bills every 200 ms make up to 2000 appends a second; the log takes several hundred.

Above 20 live entries, each data centre's entries send their batches to one of them (Peer.Append), which appends them in one record every 250 ms. A sender without a good answer appends by itself and passes that relay over for 10 s. Below that number nothing changes.

Conclusion: rows may be in the log twice after a lost answer; readers keep the first row of a request id.

--- a/packages/daemon/src/yuccarouter/billing/ledger.py
+++ b/packages/daemon/src/yuccarouter/billing/ledger.py
@@ -5,7 +5,7 @@
 import asyncio
 import collections
 import uuid
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final, Protocol
 
 import eliot
 import mode
@@ -22,6 +22,22 @@
 
     Written = Callable[[list[billing_rows.BillRow]], Awaitable[None]]
 
+    class LogClient(Protocol):
+        """What billing uses of the log; raises as ``log.Client`` does."""
+
+        async def append(
+            self, stream: str, append_id: str, payload: Any
+        ) -> log.Appended: ...
+
+        async def read(
+            self, stream: str, start: int, *, limit: int
+        ) -> log.Batch: ...
+
+        async def find(
+            self, stream: str, append_id: str, start: int
+        ) -> log.Appended | None: ...
+
+
 # An entry that carries 13.5 requests/s, its share at the target scale, fills
 # this in two hours of log outage; the rows take about 30 MB.
 _MAX_HELD_ROWS: Final = 100_000
@@ -49,7 +65,7 @@
 
     def __init__(
         self,
-        client: log.Client,
+        client: LogClient,
         interval_ms: int,
         written: Written,
         max_held_rows: int = _MAX_HELD_ROWS,
--- a/packages/daemon/src/yuccarouter/membership/peer_service.py
+++ b/packages/daemon/src/yuccarouter/membership/peer_service.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from yuccarouter.membership import relay
 from yuccarouter_common.proto import router_pb2_grpc
 
 if TYPE_CHECKING:
@@ -14,10 +15,13 @@
 
 
 class PeerService(router_pb2_grpc.PeerServicer):
-    """Serves digests of this data centre's endpoints."""
+    """Serves digests of this data centre's endpoints and gathers appends."""
 
-    def __init__(self, source: digests.Source) -> None:
+    def __init__(
+        self, source: digests.Source, gatherer: relay.Gatherer
+    ) -> None:
         self._source = source
+        self._gatherer = gatherer
 
     async def Endpoints(  # noqa: N802
         self, request: router_pb2.EndpointsRequest, context: Any
@@ -25,3 +29,9 @@
         """Stream digests of the endpoints of this data centre."""
         async for digest in self._source.stream(request, context):
             yield digest
+
+    async def Append(  # noqa: N802
+        self, request: router_pb2.AppendRequest, context: Any
+    ) -> router_pb2.AppendReply:
+        """Append a payload together with those of other senders."""
+        return await relay.serve(self._gatherer, request)
--- a/packages/daemon/src/yuccarouter/roles/entry.py
+++ b/packages/daemon/src/yuccarouter/roles/entry.py
@@ -19,6 +19,7 @@
     directory,
     pause,
     peer_service,
+    relay,
     remote,
     reports,
     watch,
@@ -70,6 +71,7 @@
         rng = random.Random()  # noqa: S311
         daemons = channels.Channels(conf.secrets.peer_key)
         settled = settlements.Settlements(daemons)
+        gatherer = relay.Gatherer(log_client)
         shared = router.Router(
             conf=conf,
             store=store.Store(),
@@ -78,7 +80,9 @@
             known=known,
             watch=watch.EndpointWatch(),
             ledger=ledger.Ledger(
-                log_client, conf.timing.bill_interval_ms, settled.written
+                relay.RelayedLog(conf, log_client, gatherer, known, daemons),
+                conf.timing.bill_interval_ms,
+                settled.written,
             ),
             settlements=settled,
             budget=retry_budget.RetryBudget(),
@@ -99,7 +103,8 @@
                 conf, shared.fleet, known, daemons, self.pauses
             ),
             known,
-            self._peer_server(shared),
+            gatherer,
+            self._peer_server(shared, gatherer),
         ):
             await self.add_runtime_dependency(part)
         await self.add_runtime_dependency(
@@ -136,14 +141,17 @@
         await self.shared.settlements.finish()
         await self.shared.daemons.close()
 
-    def _peer_server(self, shared: router.Router) -> servers.GrpcServer:
+    def _peer_server(
+        self, shared: router.Router, gatherer: relay.Gatherer
+    ) -> servers.GrpcServer:
         served = peer_service.PeerService(
             digests.Source(
                 self._conf.data_centre,
                 shared.fleet,
                 shared.known,
                 router.now_ms,
-            )
+            ),
+            gatherer,
         )
         return servers.GrpcServer(
             self._conf.peer,
--- a/packages/daemon/tests/membership/test_digests.py
+++ b/packages/daemon/tests/membership/test_digests.py
@@ -191,9 +191,10 @@
 async def test_digests_over_grpc(world: Any) -> None:
     """Guards against an uninformed entry that empties the others' fleets."""
     source = digests.Source('a', world.fleet, world.known, lambda: 0)
+    unused: Any = None
     server = aio.server()
     router_pb2_grpc.add_PeerServicer_to_server(
-        peer_service.PeerService(source), server
+        peer_service.PeerService(source, unused), server
     )
     port = server.add_insecure_port('127.0.0.1:0')
     await server.start()
--- /dev/null
+++ b/packages/daemon/tests/membership/test_relay.py
@@ -0,0 +1,203 @@
+"""Tests of gathering bill rows against appends without a relay."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+from typing import Any
+
+import grpc
+import pytest
+from grpc import aio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from yuccarouter.billing import ledger
+from yuccarouter.membership import relay
+from yuccarouter_common import billing_rows
+from yuccarouter_common.platform import vms
+from yuccarouter_testkit import memory_log
+
+_SENDERS = 3
+
+
+def _row(request_id: str) -> billing_rows.BillRow:
+    return billing_rows.BillRow(
+        request_id, 'o', 'm', '1', 'k', 1, 2, 3, 'e', f'a-{request_id}', 0
+    )
+
+
+class _Network:
+    """Entries of one data centre that reach each other as set up.
+
+    A call may fail before or after it took effect, and a relay may be dead,
+    or die while it appends.
+    """
+
+    metadata = ()
+
+    def __init__(self, client: Any, entries: int = 21) -> None:
+        self.log = client
+        self.fault = ''
+        self.dead: set[str] = set()
+        self.listed = [
+            vms.Vm(f'v{n}', f'v{n}:1', 'a', vms.State.LIVE, 'entry')
+            for n in range(entries)
+        ]
+        self.gatherers = {
+            vm.address: relay.Gatherer(client) for vm in self.listed
+        }
+        self.written: list[str] = []
+        self.now_s = 0.0
+        self.ledgers = [self._ledger(n) for n in range(_SENDERS)]
+
+    def live(self, role: str) -> list[vms.Vm]:
+        return [vm for vm in self.listed if vm.role == role]
+
+    def at(self, address: str) -> Any:
+        async def append(request: Any, **_: Any) -> Any:
+            fault = self.fault
+            self.fault = ''
+            if address in self.dead or fault == 'refused':
+                raise _rpc_error()
+            if fault == 'relay dies':
+                self.dead.add(address)
+                raise _rpc_error()
+            reply = await relay.serve(self.gatherers[address], request)
+            if fault == 'answer lost' or address in self.dead:
+                raise _rpc_error()
+            return reply
+
+        return types.SimpleNamespace(peer=types.SimpleNamespace(Append=append))
+
+    def _ledger(self, number: int) -> ledger.Ledger:
+        address = f'v{number}:1'
+        conf: Any = types.SimpleNamespace(data_centre='a', peer=address)
+        network: Any = self
+        made = ledger.Ledger(
+            relay.RelayedLog(
+                conf,
+                self.log,
+                self.gatherers[address],
+                network,
+                network,
+                lambda: self.now_s,
+            ),
+            1,
+            self._note,
+        )
+        made.retry_delay_s = 0
+        return made
+
+    async def _note(self, rows: list[billing_rows.BillRow]) -> None:
+        self.written += [row.request_id for row in rows]
+
+    async def run(self) -> None:
+        """Let the ledgers and the live relays work for a while."""
+        flushes = [asyncio.create_task(held.flush()) for held in self.ledgers]
+        while not all(flush.done() for flush in flushes):
+            for address, gatherer in self.gatherers.items():
+                if address not in self.dead:
+                    await gatherer.flush()
+            await asyncio.sleep(0)
+        await asyncio.gather(*flushes)
+
+
+def _rpc_error() -> aio.AioRpcError:
+    return aio.AioRpcError(
+        grpc.StatusCode.UNAVAILABLE, aio.Metadata(), aio.Metadata()
+    )
+
+
+_STEP = st.one_of(
+    st.tuples(st.just('add'), st.integers(0, _SENDERS - 1)),
+    st.tuples(
+        st.sampled_from(
+            (
+                'refused',
+                'relay dies',
+                'answer lost',
+                'lose',
+                'delay',
+                'deliver',
+                'outage',
+                'wait',
+                'flush',
+            )
+        ),
+        st.just(0),
+    ),
+)
+
+
+@settings(deadline=None, max_examples=60)
+@given(steps=st.lists(_STEP, max_size=30))
+async def test_every_row_counts_once_with_a_relay(steps: list[Any]) -> None:
+    """Guards against rows lost or doubled when relay or log fail.
+
+    The naive version appends each row by itself to another log.
+    """
+    client = memory_log.MemoryLog()
+    naive = memory_log.MemoryLog()
+    network = _Network(client)
+    for number, (step, sender) in enumerate([*steps, ('flush', 0)]):
+        if step == 'add':
+            row = _row(f'r{number}')
+            network.ledgers[sender].add(row)
+            naive.add('billing', row.request_id, billing_rows.payload_of([row]))
+        elif step == 'lose':
+            client.lose_answers += 1
+        elif step == 'delay':
+            client.delay_appends += 1
+        elif step == 'deliver':
+            client.deliver_late()
+        elif step == 'wait':
+            network.now_s += 20
+            network.dead.clear()
+        elif step == 'outage':
+            client.down = True
+            running = asyncio.create_task(network.run())
+            for _ in range(20):
+                await asyncio.sleep(0)
+            client.down = False
+            await running
+        elif step == 'flush':
+            await network.run()
+        else:
+            network.fault = step
+    client.deliver_late()
+    counted, expected = (
+        billing_rows.first_rows(
+            entry.payload for entry in held.stream('billing').entries
+        )
+        for held in (client, naive)
+    )
+    assert counted == expected
+    assert sorted(network.written) == sorted(expected)
+
+
+@pytest.mark.parametrize(
+    ('entries', 'appends'), [(relay._MIN_ENTRIES, 3), (21, 1)]
+)
+async def test_appends_by_number_of_entries(entries: int, appends: int) -> None:
+    """Guards against one append for each entry of a large fleet."""
+    client = memory_log.MemoryLog()
+    network = _Network(client, entries)
+    for number, held in enumerate(network.ledgers):
+        held.add(_row(f'r{number}'))
+    await network.run()
+    assert client.appends == appends
+    assert sorted(network.written) == ['r0', 'r1', 'r2']
+
+
+async def test_stopping_relay_answers_its_senders() -> None:
+    """Guards against senders that wait for a relay which has shut down."""
+    client: Any = memory_log.MemoryLog()
+    gatherer = relay.Gatherer(client)
+    waiting = asyncio.create_task(gatherer.append({'rows': ['x']}))
+    await asyncio.sleep(0)
+    await gatherer.stop()
+    await waiting
+    assert client.appends == 1
+    with pytest.raises(relay.errors.UnavailableError):
+        await gatherer.append({'rows': ['y']})
