--- a/packages/daemon/src/yuccarouter/membership/digests.py
+++ b/packages/daemon/src/yuccarouter/membership/digests.py
@@ -92,7 +92,7 @@
         for endpoint in lost:
             told.pop(endpoint)
             made.add_lost(endpoint)
-        return made.message
+        return made.finish()
 
     def _local(self) -> list[views.EndpointView]:
         return [
@@ -107,13 +107,13 @@
         self.message = router_pb2.EndpointDigest(data_centre=data_centre)
         self._now_ms = now_ms
         self._pools: dict[str, int] = {}
+        # Indexes into the message's pools.
+        self._places: dict[str, int] = {}
         self._sets: dict[tuple[str, ...], int] = {}
 
     def count(self, view: views.EndpointView) -> None:
-        place = self._pools.setdefault(view.pool, len(self._pools))
-        if place == len(self.message.pools):
-            self.message.pools.add(pool=view.pool)
-        self.message.pools[place].endpoints += 1
+        """Count an endpoint of its pool."""
+        self._pools[view.pool] = self._pools.get(view.pool, 0) + 1
 
     def add(self, view: views.EndpointView, *, is_sampled: bool) -> None:
         version_set = self._sets.setdefault(view.versions, len(self._sets))
@@ -123,7 +123,7 @@
             endpoint=view.endpoint,
             vm=view.vm,
             address=view.address,
-            pool=self._pools[view.pool],
+            pool=self._places.setdefault(view.pool, len(self._places)),
             state=view.state,
             limit=view.limit,
             in_flight=view.in_flight,
@@ -136,5 +136,13 @@
             is_sampled=is_sampled,
         )
 
+    def finish(self) -> router_pb2.EndpointDigest:
+        """Return the digest with the counts of its pools."""
+        for pool in self._pools:
+            self._places.setdefault(pool, len(self._places))
+        for placed in self._places:
+            self.message.pools.add(pool=placed, endpoints=self._pools[placed])
+        return self.message
+
     def add_lost(self, endpoint: str) -> None:
         self.message.endpoints.add(endpoint=endpoint, state=views.DOWN)
--- a/packages/daemon/src/yuccarouter/membership/remote.py
+++ b/packages/daemon/src/yuccarouter/membership/remote.py
@@ -197,8 +197,10 @@
                 centre.fed[shown.endpoint] = shown.vm
             # A change of state also tells of an endpoint that is followed
             # directly. One that is lost has no VM and is not sampled.
-            is_held = self._fleet.find(shown.endpoint) is not None
-            if shown.is_sampled or (is_held and shown.vm):
+            held = self._fleet.find(shown.endpoint)
+            is_wanted = shown.is_sampled or (held is not None and shown.vm)
+            # Most endpoints have not reported again since the last digest.
+            if is_wanted and not _is_held(shown, held):
                 self._fleet.update(view_of(digest, shown, self._now_ms()))
         self._keep_only(centre, sampled)
 
@@ -210,6 +212,15 @@
                 self._fleet.remove(endpoint)
 
 
+def _is_held(
+    shown: router_pb2.DigestEndpoint, held: views.EndpointView | None
+) -> bool:
+    return held is not None and (held.vm, held.sequence) == (
+        shown.vm,
+        shown.sequence,
+    )
+
+
 def view_of(
     digest: router_pb2.EndpointDigest,
     shown: router_pb2.DigestEndpoint,
