--- a/packages/daemon/src/yuccarouter/roles/entry.py
+++ b/packages/daemon/src/yuccarouter/roles/entry.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import functools
-import random
 from typing import TYPE_CHECKING, Any, Final
 
 import aiohttp
@@ -12,23 +11,12 @@
 import eliot
 import mode
 
-from yuccarouter.billing import ledger
-from yuccarouter.configuration import follower, store
-from yuccarouter.membership import channels, directory, reports, watch
-from yuccarouter.request_path import (
-    answers,
-    explanations,
-    front,
-    router,
-    session_versions,
-    settlements,
-)
-from yuccarouter.rollout import control, observations
-from yuccarouter.roles import admin, peering, servers
-from yuccarouter.routing import cascade, latency, quality, retry_budget, views
-from yuccarouter_common.platform import log, ratings, vms, weights
+from yuccarouter.request_path import front, router
+from yuccarouter.roles import admin, entry_parts, peering, servers
 
 if TYPE_CHECKING:
+    from yuccarouter.membership import peer_service
+    from yuccarouter.routing import views
     from yuccarouter_common import settings, telemetry
 
 _MS_PER_S: Final = 1000
@@ -51,33 +39,16 @@
         """Build the parts and start them, the callers' port last."""
         session = aiohttp.ClientSession()
         self._session = session
-        client = log.Client(session, self._conf.platform.log_url)
-        shared = _router(self._conf, session, client)
+        parts = entry_parts.wire(self._conf, session)
+        shared = parts.shared
         self.shared = shared
-        exchange = peering.Peering(
-            self._conf, shared.store, shared.known, shared.daemons
-        )
-        parts: list[mode.ServiceT] = [
-            reports.Reports(
-                self._conf,
-                shared.fleet,
-                shared.known,
-                shared.daemons,
-                shared.watch,
-            ),
-            shared.known,
-            follower.Follower(client, shared.store),
-            exchange.client(),
-            exchange.snapshot_writer(client),
-            shared.ledger,
-            shared.observations,
-            self._rollout_control(shared, session, client),
-            self._peer_server(shared),
+        for service in (
+            *parts.services,
+            self._peer_server(shared, parts.members),
             self._admin(shared),
             *self._front(shared),
-        ]
-        for part in parts:
-            await self.add_runtime_dependency(part)
+        ):
+            await self.add_runtime_dependency(service)
 
     async def on_shutdown(self) -> None:
         """Close the HTTP session when nothing uses it any more."""
@@ -101,25 +72,6 @@
         await self.shared.settlements.finish()
         await self.shared.daemons.close()
 
-    def _rollout_control(
-        self,
-        shared: router.Router,
-        session: aiohttp.ClientSession,
-        client: log.Client,
-    ) -> control.RolloutControl:
-        return control.RolloutControl(
-            control.Collaborators(
-                client=client,
-                rater=shared.ratings,
-                weights=weights.Client(
-                    session, self._conf.platform.weights_url
-                ),
-                held=shared.store,
-                fleet=shared.fleet,
-                daemons=shared.daemons,
-            )
-        )
-
     def _front(self, shared: router.Router) -> list[mode.ServiceT]:
         if self._conf.listen is None:
             return []
@@ -131,8 +83,12 @@
             )
         ]
 
-    def _peer_server(self, shared: router.Router) -> servers.GrpcServer:
-        servicer = peering.PeerServicer(shared.store, lambda: _status(shared))
+    def _peer_server(
+        self, shared: router.Router, members: peer_service.PeerService
+    ) -> servers.GrpcServer:
+        servicer = peering.PeerServicer(
+            shared.store, lambda: _status(shared), members
+        )
         return servers.GrpcServer(
             self._conf.peer,
             self._conf.secrets.peer_key,
@@ -152,48 +108,6 @@
         )
 
 
-def _router(
-    conf: settings.Settings,
-    session: aiohttp.ClientSession,
-    client: log.Client,
-) -> router.Router:
-    rng = random.Random()
-    daemons = channels.Channels(conf.secrets.peer_key)
-    settled = settlements.Settlements(daemons)
-    latencies = latency.Latencies(router.now_ms)
-    rater = ratings.Client(session, conf.platform.ratings_url)
-    held = store.Store()
-    return router.Router(
-        conf=conf,
-        store=held,
-        fleet=views.Fleet(router.now_ms, rng.random),
-        daemons=daemons,
-        known=directory.Directory(
-            vms.Client(session, conf.platform.vms_url).fetch,
-            conf.timing.vm_list_interval_ms,
-        ),
-        watch=watch.EndpointWatch(),
-        ledger=ledger.Ledger(
-            client, conf.timing.bill_interval_ms, settled.written
-        ),
-        settlements=settled,
-        budget=retry_budget.RetryBudget(),
-        latencies=latencies,
-        cascades=cascade.Cascades(
-            quality.Estimates(router.now_ms), latencies, rng.random
-        ),
-        ratings=rater,
-        observations=observations.Observations(
-            client, rater, held.current, rng
-        ),
-        answers=answers.HeldAnswers(conf.limits.held_answers_bytes),
-        explanations=explanations.Explanations(),
-        load=router.Load(conf.limits.requests),
-        pins=session_versions.KnownPins(),
-        rng=rng,
-    )
-
-
 def _why_not_ready(shared: router.Router) -> str:
     if shared.load.is_leaving:
         return 'draining'
--- a/packages/daemon/src/yuccarouter/roles/peering.py
+++ b/packages/daemon/src/yuccarouter/roles/peering.py
@@ -78,10 +78,29 @@
     """Serves peers' exchanges and operators' status over gRPC."""
 
     def __init__(
-        self, held: store.Store, status: Callable[[], dict[str, Any]]
+        self,
+        held: store.Store,
+        status: Callable[[], dict[str, Any]],
+        members: router_pb2_grpc.PeerServicer | None = None,
     ) -> None:
         super().__init__(held)
         self._status = status
+        # An agent serves no digests and gathers no appends: the generated
+        # class answers that the method is not implemented.
+        self._members = members or router_pb2_grpc.PeerServicer()
+
+    async def Endpoints(  # noqa: N802
+        self, request: router_pb2.EndpointsRequest, context: Any
+    ) -> Any:
+        """Stream digests of the endpoints of this data centre."""
+        async for digest in self._members.Endpoints(request, context):
+            yield digest
+
+    async def Append(  # noqa: N802
+        self, request: router_pb2.AppendRequest, context: Any
+    ) -> Any:
+        """Append a payload together with those of other senders."""
+        return await self._members.Append(request, context)
 
     async def Status(  # noqa: N802
         self, request: router_pb2.StatusRequest, context: Any
