--- a/packages/common/src/yuccarouter_common/telemetry.py
+++ b/packages/common/src/yuccarouter_common/telemetry.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import collections
-import logging
 import sys
 import threading
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
 import eliot
+from absl import logging
 from opentelemetry import context, propagate, trace
 from opentelemetry.sdk import resources
 from opentelemetry.sdk import trace as sdk_trace
@@ -78,7 +78,7 @@
     """Write eliot's messages to standard error, one JSON object a line."""
     eliot.to_file(sys.stderr)
     # Starts and stops of inner services are no changes that operators need.
-    logging.getLogger('mode').setLevel(logging.WARNING)
+    logging.set_verbosity(logging.WARNING)
 
 
 def tracer() -> trace.Tracer:
--- a/packages/daemon/src/yuccarouter/roles/entry.py
+++ b/packages/daemon/src/yuccarouter/roles/entry.py
@@ -51,7 +51,9 @@
             await self.add_runtime_dependency(service)
 
     async def on_shutdown(self) -> None:
-        """Close the HTTP session when nothing uses it any more."""
+        """Close the connections when nothing uses them any more."""
+        if self.shared is not None:
+            await self.shared.daemons.close()
         if self._session is not None:
             await self._session.close()
 
@@ -70,7 +72,6 @@
             await _bounded(load.idle.wait(), timing.drain_limit_ms / _MS_PER_S)
         await _bounded(self.shared.ledger.flush(), _FLUSH_LIMIT_S)
         await self.shared.settlements.finish()
-        await self.shared.daemons.close()
 
     def _front(self, shared: router.Router) -> list[mode.ServiceT]:
         if self._conf.listen is None:
--- a/packages/daemon/tests/test_rollout_controller.py
+++ b/packages/daemon/tests/test_rollout_controller.py
@@ -17,7 +17,7 @@
 
 _LONG_MS = 10**8
 _ROLLING = model.Rollout(
-    'c@2', 'c', '2', 'c@1', state='rolling', step=1, share=0.05
+    'c@2', 'c', '2', '1', state='rolling', step=1, share=0.05
 )
 
 
