--- a/packages/daemon/src/yuccarouter/rollout/policy.py
+++ b/packages/daemon/src/yuccarouter/rollout/policy.py
@@ -83,7 +83,8 @@
     """
     if evidence.harm >= _HARM:
         return Withdraw(
-            f'worse than {rollout.model}@{rollout.baseline} in {evidence.harm_cause} '
+            f'worse than {rollout.model}@{rollout.baseline} '
+            f'in {evidence.harm_cause} '
             f'(e-value {evidence.harm:.0f} after {evidence.sent} compared '
             'requests)'
         )
