--- a/packages/testkit/src/yuccarouter_testkit/demo/deployments.py
+++ b/packages/testkit/src/yuccarouter_testkit/demo/deployments.py
@@ -11,13 +11,15 @@
 class Group:
     """Endpoints of one pool, spread over the data centres in turn.
 
-    ``settings`` are the settings of each endpoint's double.
+    ``settings`` are the settings of each endpoint's double; ``double`` names
+    its module when it is not the usual one.
     """
 
     pool: str
     is_engine: bool
     count: int
     settings: dict[str, object]
+    double: str = ''
 
 
 @attrs.frozen
--- a/packages/testkit/src/yuccarouter_testkit/demo/fleet.py
+++ b/packages/testkit/src/yuccarouter_testkit/demo/fleet.py
@@ -150,7 +150,8 @@
         places = self.deployment.data_centres
         place = places[index % len(places)]
         port = processes.free_port()
-        module = 'engine' if group.is_engine else 'plain_service'
+        usual = 'engine' if group.is_engine else 'plain_service'
+        module = group.double or usual
         process = self.started.start_double(module, name, port, group.settings)
         url = f'http://{_HOST}:{port}'
         await processes.wait_ready(self.session, process, f'{url}/load')
