Close the generators of an attempt where they are used

Cause: grpc's and our own inner generator were left to the event loop's finalizer hook: two tasks and two wake-ups through the loop's socket for each attempt. Change: both are closed with aclosing.

--- a/packages/daemon/src/yuccarouter/request_path/attempt.py
+++ b/packages/daemon/src/yuccarouter/request_path/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
@@ -69,8 +70,11 @@
 
     try:
         with calling(abandon):
-            async for event in _events(call, request.attempt_id):
-                yield event
+            async with contextlib.aclosing(
+                _events(call, request.attempt_id)
+            ) as events:
+                async for event in events:
+                    yield event
     except aio.AioRpcError as fault:
         raise _converted(fault) from fault
     except asyncio.CancelledError:
@@ -85,14 +89,17 @@
 
 async def _events(call: Any, attempt_id: str) -> AsyncGenerator[Event]:
     sequence = 0
-    async for message in call:
-        event = _event(message, attempt_id, sequence)
-        if event is None:
-            continue
-        yield event
-        if isinstance(event, Finished):
-            return
-        sequence += 1
+    # A generator that is not closed here is closed by the event loop's hook,
+    # in a task of its own and after a wake-up by the loop's own socket.
+    async with contextlib.aclosing(aiter(call)) as messages:
+        async for message in messages:
+            event = _event(message, attempt_id, sequence)
+            if event is None:
+                continue
+            yield event
+            if isinstance(event, Finished):
+                return
+            sequence += 1
     raise errors.AttemptLostError('the agent ended the attempt early')
 
 
