Keep the tracer and read only traceparent

Cause: each span asked the library for a new tracer and went through the composite propagator, which also looks for baggage. Change: one tracer for each process; the trace context propagator alone, and none without a traceparent.

--- a/packages/common/src/yuccarouter_common/telemetry.py
+++ b/packages/common/src/yuccarouter_common/telemetry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import functools
 import logging
 import sys
 import threading
@@ -10,9 +11,10 @@
 
 import attrs
 import eliot
-from opentelemetry import context, propagate, trace
+from opentelemetry import context, trace
 from opentelemetry.sdk import resources
 from opentelemetry.sdk import trace as sdk_trace
+from opentelemetry.trace.propagation import tracecontext
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -21,6 +23,10 @@
 _TRACE_ID_FORMAT: Final = '032x'
 _SPAN_ID_FORMAT: Final = '016x'
 _NS_PER_MS: Final = 1_000_000
+# The only form that passes between hops; the library's default also looks for
+# baggage, which nothing here sends.
+_PROPAGATOR: Final = tracecontext.TraceContextTextMapPropagator()
+_NO_PARENT: Final = context.Context()
 
 
 @attrs.frozen
@@ -81,23 +87,29 @@
     logging.getLogger('mode').setLevel(logging.WARNING)
 
 
+@functools.cache
 def tracer() -> trace.Tracer:
-    """Return the tracer of this process."""
+    """Return the tracer of this process.
+
+    It is kept: the library builds a new one for each call, with a warning
+    machinery and an instrumentation scope, several times for each request.
+    """
     return trace.get_tracer('yuccarouter')
 
 
 def traceparent(span: trace.Span) -> str:
     """Return the W3C ``traceparent`` value that names ``span`` as parent."""
     carrier: dict[str, str] = {}
-    propagate.inject(carrier, context=trace.set_span_in_context(span))
+    _PROPAGATOR.inject(carrier, context=trace.set_span_in_context(span))
     return carrier.get('traceparent', '')
 
 
 def parent_context(headers: Mapping[str, str]) -> context.Context:
     """Return the trace context that ``traceparent`` in ``headers`` names."""
-    return propagate.extract(
-        {'traceparent': headers.get('traceparent', '')},
-    )
+    sent = headers.get('traceparent', '')
+    if not sent:
+        return _NO_PARENT
+    return _PROPAGATOR.extract({'traceparent': sent})
 
 
 def trace_id(span: trace.Span) -> str:
