Write the events of one message in one go

Cause: the entry wrote each event of a stream by itself, one system call each, also when the agent had passed several on together. Change: the events of one message are joined before they go to the caller.

--- a/packages/daemon/src/yuccarouter/request_path/streaming.py
+++ b/packages/daemon/src/yuccarouter/request_path/streaming.py
@@ -85,14 +85,17 @@
                 _finish(sending, event, state, last)
                 yield last
                 return
+            # Events that have come together go on in one write.
+            kept = []
             for part in events.split(event.data):
                 if part.is_done:
                     last = part.raw
-                    continue
-                data = _pass_on(part, state)
-                if data:
-                    state.parts.append(data)
-                    yield data
+                else:
+                    kept.append(_pass_on(part, state))
+            data = b''.join(kept)
+            if data:
+                state.parts.append(data)
+                yield data
 
 
 def _pass_on(event: events.StreamEvent, state: StreamState) -> bytes:
