Read the text of a stream's event once

Cause: the entry took each event's choices and deltas apart three times, to see whether it opens, closes or continues the answer. Change: an event with text is neither opening nor closing, so the other two are only looked at without one.

--- a/packages/daemon/src/yuccarouter/request_path/events.py
+++ b/packages/daemon/src/yuccarouter/request_path/events.py
@@ -27,8 +27,9 @@
     @property
     def text(self) -> str:
         """Text that this event adds to the answer."""
+        contents = [delta.get('content') for delta in self._deltas()]
         return ''.join(
-            content for content in self._contents() if isinstance(content, str)
+            [content for content in contents if isinstance(content, str)]
         )
 
     @property
@@ -57,9 +58,6 @@
         deltas = [choice.get('delta') for choice in self._choices()]
         return [delta for delta in deltas if isinstance(delta, dict)]
 
-    def _contents(self) -> list[Any]:
-        return [delta.get('content') for delta in self._deltas()]
-
 
 def split(data: bytes) -> Iterator[StreamEvent]:
     """Yield the events in ``data``, which holds whole events only.
--- a/packages/daemon/src/yuccarouter/request_path/streaming.py
+++ b/packages/daemon/src/yuccarouter/request_path/streaming.py
@@ -104,18 +104,19 @@
         return event.raw
     if not state.stream_id:
         state.stream_id = str(event.document.get('id', ''))
-    if event.is_opening:
+    text = event.text
+    if text:
+        state.text += text
+        state.attempt_tokens += 1
+    # Nearly all events have text, and those open or close nothing.
+    if not text and event.is_opening:
         if state.has_opened:
             return b''
         state.has_opened = True
-    if event.is_closing:
+    if not text and event.is_closing:
         if state.has_closed:
             return b''
         state.has_closed = True
-    text = event.text
-    if text:
-        state.text += text
-        state.attempt_tokens += 1
     return events.with_id(event, state.stream_id).raw
 
 
