Put attempts under their request's span

Without a traceparent of the caller the spans of the attempts were in a trace of their own, so /traces/ of X-Trace-Id showed the request only. Also saves reading the caller's header a second time.

--- a/packages/common/src/yuccarouter_common/telemetry.py
+++ b/packages/common/src/yuccarouter_common/telemetry.py
@@ -112,6 +112,11 @@
     return _PROPAGATOR.extract({'traceparent': sent})
 
 
+def current_context() -> context.Context:
+    """Return the trace context of the span that is the current one."""
+    return context.get_current()
+
+
 def trace_id(span: trace.Span) -> str:
     """Return the trace id of a span in hexadecimal digits."""
     return format(span.get_span_context().trace_id, _TRACE_ID_FORMAT)
--- a/packages/daemon/src/yuccarouter/request_path/intake.py
+++ b/packages/daemon/src/yuccarouter/request_path/intake.py
@@ -80,7 +80,7 @@
         body=body,
         idempotency_key=key,
         body_digest=_digest(request, body),
-        trace_context=telemetry.parent_context(request.headers),
+        trace_context=telemetry.current_context(),
     )
 
 
--- a/packages/daemon/tests/request_path/test_front.py
+++ b/packages/daemon/tests/request_path/test_front.py
@@ -9,8 +9,9 @@
 import orjson
 import pytest
 import yarl
+from opentelemetry.sdk import trace as sdk_trace
 
-from yuccarouter_common import model
+from yuccarouter_common import model, telemetry
 from yuccarouter_testkit import fake_agent as fake
 
 _TEXT = ''.join(f'{word} ' for word in fake.WORDS)
@@ -336,3 +337,17 @@
     listed = (await response.json())['data']
     names = ['cheap-first', 'clue', 'clue@1', 'mini', 'mini@1']
     assert [shown['id'] for shown in listed] == names
+
+
+async def test_trace(entry: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against attempts that are missing from their request's trace."""
+    spans = telemetry.SpanStore()
+    provider = sdk_trace.TracerProvider()
+    provider.add_span_processor(spans)
+    tracer = provider.get_tracer('test')
+    monkeypatch.setattr(telemetry, 'tracer', lambda: tracer)
+    reply = await entry.chat()
+    assert reply.status == 200
+    attempt, request = spans.spans_of(reply.headers['X-Trace-Id'])
+    assert (attempt.name, request.name) == ('entry.attempt', 'entry.request')
+    assert attempt.parent_id == request.span_id
