--- a/packages/daemon/src/yuccarouter/configuration/staleness.py
+++ b/packages/daemon/src/yuccarouter/configuration/staleness.py
@@ -7,24 +7,24 @@
 
 def is_refused(
     organisation: model.Organisation,
-    confirmed_age_ms: float,
+    isolated_ms: float,
 ) -> bool:
     """Whether an organisation's requests are refused as stale.
 
-    ``confirmed_age_ms`` is the age of the last sight of the log's end, own or
-    through a peer; infinite if there was none. With the policy ``serve`` the
+    ``isolated_ms`` is the time since the log or a peer in another data centre
+    was reached; infinite if none ever was. With the policy ``serve`` the
     organisation accepts that a version withdrawn meanwhile still runs.
     """
     if organisation.stale_policy != model.REFUSE:
         return False
-    return confirmed_age_ms > organisation.stale_limit_ms
+    return isolated_ms > organisation.stale_limit_ms
 
 
 def remaining_ms(
     organisation: model.Organisation,
-    confirmed_age_ms: float,
+    isolated_ms: float,
 ) -> float:
     """Return the time until requests are refused, infinite if never."""
     if organisation.stale_policy != model.REFUSE:
         return float('inf')
-    return max(0, organisation.stale_limit_ms - confirmed_age_ms)
+    return max(0, organisation.stale_limit_ms - isolated_ms)
--- a/packages/daemon/src/yuccarouter/request_path/freshness.py
+++ b/packages/daemon/src/yuccarouter/request_path/freshness.py
@@ -15,12 +15,13 @@
 def check(shared: router.Router, organisation: model.Organisation) -> None:
     """Raise ``RefusalError`` when the configuration is too old to be used.
 
-    It is old when neither the log nor a peer has confirmed it lately.
+    It may be when neither the log nor a peer in another data centre has been
+    reached for a while: others may have withdrawn a version meanwhile.
     """
-    age_ms = shared.store.freshness.age_ms()
-    if staleness.is_refused(organisation, age_ms):
+    isolated_ms = shared.store.freshness.isolated_ms()
+    if staleness.is_refused(organisation, isolated_ms):
         raise refusals.RefusalError(
             'configuration_stale',
-            'neither the log nor a peer has confirmed the configuration',
+            'neither the log nor another data centre can be reached',
             retry_after_ms=organisation.stale_limit_ms,
         )
--- a/packages/daemon/src/yuccarouter/request_path/streaming.py
+++ b/packages/daemon/src/yuccarouter/request_path/streaming.py
@@ -85,14 +85,17 @@
                 _finish(sending, event, state, last)
                 yield last
                 return
+            # Events that have come together go on in one write.
+            kept = []
             for part in events.split(event.data):
                 if part.is_done:
                     last = part.raw
-                    continue
-                data = _pass_on(part, state)
-                if data:
-                    state.parts.append(data)
-                    yield data
+                else:
+                    kept.append(_pass_on(part, state))
+            data = b''.join(kept)
+            if data:
+                state.parts.append(data)
+                yield data
 
 
 def _pass_on(event: events.StreamEvent, state: StreamState) -> bytes:
@@ -101,18 +104,19 @@
         return event.raw
     if not state.stream_id:
         state.stream_id = str(event.document.get('id', ''))
-    if event.is_opening:
+    text = event.text
+    if text:
+        state.text += text
+        state.attempt_tokens += 1
+    # Nearly all events have text, and those open or close nothing.
+    if not text and event.is_opening:
         if state.has_opened:
             return b''
         state.has_opened = True
-    if event.is_closing:
+    if not text and event.is_closing:
         if state.has_closed:
             return b''
         state.has_closed = True
-    text = event.text
-    if text:
-        state.text += text
-        state.attempt_tokens += 1
     return events.with_id(event, state.stream_id).raw
 
 
--- a/packages/daemon/src/yuccarouter/roles/peering.py
+++ b/packages/daemon/src/yuccarouter/roles/peering.py
@@ -45,6 +45,7 @@
             self.conf.name,
             self._channels,
             interval_s=self.conf.timing.exchange_interval_ms / _MS_PER_S,
+            on_delta=self._note_contact,
             metadata=self.daemons.metadata,
         )
 
@@ -59,6 +60,19 @@
             lambda: max(1, len(self.known.live('entry'))),
         )
 
+    def _note_contact(self, address: str, delta: router_pb2.Delta) -> None:
+        """Count an answer from another data centre as contact.
+
+        Where all daemons are in one data centre, any of them counts.
+        """
+        others = {
+            vm.address
+            for vm in self.known.vms()
+            if vm.data_centre != self.conf.data_centre
+        }
+        if not others or address in others:
+            self.held.freshness.heard()
+
     def _channels(self) -> Mapping[str, grpc.aio.Channel]:
         others = [vm for vm in self.known.vms() if vm.vm != self.conf.vm]
         chosen = subset.followed(
