Run membership properties without a deadline

Cause: hypothesis ends an example after 200 ms, which a busy machine can take. Change: no deadline, as in the other property tests. Conclusion: these tests no longer depend on time.

--- a/packages/daemon/tests/membership/test_digests.py
+++ b/packages/daemon/tests/membership/test_digests.py
@@ -8,7 +8,7 @@
 
 import pytest
 from grpc import aio
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from yuccarouter.admission import servicer
@@ -36,6 +36,7 @@
     return agents + entries
 
 
+@settings(deadline=None)
 @given(
     endpoint=st.text(max_size=9),
     start_ms=st.integers(0, 2**41),
@@ -68,6 +69,7 @@
 )
 
 
+@settings(deadline=None)
 @given(steps=st.lists(_STEP, max_size=40), seed=st.integers(0, 99))
 async def test_receiver_holds_what_a_naive_filter_gives(
     steps: list[Any], seed: int
--- a/packages/daemon/tests/membership/test_subset.py
+++ b/packages/daemon/tests/membership/test_subset.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Any
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from yuccarouter.membership import channels, subset
@@ -23,6 +23,7 @@
     ]
 
 
+@settings(deadline=None)
 @given(
     names=st.sets(st.integers(0, 60), max_size=40),
     change=st.integers(0, 60),
