--- a/packages/daemon/src/yuccarouter/membership/reports.py
+++ b/packages/daemon/src/yuccarouter/membership/reports.py
@@ -12,12 +12,12 @@
 import mode
 from grpc import aio
 
-from yuccarouter.membership import directory, subset
+from yuccarouter.membership import subset
 from yuccarouter.routing import views
 from yuccarouter_common.proto import router_pb2
 
 if TYPE_CHECKING:
-    from yuccarouter.membership import channels, pause
+    from yuccarouter.membership import channels, directory, pause
     from yuccarouter.membership import watch as watches
     from yuccarouter_common import settings
     from yuccarouter_common.platform import vms
@@ -81,8 +81,8 @@
 
     async def on_list(self, listed: list[vms.Vm]) -> None:
         """Start and stop followers so that they match the VM list."""
-        agents = _one_per_endpoint(listed)
-        wanted = self._wanted(listed, agents)
+        agents = subset.one_per_endpoint(listed)
+        wanted = self._wanted(listed)
         places = {vm.endpoint for vm in agents} | {vm.address for vm in agents}
         for name, follower in tuple(self._followers.items()):
             vm = follower.vm
@@ -102,14 +102,11 @@
             in_use.union(known.address for known in listed)
         )
 
-    def _wanted(
-        self, listed: list[vms.Vm], agents: list[vms.Vm]
-    ) -> dict[str, vms.Vm]:
-        entries = [vm for vm in listed if vm.role == subset.ENTRY]
+    def _wanted(self, listed: list[vms.Vm]) -> dict[str, vms.Vm]:
         following = subset.plan(
             self._conf.name,
             self._conf.data_centre,
-            [*agents, *entries],
+            listed,
             was_digesting=self._uses_digests,
         )
         self._uses_digests = following.uses_digests
@@ -230,17 +227,6 @@
     )
 
 
-def _one_per_endpoint(listed: list[vms.Vm]) -> list[vms.Vm]:
-    """Return the agents, without those that a live one has replaced."""
-    agents = [vm for vm in listed if vm.role == subset.AGENT]
-    live = {vm.endpoint for vm in agents if vm.state == directory.LIVE}
-    return [
-        vm
-        for vm in agents
-        if vm.state == directory.LIVE or vm.endpoint not in live
-    ]
-
-
 def _same_place(listed: vms.Vm, followed: vms.Vm) -> bool:
     return (listed.address, listed.endpoint) == (
         followed.address,
--- a/packages/daemon/src/yuccarouter/membership/subset.py
+++ b/packages/daemon/src/yuccarouter/membership/subset.py
@@ -56,7 +56,7 @@
     data centre that has agents and no live entry gives no digests, so a share
     of its agents is followed directly.
     """
-    agents = [vm for vm in listed if vm.role == AGENT]
+    agents = one_per_endpoint(listed)
     remote = [vm for vm in agents if vm.data_centre != data_centre]
     bound = _MIN_DIGESTED if was_digesting else _MAX_REMOTE
     if len(remote) <= bound:
@@ -83,6 +83,17 @@
     )
 
 
+def one_per_endpoint(listed: list[vms.Vm]) -> list[vms.Vm]:
+    """Return the agents, without those that a live one has replaced."""
+    agents = [vm for vm in listed if vm.role == AGENT]
+    live = {vm.endpoint for vm in agents if vm.state == vms.State.LIVE}
+    return [
+        vm
+        for vm in agents
+        if vm.state == vms.State.LIVE or vm.endpoint not in live
+    ]
+
+
 def report_interval_ms(shortest_ms: int, agents: int) -> int:
     """Return the interval at which that many agents report.
 
