Let a relay die in the test without real time limits

Change: the fake loses what a dead relay has not appended and answers at once. Conclusion: the same deaths are covered, without waiting.

--- a/packages/daemon/tests/membership/test_relay.py
+++ b/packages/daemon/tests/membership/test_relay.py
@@ -15,7 +15,7 @@
 from yuccarouter.billing import ledger
 from yuccarouter.membership import relay
 from yuccarouter_common import billing_rows
-from yuccarouter_common.platform import vms
+from yuccarouter_common.platform import errors, vms
 from yuccarouter_testkit import memory_log
 
 _SENDERS = 3
@@ -61,7 +61,7 @@
             if address in self.dead or fault == 'refused':
                 raise _rpc_error()
             if fault == 'relay dies':
-                self.dead.add(address)
+                self.kill(address)
                 raise _rpc_error()
             reply = await relay.serve(self.gatherers[address], request)
             if fault == 'answer lost' or address in self.dead:
@@ -70,6 +70,14 @@
 
         return types.SimpleNamespace(peer=types.SimpleNamespace(Append=append))
 
+    def kill(self, address: str) -> None:
+        """Lose what a relay has not appended yet, and its connections."""
+        self.dead.add(address)
+        gatherer = self.gatherers[address]
+        for waiting in gatherer._waiting:
+            waiting.answer.set_exception(errors.UnavailableError('dead'))
+        gatherer._waiting.clear()
+
     def _ledger(self, number: int) -> ledger.Ledger:
         address = f'v{number}:1'
         conf: Any = types.SimpleNamespace(data_centre='a', peer=address)
@@ -93,12 +101,11 @@
         self.written += [row.request_id for row in rows]
 
     async def run(self) -> None:
-        """Let the ledgers and the live relays work for a while."""
+        """Let the ledgers and the relays work until all rows are written."""
         flushes = [asyncio.create_task(held.flush()) for held in self.ledgers]
         while not all(flush.done() for flush in flushes):
-            for address, gatherer in self.gatherers.items():
-                if address not in self.dead:
-                    await gatherer.flush()
+            for gatherer in self.gatherers.values():
+                await gatherer.flush()
             await asyncio.sleep(0)
         await asyncio.gather(*flushes)
 
@@ -199,5 +206,5 @@
     await gatherer.stop()
     await waiting
     assert client.appends == 1
-    with pytest.raises(relay.errors.UnavailableError):
+    with pytest.raises(errors.UnavailableError):
         await gatherer.append({'rows': ['y']})
