--- a/packages/testkit/src/yuccarouter_testkit/bench/_path_calls.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/_path_calls.py
@@ -94,7 +94,7 @@
             first_s = first_s or time.perf_counter()
             received += part
     ended_s = time.perf_counter()
-    _check(status, bytes(received), form)
+    check(status, bytes(received), form)
     return Times(
         (first_s - started_s) * _MS_PER_S, (ended_s - started_s) * _MS_PER_S
     )
@@ -144,7 +144,8 @@
     return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
 
 
-def _check(status: int, body: bytes, form: Form) -> None:
+def check(status: int, body: bytes, form: Form) -> None:
+    """Raise ``BadAnswerError`` unless an answer is complete."""
     tokens = body.count(b'token ')
     is_ended = b'[DONE]' in body or not form.is_stream
     if status != 200 or tokens != form.tokens or not is_ended:
--- a/packages/testkit/src/yuccarouter_testkit/bench/path.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/path.py
@@ -120,7 +120,7 @@
         )
     cpu_s = await _cpu(session, ways, _PACED, size.paced_each, size)
     figures['paced'] = _per_token(cpu_s, size.paced_each * size.rounds)
-    return {**figures, 'missed': _missed(figures)}
+    return {**figures, 'missed': missed(figures)}
 
 
 async def _latency(
@@ -218,7 +218,8 @@
 _AT_LEAST: Final = (('per_core_json', 'ratio'), ('per_core_stream', 'ratio'))
 
 
-def _missed(figures: dict[str, Any]) -> list[str]:
+def missed(figures: dict[str, Any]) -> list[str]:
+    """Return the names of the figures that are not within their bounds."""
     above = [
         f'{group}.{name}'
         for group, name in _AT_MOST
@@ -244,8 +245,8 @@
         if group != 'missed'
         for name, amount in row.items()
     ]
-    missed = ', '.join(figures['missed']) or 'none'
-    return '\n'.join((*lines, f'targets missed: {missed}'))
+    named = ', '.join(figures['missed']) or 'none'
+    return '\n'.join((*lines, f'targets missed: {named}'))
 
 
 def main(arguments: list[str]) -> int:
