Bound the appends of evidence and the exchanges of agents

Cause: 400 entries would append evidence 400 times a second during a roll-out; idle agents spent 2.7% of a core on control. Change: the interval of evidence grows with the number of entries, to 20 appends a second in all; agents ask peers every 3 s.

--- a/packages/daemon/src/yuccarouter/roles/entry_parts.py
+++ b/packages/daemon/src/yuccarouter/roles/entry_parts.py
@@ -160,7 +160,11 @@
         ),
         ratings=rater,
         observations=observations.Observations(
-            client, rater, held.current, rng
+            client,
+            rater,
+            held.current,
+            rng,
+            lambda: len(known.live('entry')),
         ),
         answers=answers.HeldAnswers(conf.limits.held_answers_bytes),
         explanations=explanations.Explanations(),
--- a/packages/daemon/src/yuccarouter/roles/peering.py
+++ b/packages/daemon/src/yuccarouter/roles/peering.py
@@ -10,6 +10,7 @@
 
 from yuccarouter.configuration import peers, snapshots
 from yuccarouter.membership import subset
+from yuccarouter_common import settings
 from yuccarouter_common.proto import router_pb2, router_pb2_grpc
 
 if TYPE_CHECKING:
@@ -19,13 +20,14 @@
 
     from yuccarouter.configuration import store
     from yuccarouter.membership import channels, directory
-    from yuccarouter_common import history, settings
+    from yuccarouter_common import history
 
 _VOIDS_SHOWN: Final = 20
 # Daemons that a process exchanges its position with: enough that a change
 # spreads in seconds, few enough to keep their channels open.
 _LOCAL_PEERS: Final = 8
 _REMOTE_PEERS: Final = 4
+_AGENT_FACTOR: Final = 3
 _MS_PER_S: Final = 1000
 
 
@@ -44,7 +46,7 @@
             self.held,
             self.conf.name,
             self._channels,
-            interval_s=self.conf.timing.exchange_interval_ms / _MS_PER_S,
+            interval_s=self._interval_s(),
             on_delta=self._note_contact,
             metadata=self.daemons.metadata,
         )
@@ -60,6 +62,12 @@
             lambda: max(1, len(self.known.live('entry'))),
         )
 
+    def _interval_s(self) -> float:
+        interval_s = self.conf.timing.exchange_interval_ms / _MS_PER_S
+        # Agents have the entries' requests to learn of changes from as well.
+        is_agent = self.conf.role == settings.AGENT
+        return interval_s * _AGENT_FACTOR if is_agent else interval_s
+
     def _note_contact(self, address: str, delta: router_pb2.Delta) -> None:
         """Count an answer from another data centre as contact.
 
--- a/packages/daemon/src/yuccarouter/rollout/observations.py
+++ b/packages/daemon/src/yuccarouter/rollout/observations.py
@@ -29,6 +29,9 @@
 
 _ACTIVE: Final = frozenset(('created', 'rolling', 'held'))
 _INTERVAL_S: Final = 1.0
+# All entries together append at most about this often, whatever their number,
+# since the log takes several hundred appends a second for everything.
+_APPENDS_PER_S: Final = 20.0
 _MAX_HELD: Final = 2000
 _MAX_BATCH: Final = 500
 _MAX_UNRATED: Final = 256
@@ -74,12 +77,14 @@
         rater: ratings.Client,
         configuration: Callable[[], model.Configuration],
         rng: random.Random,
+        entries: Callable[[], int],
     ) -> None:
         super().__init__()
         self._client = client
         self._rater = rater
         self._configuration = configuration
         self._rng = rng
+        self._entries = entries
         self._held: collections.deque[Observation] = collections.deque(
             maxlen=_MAX_HELD
         )
@@ -128,7 +133,7 @@
     @mode.Service.task
     async def _flush_regularly(self) -> None:
         while not self.should_stop:
-            await self.sleep(_INTERVAL_S)
+            await self.sleep(interval_s(self._entries()))
             await self.flush()
 
     @mode.Service.task
@@ -168,6 +173,11 @@
         return shares
 
 
+def interval_s(entries: int) -> float:
+    """Return the time between two appends of one of ``entries`` entries."""
+    return max(_INTERVAL_S, entries / _APPENDS_PER_S)
+
+
 def rated_shares(configuration: model.Configuration) -> dict[str, float]:
     """Return the share of answers to rate by ``model@version``.
 
--- a/packages/daemon/tests/request_path/conftest.py
+++ b/packages/daemon/tests/request_path/conftest.py
@@ -204,7 +204,7 @@
         ),
         ratings=rater,
         observations=observations.Observations(
-            client, rater, held.current, rng
+            client, rater, held.current, rng, lambda: 1
         ),
         answers=answers.HeldAnswers(100_000),
         explanations=explanations.Explanations(),
--- a/packages/daemon/tests/rollout/test_feed.py
+++ b/packages/daemon/tests/rollout/test_feed.py
@@ -98,12 +98,20 @@
     assert observations.rated_shares(configuration) == shares
 
 
+@pytest.mark.parametrize(
+    ('entries', 'wait_s'), [(0, 1), (2, 1), (20, 1), (400, 20)]
+)
+def test_interval(entries: int, wait_s: float) -> None:
+    """Guards against more appends than the log takes for everything."""
+    assert observations.interval_s(entries) == wait_s
+
+
 async def test_observations_survive_an_outage() -> None:
     """Guards against evidence that is lost or doubled by the log."""
     log: Any = memory_log.MemoryLog()
     rater: Any = _Rater()
     held = observations.Observations(
-        log, rater, lambda: _CONFIGURATION, random.Random(7)
+        log, rater, lambda: _CONFIGURATION, random.Random(7), lambda: 1
     )
     version = model.ModelVersion('m', '2', 'p')
     held.note(observations.Seen('a', version, 'k', True, 5))
