Give faults of the program a code and export zeros of outcomes

Cause: an unexpected fault was answered without a code; alerts need counters that exist before their first failure.

--- a/packages/daemon/src/yuccarouter/request_path/front.py
+++ b/packages/daemon/src/yuccarouter/request_path/front.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Final
 
+import eliot
 import orjson
 import prometheus_client
 from aiohttp import web
@@ -20,7 +21,7 @@
     service_calls,
 )
 from yuccarouter.routing import allowed
-from yuccarouter_common import refusals, telemetry
+from yuccarouter_common import errors, refusals, telemetry
 
 if TYPE_CHECKING:
     from opentelemetry import trace
@@ -29,6 +30,17 @@
     from yuccarouter_common import model
 
 _JSON: Final = 'application/json'
+# Faults of this program; the caller gets a code for them as well.
+_PROGRAM_FAULTS: Final = (
+    errors.RouterError,
+    ArithmeticError,
+    AssertionError,
+    AttributeError,
+    LookupError,
+    RuntimeError,
+    TypeError,
+    ValueError,
+)
 
 _REQUESTS = prometheus_client.Counter(
     'yuccarouter_requests',
@@ -55,6 +67,7 @@
 def make_app(shared: router.Router) -> web.Application:
     """Return the application for callers."""
     app = web.Application(client_max_size=shared.conf.limits.body_bytes)
+    shared.store.subscribe(lambda change: _show_kinds(change.current))
     app.router.add_post(
         '/v1/chat/completions', _handler(shared, completions.complete)
     )
@@ -68,6 +81,17 @@
     return app
 
 
+def _show_kinds(configuration: model.Configuration) -> None:
+    """Export a zero for each outcome and kind.
+
+    A rate over a counter that appears with its first failure misses that
+    failure.
+    """
+    for kind in ('default', *configuration.kinds):
+        for outcome in outcomes.ALERTED:
+            _REQUESTS.labels(outcome, kind)
+
+
 def _handler(
     shared: router.Router, handle: _Handle
 ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
@@ -94,6 +118,9 @@
             except (ConnectionError, asyncio.CancelledError):
                 _REQUESTS.labels(outcomes.CALLER_LEFT, progress.kind).inc()
                 raise
+            except _PROGRAM_FAULTS as fault:
+                progress.cut = _internal(fault)
+                response = replies.refusal(progress.cut)
             _count(progress, time.monotonic() - started_s)
             _close(shared, response, progress, span)
             return response
@@ -101,6 +128,16 @@
     return answer
 
 
+def _internal(fault: Exception) -> refusals.RefusalError:
+    """Return the refusal for a fault of this program; its text stays here."""
+    eliot.write_traceback()
+    return refusals.RefusalError(
+        'internal',
+        f'internal fault: {type(fault).__name__}',
+        outcome=refusals.UNKNOWN,
+    )
+
+
 def _count(progress: plan.Progress, elapsed_s: float) -> None:
     outcome = outcomes.of_request(progress, elapsed_s)
     _REQUESTS.labels(outcome, progress.kind).inc()
--- a/packages/daemon/src/yuccarouter/request_path/outcomes.py
+++ b/packages/daemon/src/yuccarouter/request_path/outcomes.py
@@ -14,6 +14,9 @@
 CALLER_ERROR: Final = 'caller_error'
 CALLER_LEFT: Final = 'caller_left'
 
+# Outcomes that alerts count; wrong answers are counted by load checks.
+ALERTED: Final = (OK, REJECTED, LOST, LATE)
+
 _LOST_CODES: Final = frozenset(('attempt_lost', 'upstream_failed'))
 _LATE_CODES: Final = frozenset(('deadline_exceeded',))
 _SERVER_ERRORS: Final = 500
--- a/packages/daemon/tests/request_path/test_front.py
+++ b/packages/daemon/tests/request_path/test_front.py
@@ -11,6 +11,7 @@
 import yarl
 from opentelemetry.sdk import trace as sdk_trace
 
+from yuccarouter.request_path import bills
 from yuccarouter_common import model, telemetry
 from yuccarouter_testkit import fake_agent as fake
 
@@ -233,6 +234,21 @@
     assert len(entry.agent.requests) == 2
 
 
+async def test_program_fault(
+    entry: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a fault without a code, or with a false ``not_run``."""
+
+    def broken(*_: Any) -> None:
+        raise KeyError('caller-key')
+
+    monkeypatch.setattr(bills, 'check_room', broken)
+    response = await entry.chat()
+    assert await _refusal(response) == (500, 'internal', 'unknown')
+    assert 'caller-key' not in await response.text()
+    assert entry.shared.load.total == 0
+
+
 async def test_draining(entry: Any) -> None:
     """Guards against new work at a process that is about to stop."""
     entry.shared.load.is_draining = True
