Keep fencing numbers through an agent's restart; decode any JSON

Cause: an agent that restarts had forgotten the numbers it had seen, so that a controller without a lease could be obeyed; a lease record that was a text stopped its reader. Change: an agent reads the newest numbers from the stream of leases once; every decoder of a stream rejects any other JSON with its own error. Found by: the new property test of all decoders.

--- a/packages/common/src/yuccarouter_common/records.py
+++ b/packages/common/src/yuccarouter_common/records.py
@@ -81,7 +81,12 @@
     try:
         document = payload if isinstance(payload, dict) else _loads(payload)
         return converter.structure(document, Record)
-    except (cattrs.BaseValidationError, ValueError, TypeError) as fault:
+    except (
+        cattrs.BaseValidationError,
+        AttributeError,
+        ValueError,
+        TypeError,
+    ) as fault:
         raise RecordError(f'not a configuration record: {fault}') from fault
 
 
--- a/packages/daemon/src/yuccarouter/admission/orders.py
+++ b/packages/daemon/src/yuccarouter/admission/orders.py
@@ -40,6 +40,11 @@
         factory=lambda: collections.defaultdict(asyncio.Lock)
     )
 
+    def raise_to(self, lease: str, number: int) -> None:
+        """Reject orders of the lease with numbers below ``number``."""
+        if number > self._highest.get(lease, 0):
+            self._highest[lease] = number
+
     async def give(
         self, request: router_pb2.OrderRequest
     ) -> router_pb2.OrderReply:
--- a/packages/daemon/src/yuccarouter/admission/wiring.py
+++ b/packages/daemon/src/yuccarouter/admission/wiring.py
@@ -27,6 +27,7 @@
     endpoint: endpoint.Endpoint
     runner: runner.Runner
     servicer: servicer.AgentServicer
+    orders: orders.Orders
 
 
 def wire(
@@ -55,14 +56,16 @@
     attempts = runner.Runner(
         attempt.Caller(place, collaborators, session, clock), admission
     )
+    given = orders.Orders(place, pool, session)
     return Parts(
         view,
         attempts,
         servicer.AgentServicer(
             attempts,
             collaborators,
-            orders.Orders(place, pool, session),
+            given,
             view.report,
             lambda: view.state,
         ),
+        given,
     )
--- a/packages/daemon/src/yuccarouter/roles/agent.py
+++ b/packages/daemon/src/yuccarouter/roles/agent.py
@@ -15,6 +15,7 @@
 from yuccarouter.configuration import follower, store
 from yuccarouter.membership import channels, directory
 from yuccarouter.registry import owner
+from yuccarouter.rollout import fence
 from yuccarouter.roles import admin, peering, servers
 from yuccarouter_common import errors
 from yuccarouter_common.platform import log, vms
@@ -101,6 +102,9 @@
             self._admin(),
         ):
             await self.add_runtime_dependency(part)
+        await self.add_runtime_dependency(
+            fence.FenceReader(client, self._admission.parts.orders.raise_to)
+        )
         # Entries may only call when admission is there.
         await self.add_runtime_dependency(
             servers.GrpcServer(
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/rollout/fence.py
@@ -0,0 +1,68 @@
+"""What an agent that has just started must know of fencing numbers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+import mode
+
+from yuccarouter.rollout import errors, lease, leases
+from yuccarouter_common.platform import errors as platform_errors
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccarouter_common import history
+
+_RETRY_S: Final = 1.0
+
+
+class FenceReader(mode.Service):
+    """Reads the newest fencing numbers once, as soon as the log is up.
+
+    The highest numbers seen are lost with an agent's process. A controller
+    that lost its lease before the restart would otherwise be obeyed until the
+    present holder gives its first order.
+    """
+
+    def __init__(
+        self,
+        client: history.LogClient,
+        raise_to: Callable[[str, int], None],
+    ) -> None:
+        super().__init__()
+        self._client = client
+        self._raise_to = raise_to
+
+    async def read(self) -> None:
+        """Read the stream once; raises ``PlatformError``."""
+        head = await self._client.read(leases.STREAM, 0, limit=1)
+        start = await lease.start_offset(self._client, head)
+        while start < head.end_offset:
+            batch = await self._client.read(leases.STREAM, start)
+            if not batch.records:
+                return
+            for entry in batch.records:
+                self._take(entry.payload)
+            start = batch.records[-1].offset + 1
+
+    @mode.Service.task
+    async def _read_until_done(self) -> None:
+        while not self.should_stop:
+            try:
+                await self.read()
+            except platform_errors.PlatformError:
+                await asyncio.sleep(_RETRY_S)
+            else:
+                return
+
+    def _take(self, payload: object) -> None:
+        try:
+            record = leases.decode(payload)
+        except errors.LeaseRecordError:
+            return
+        # A renewal names the acquire that holds the lease. An acquire counts
+        # only when it is renewed, since it may have had no effect.
+        if record.action is leases.Action.RENEW:
+            self._raise_to(record.lease, record.fencing_number)
--- a/packages/daemon/src/yuccarouter/rollout/lease.py
+++ b/packages/daemon/src/yuccarouter/rollout/lease.py
@@ -179,7 +179,7 @@
     async def _start(self) -> None:
         """Begin within the stream, where the lease's last records are."""
         head = await self._client.read(leases.STREAM, 0, limit=1)
-        start = await _start_offset(self._client, head)
+        start = await start_offset(self._client, head)
         self._next_offset = start
         certain = self._is_whole and start == 0
         self._lease_state = leases.LeaseState(self._lease, certain=certain)
@@ -256,7 +256,7 @@
         return self._clock() * _MS
 
 
-async def _start_offset(client: history.LogClient, head: log.Batch) -> int:
+async def start_offset(client: history.LogClient, head: log.Batch) -> int:
     """Return an offset older than the last records of a held lease."""
     if not head.records:
         return head.end_offset
--- a/packages/daemon/src/yuccarouter/rollout/leases.py
+++ b/packages/daemon/src/yuccarouter/rollout/leases.py
@@ -65,7 +65,12 @@
     """Parse a record; raises ``LeaseRecordError`` for anything else."""
     try:
         return records.converter.structure(payload, LeaseRecord)
-    except (cattrs.BaseValidationError, ValueError, TypeError) as fault:
+    except (
+        cattrs.BaseValidationError,
+        AttributeError,
+        ValueError,
+        TypeError,
+    ) as fault:
         raise errors.LeaseRecordError(f'not a lease record: {fault}') from fault
 
 
--- /dev/null
+++ b/packages/daemon/tests/rollout/test_fence.py
@@ -0,0 +1,53 @@
+"""Tests of what a restarted agent knows of fencing numbers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from yuccarouter.rollout import fence, leases
+from yuccarouter_common.platform import errors
+from yuccarouter_testkit import memory_log
+
+
+def _record(action: leases.Action, holder: str, number: int) -> Any:
+    return leases.encode(
+        leases.LeaseRecord(
+            action, 'rollouts', holder, 9000, fencing_number=number
+        )
+    )
+
+
+async def test_old_number_is_known_after_a_restart() -> None:
+    """Guards against obeying a controller that has lost its lease."""
+    log: Any = memory_log.MemoryLog()
+    for index, (action, holder, number) in enumerate(
+        (
+            (leases.Action.ACQUIRE, 'a', -1),
+            (leases.Action.RENEW, 'a', 0),
+            (leases.Action.ACQUIRE, 'b', -1),
+            (leases.Action.RENEW, 'b', 2),
+            # Late, from the holder before.
+            (leases.Action.RENEW, 'a', 0),
+            # Without effect: the lease is held.
+            (leases.Action.ACQUIRE, 'c', -1),
+        )
+    ):
+        log.add(leases.STREAM, str(index), _record(action, holder, number))
+    log.add(leases.STREAM, 'x', 'not a lease record')
+    highest: dict[str, int] = {}
+
+    def raise_to(lease: str, number: int) -> None:
+        highest[lease] = max(highest.get(lease, 0), number)
+
+    await fence.FenceReader(log, raise_to).read()
+    assert highest == {'rollouts': 2}
+
+
+async def test_log_down() -> None:
+    """Guards against taking an outage for a stream without leases."""
+    log: Any = memory_log.MemoryLog()
+    log.down = True
+    with pytest.raises(errors.PlatformError):
+        await fence.FenceReader(log, lambda *_: None).read()
--- /dev/null
+++ b/packages/daemon/tests/test_decoders.py
@@ -0,0 +1,72 @@
+"""Every decoder of a stream, given any JSON."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yuccarouter.configuration import store
+from yuccarouter.registry import items
+from yuccarouter.rollout import leases, observations
+from yuccarouter_common import billing_rows, errors, records
+
+_KEYS = st.sampled_from(
+    (
+        'rows', 'items', 'observations', 'action', 'lease', 'holder', 'kind',
+        'body', 'change_id', 'author', 'time_ms', 'condition', 'name', 'key',
+        'position', 'allowed', 'model', 'version', 'expected',
+    )
+)  # fmt: skip
+_WORDS = st.sampled_from(
+    ('acquire', 'renew', 'organisation', 'allow', 'snapshot', 'limits', 'x')
+)
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers(-9, 9) | _WORDS,
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(_KEYS, inner, max_size=6)
+    ),
+    max_leaves=12,
+)
+_RECORD = st.fixed_dictionaries(
+    {
+        'change_id': st.just('c'),
+        'author': st.just('a'),
+        'time_ms': st.just(0),
+        'kind': st.sampled_from([kind.value for kind in records.Kind]),
+        'body': _JSON,
+    },
+    optional={'condition': _JSON},
+)
+
+
+@pytest.mark.parametrize(
+    'decode',
+    [
+        records.decode,
+        lambda payload: records.decode(orjson.dumps(payload)),
+        billing_rows.rows_of,
+        observations.decode,
+        leases.decode,
+        items.decode,
+    ],
+)
+@given(payload=_JSON | _RECORD)
+def test_any_payload(decode: Callable[[Any], Any], payload: Any) -> None:
+    """Guards against a foreign record that stops the reader of a stream."""
+    try:
+        decode(payload)
+    except errors.RouterError as fault:
+        assert fault.code
+
+
+@given(payload=_JSON | _RECORD)
+def test_any_change(payload: Any) -> None:
+    """Guards against a configuration record that stops every follower."""
+    held = store.Store()
+    held.apply(0, payload)
+    assert held.position.offset == 0 or held.position.generation > 0
