Publish operators' orders through the common module

Cause: yuccactl had a second implementation of publishing, and the common one read without a pause until its time-out when the log dropped the record that it had just confirmed. Change: yuccactl/publishing.py only converts the common module's errors; the common module pauses between empty reads and reports the dropped record. Measured: packages/yuccactl and test_publish.py pass. Conclusion: one implementation of publishing.

--- a/packages/common/src/yuccarouter_common/publish.py
+++ b/packages/common/src/yuccarouter_common/publish.py
@@ -213,6 +213,7 @@
     reader: _Reader,
     attempt: _Attempt,
 ) -> Result:
+    left_s = _SETTLE_S
     while reader.first is None:
         position = reader.configuration.position
         if position.offset >= attempt.offset:
@@ -228,8 +229,26 @@
         )
         for entry in batch.records:
             reader.apply(entry)
+        if not batch.records:
+            left_s = await _await_record(attempt, left_s)
     offset = reader.first.offset
     if reader.void is not None:
         return Lost(offset, reader.void)
     shown = attrs.evolve(reader.configuration.position, offset=offset)
     return Published(offset, shown, attempt.is_repeat)
+
+
+async def _await_record(attempt: _Attempt, left_s: float) -> float:
+    """Pause before the next read; return how long to go on.
+
+    A log answers a read past its end at once, so that reading again without
+    a pause would load it. Replicas of the log may lag, but not for long.
+    """
+    if left_s <= 0:
+        raise OutcomeUnknownError(
+            f'change {attempt.record.change_id} was put at offset '
+            f'{attempt.offset}, but the log does not hold it now; '
+            'it may have been restored to older data',
+        )
+    await asyncio.sleep(_RETRY_S)
+    return left_s - _RETRY_S
--- a/packages/common/tests/test_publish.py
+++ b/packages/common/tests/test_publish.py
@@ -141,3 +141,26 @@
     expected = publish.OutcomeUnknownError if replaced else publish.Published
     assert isinstance(result, expected)
     assert count(log, 'new') == 1
+
+
+def test_log_drops_the_change(log: memory_log.MemoryLog) -> None:
+    """Guards against reading without pause, and for the whole time-out."""
+
+    class Rewinding(memory_log.MemoryLog):
+        reads = 0
+
+        async def append(self, *given: Any, **named: Any) -> Any:
+            appended = await super().append(*given, **named)
+            self.rewind(history.STREAM, appended.offset)
+            return appended
+
+        async def read(self, *given: Any, **named: Any) -> Any:
+            self.reads += 1
+            return await super().read(*given, **named)
+
+    rewinding = Rewinding()
+    add(rewinding, change('old'))
+    fault = run(rewinding, change('new'))
+    assert isinstance(fault, publish.OutcomeUnknownError)
+    assert 'does not hold it' in fault.message
+    assert rewinding.reads < 20
--- a/packages/yuccactl/src/yuccactl/execute.py
+++ b/packages/yuccactl/src/yuccactl/execute.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 from typing import Final
 
 import attrs
@@ -10,7 +9,7 @@
 from yuccactl import bill, capacity, errors, orders, output, publishing
 from yuccactl import queries, settings, sources, statements, suggestions
 from yuccactl import views, waiting
-from yuccarouter_common import model
+from yuccarouter_common import model, publish
 
 _QUERIES: Final = (
     statements.Show,
@@ -71,10 +70,8 @@
         )
     for line in plan.changes:
         context.progress(line)
-    offset = await publishing.publish(
-        context.log, plan.record, replay.end_offset, context.wait_ms
-    )
-    position = await _verify(context, order, offset)
+    published = await publishing.publish_record(context, plan.record)
+    position = await _position_of(context, order, published)
     answer = await waiting.until_in_effect(context, position)
     notes = [*plan.changes, f'change {plan.record.change_id}', *answer.notes]
     return attrs.evolve(answer, notes=notes)
@@ -120,60 +117,30 @@
         )
 
 
-async def _verify(
+async def _position_of(
     context: sources.Context,
     order: statements.Order,
-    offset: int,
+    published: publish.Result,
 ) -> model.Position:
-    """Return the position of the change, once it is known to have effect.
+    """Return the position of the change when it has effect.
 
     Raises ``errors.RejectedError`` with the change that won when the record
-    is void, and ``errors.UnknownError`` when it can't be read back.
+    is void.
     """
-    replay = await _replay_after(context, offset)
-    own = [change for change in replay.changes if change.offset == offset]
-    if not own:
-        raise errors.UnknownError(
-            f'recorded at offset {offset}, but the log does not hold it now; '
-            'it may have been restored to older data'
-        )
-    void = own[0].void
-    position = model.Position(replay.configuration.position.generation, offset)
-    if void is None:
-        return position
-    author = context.settings.author
-    plan = functools.partial(orders.plan, order, author=author)
-    if plan(replay.configuration).record is None:
-        context.progress('another change did the same first')
-        return position
-    raise errors.RejectedError(_void_text(replay, void))
-
-
-async def _replay_after(
-    context: sources.Context,
-    offset: int,
-) -> sources.Replay:
+    if isinstance(published, publish.Published):
+        return published.position
     try:
-        return await sources.replay(context.log)
+        replay = await sources.replay(context.log)
     except errors.CommandError as fault:
-        raise errors.UnknownError(
-            f'recorded at offset {offset}, but the log can not be read back: '
-            f'{fault.message}'
+        raise errors.RejectedError(
+            publishing.void_text(published.winner, [])
         ) from fault
-
-
-def _void_text(replay: sources.Replay, void: model.VoidChange) -> str:
-    winner = next(
-        (
-            change.record
-            for change in replay.changes
-            if change.offset == void.winner_offset
-        ),
-        None,
-    )
-    author = 'unknown' if winner is None else winner.author
-    return (
-        f'the change has no effect: {void.reason}; change '
-        f'{void.winner_change_id or "unknown"} of {author} '
-        f'at offset {void.winner_offset} won'
+    author = context.settings.author
+    if orders.plan(order, replay.configuration, author).record is None:
+        context.progress('another change did the same first')
+        return attrs.evolve(
+            replay.configuration.position, offset=published.offset
+        )
+    raise errors.RejectedError(
+        publishing.void_text(published.winner, replay.changes)
     )
--- a/packages/yuccactl/src/yuccactl/publishing.py
+++ b/packages/yuccactl/src/yuccactl/publishing.py
@@ -1,65 +1,43 @@
-"""Appending one record to the stream ``configuration``, at most once."""
+"""Publishing a record and reporting what became of it to the operator."""
 
 from __future__ import annotations
 
-import asyncio
-import time
-from typing import Final
+from yuccactl import errors, sources
+from yuccarouter_common import history, model, publish, records
 
-from yuccactl import errors
-from yuccarouter_common import records
-from yuccarouter_common.platform import errors as platform_errors
-from yuccarouter_common.platform import log
 
-_STREAM: Final = 'configuration'
-_FIND_PAUSE_S: Final = 0.25
-
-
-async def publish(
-    client: log.Client,
+async def publish_record(
+    context: sources.Context,
     record: records.Record,
-    start: int,
-    wait_ms: int,
-) -> int:
-    """Append ``record`` and return its offset.
-
-    When the answer is lost, the record is looked for from ``start`` on until
-    ``wait_ms`` have passed. It is never appended again, because the first
-    append may still take effect later.
+) -> publish.Result:
+    """Append ``record`` at most once and return whether it has effect.
 
     Raises ``errors.RejectedError`` when nothing took effect and
     ``errors.UnknownError`` when that is not known.
     """
-    payload = records.converter.unstructure(record)
     try:
-        appended = await client.append(_STREAM, record.change_id, payload)
-    except platform_errors.UnavailableError as fault:
+        return await publish.publish(context.log, record)
+    except publish.OutcomeUnknownError as unknown:
+        raise errors.UnknownError(
+            f'{unknown.message}; '
+            'repeat the statement later: it changes nothing twice'
+        ) from unknown
+    except (publish.NotPublishedError, history.HistoryError) as fault:
         raise errors.RejectedError(
             f'nothing was changed: {fault.message}'
         ) from fault
-    except platform_errors.PlatformError:
-        return await _find(client, record, start, wait_ms)
-    return appended.offset
 
 
-async def _find(
-    client: log.Client,
-    record: records.Record,
-    start: int,
-    wait_ms: int,
-) -> int:
-    deadline = time.monotonic() + wait_ms / 1000
-    while True:
-        try:
-            found = await client.find(_STREAM, record.change_id, start)
-        except platform_errors.PlatformError:
-            found = None
-        if found is not None:
-            return found.offset
-        if time.monotonic() >= deadline:
-            raise errors.UnknownError(
-                f'the answer to change {record.change_id} was lost and the '
-                'record is not in the log so far; '
-                'repeat the statement later: it changes nothing twice'
-            )
-        await asyncio.sleep(_FIND_PAUSE_S)
+def void_text(void: model.VoidChange, changes: list[sources.Change]) -> str:
+    """Say why a change has no effect and which change won."""
+    authors = [
+        change.record.author
+        for change in changes
+        if change.offset == void.winner_offset and change.record is not None
+    ]
+    author = authors[0] if authors else 'unknown'
+    return (
+        f'the change has no effect: {void.reason}; change '
+        f'{void.winner_change_id or "unknown"} of {author} '
+        f'at offset {void.winner_offset} won'
+    )
