Add the statement repair configuration

A daemon that reports a rewound log does not count as reached. Conclusion: a rewound log is repaired by one statement.

--- a/packages/daemon/src/yuccarouter/roles/admin.py
+++ b/packages/daemon/src/yuccarouter/roles/admin.py
@@ -34,6 +34,7 @@
     why_not_ready: Callable[[], str]
     status: Callable[[], dict[str, Any]]
     explain: Callable[[str], dict[str, Any] | None]
+    configuration: Callable[[], dict[str, Any]]
 
 
 def make_app(
@@ -62,6 +63,9 @@
     async def status(request: web.Request) -> web.Response:
         return _json(views.status())
 
+    async def configuration(request: web.Request) -> web.Response:
+        return _json(views.configuration())
+
     async def explain(request: web.Request) -> web.Response:
         return _json(views.explain(request.match_info['request_id']))
 
@@ -74,6 +78,7 @@
     app.router.add_get('/readyz', ready)
     app.router.add_get('/metrics', metrics)
     app.router.add_get('/status', status)
+    app.router.add_get('/configuration', configuration)
     app.router.add_get('/explain/{request_id}', explain)
     app.router.add_get('/traces/{trace_id}', trace)
     return app
--- a/packages/daemon/src/yuccarouter/roles/agent.py
+++ b/packages/daemon/src/yuccarouter/roles/agent.py
@@ -150,6 +150,9 @@
             why_not_ready=self._why_not_ready,
             status=self._status,
             explain=lambda _: None,
+            configuration=lambda: peering.configuration_of(
+                self._conf, self._store
+            ),
         )
         return servers.HttpServer(
             admin.make_app(self._conf, self._spans, shown),
--- a/packages/daemon/src/yuccarouter/roles/entry.py
+++ b/packages/daemon/src/yuccarouter/roles/entry.py
@@ -101,6 +101,9 @@
             why_not_ready=lambda: _why_not_ready(shared),
             status=lambda: _status(shared),
             explain=shared.explanations.find,
+            configuration=lambda: peering.configuration_of(
+                shared.conf, shared.store
+            ),
         )
         return servers.HttpServer(
             admin.make_app(self._conf, self._spans, shown),
--- a/packages/daemon/src/yuccarouter/roles/peering.py
+++ b/packages/daemon/src/yuccarouter/roles/peering.py
@@ -10,6 +10,7 @@
 
 from yuccarouter.configuration import peers, snapshots
 from yuccarouter.membership import subset
+from yuccarouter_common import apply
 from yuccarouter_common.proto import router_pb2, router_pb2_grpc
 
 if TYPE_CHECKING:
@@ -131,3 +132,18 @@
             attrs.asdict(void) for void in held.voids()[-_VOIDS_SHOWN:]
         ],
     }
+
+
+def configuration_of(
+    conf: settings.Settings, held: store.Store
+) -> dict[str, Any]:
+    """Return the whole configuration that a daemon holds.
+
+    ``body`` is that of a snapshot record and ``digest`` its 64-bit digest in
+    hexadecimal digits, by which a reader detects a damaged copy.
+    """
+    return {
+        'daemon': conf.name,
+        'digest': f'{held.state_digest():016x}',
+        'body': apply.snapshot_body(held.current()),
+    }
--- a/packages/yuccactl/src/yuccactl/execute.py
+++ b/packages/yuccactl/src/yuccactl/execute.py
@@ -7,7 +7,7 @@
 import attrs
 
 from yuccactl import bill, capacity, errors, orders, output, publishing
-from yuccactl import queries, settings, sources, statements, suggestions
+from yuccactl import queries, repair, settings, sources, statements, suggestions
 from yuccactl import views, waiting
 from yuccarouter_common import model, publish
 
@@ -32,6 +32,8 @@
         return await queries.answer(context, statement)
     if isinstance(statement, statements.BillReconcile):
         return await bill.reconcile(context)
+    if isinstance(statement, statements.RepairConfiguration):
+        return await repair.repair(context)
     if isinstance(statement, statements.SettingsCheck):
         return check_settings(statement)
     if isinstance(statement, statements.Incomplete):
@@ -55,7 +57,14 @@
 ) -> output.Answer:
     if not context.settings.author:
         raise errors.UsageError('an order needs author in the settings')
+    answers = await sources.statuses(context)
     replay = await sources.replay(context.log)
+    ahead = repair.ahead_of_log(answers, replay)
+    if ahead:
+        # Daemons that hold the lost history would not apply the record.
+        raise errors.RejectedError(
+            f'nothing was changed: {repair.rewound_text(ahead)}'
+        )
     if not replay.complete:
         raise errors.RejectedError(
             'the log does not give the whole configuration; nothing was changed'
--- a/packages/yuccactl/src/yuccactl/parser.py
+++ b/packages/yuccactl/src/yuccactl/parser.py
@@ -169,6 +169,7 @@
     'bring_back': _named(statements.BringBack),
     'limit': _limit,
     'reconcile': lambda parts: statements.BillReconcile(),
+    'repair_configuration': lambda parts: statements.RepairConfiguration(),
     'settings_check': _named(statements.SettingsCheck),
     'incomplete_explain': _incomplete('explain'),
     'incomplete_history': _incomplete('history of'),
--- a/packages/yuccactl/src/yuccactl/queries.py
+++ b/packages/yuccactl/src/yuccactl/queries.py
@@ -8,7 +8,8 @@
 import attrs
 import orjson
 
-from yuccactl import bill, errors, output, sources, statements, views, why
+from yuccactl import bill, errors, output, repair, sources, statements, views
+from yuccactl import why
 from yuccarouter_common import alerts, records
 
 # Attributes of the configuration that ``show`` lists under the same name.
@@ -125,6 +126,7 @@
     context: sources.Context,
     query: statements.Show,
 ) -> output.Answer:
+    answers = await sources.statuses(context)
     replay = await sources.replay(context.log)
     changes = replay.configuration.last_changes
     authors = {
@@ -140,9 +142,10 @@
         }
         for key, change_id in sorted(changes.items())
     ]
-    answers = await sources.statuses(context)
+    ahead = repair.ahead_of_log(answers, replay)
     return output.Answer(
         rows=_matching(rows, query.where),
+        notes=[repair.rewound_text(ahead)] if ahead else [],
         sources=[
             views.replay_source(context, replay),
             *views.daemon_sources(answers),
--- a/packages/yuccactl/src/yuccactl/statements.py
+++ b/packages/yuccactl/src/yuccactl/statements.py
@@ -169,6 +169,11 @@
     """Writes bill rows that are missing for recorded outcomes."""
 
 
+@attrs.frozen
+class RepairConfiguration:
+    """Writes the daemons' configuration to a log that was rewound."""
+
+
 @attrs.frozen
 class SettingsCheck:
     """Checks a settings file of this program."""
@@ -204,7 +209,14 @@
     | BringBack
     | Limit
 )
-Statement = Query | Order | BillReconcile | SettingsCheck | Incomplete
+Statement = (
+    Query
+    | Order
+    | BillReconcile
+    | RepairConfiguration
+    | SettingsCheck
+    | Incomplete
+)
 
 # Text of the statements that consist of keywords and names only.
 _TEMPLATES: Final[dict[type, str]] = {
@@ -226,6 +238,7 @@
     BringBack: 'bring back data_centre {data_centre}',
     Limit: 'limit {organisation} to {max_concurrent} concurrent',
     BillReconcile: 'bill reconcile',
+    RepairConfiguration: 'repair configuration',
     SettingsCheck: 'settings check {path}',
 }
 
--- a/packages/yuccactl/src/yuccactl/views.py
+++ b/packages/yuccactl/src/yuccactl/views.py
@@ -6,6 +6,9 @@
 
 from yuccactl import output, sources
 
+# State that a daemon reports while the log holds another history than its own.
+REWOUND: Final = 'rewound'
+
 _UNKNOWN_AGE_MS: Final = 2**53
 
 
--- a/packages/yuccactl/src/yuccactl/waiting.py
+++ b/packages/yuccactl/src/yuccactl/waiting.py
@@ -17,7 +17,9 @@
 
 
 @attrs.frozen
-class _Poll:
+class Poll:
+    """What the daemons answered, and which of them do not count."""
+
     answers: list[sources.Answer]
     behind: list[str]
     unreachable: list[str]
@@ -40,7 +42,7 @@
     polls = 0
     shown = ''
     while True:
-        poll = _sort(await sources.statuses(context), position)
+        poll = sort(await sources.statuses(context), position)
         polls += 1
         line = _progress(poll)
         if line != shown:
@@ -53,13 +55,14 @@
         await asyncio.sleep(context.poll_ms / 1000)
 
 
-def _sort(answers: list[sources.Answer], position: model.Position) -> _Poll:
-    return _Poll(
+def sort(answers: list[sources.Answer], position: model.Position) -> Poll:
+    """Sort the daemons by whether they have applied ``position``."""
+    return Poll(
         answers,
         behind=[
             f'{answer.daemon} (at offset {answer.position.offset})'
             for answer in answers
-            if not answer.fault and answer.position < position
+            if not answer.fault and _is_behind(answer, position)
         ],
         unreachable=[
             f'{answer.url} ({answer.fault})'
@@ -69,18 +72,24 @@
     )
 
 
-def _is_done(poll: _Poll) -> bool:
+def _is_behind(answer: sources.Answer, position: model.Position) -> bool:
+    # After a rewind, offsets of the lost history and of the log don't compare.
+    is_rewound = answer.document.get('log_state') == views.REWOUND
+    return is_rewound or answer.position < position
+
+
+def _is_done(poll: Poll) -> bool:
     return poll.reached > 0 and not poll.behind
 
 
-def _progress(poll: _Poll) -> str:
+def _progress(poll: Poll) -> str:
     return (
         f'in effect at {poll.reached} of {len(poll.answers)} daemons, '
         f'{len(poll.behind)} behind, {len(poll.unreachable)} unreachable'
     )
 
 
-def _done(poll: _Poll, position: model.Position) -> output.Answer:
+def _done(poll: Poll, position: model.Position) -> output.Answer:
     notes = [
         f'in effect at {poll.reached} of {len(poll.answers)} daemons '
         f'from offset {position.offset} on'
@@ -91,7 +100,7 @@
     )
 
 
-def _not_yet(poll: _Poll, position: model.Position) -> str:
+def _not_yet(poll: Poll, position: model.Position) -> str:
     waiting = '; '.join([*poll.behind, *poll.unreachable])
     if not poll.answers:
         waiting = 'the settings name no daemons'
--- a/packages/yuccactl/tests/conftest.py
+++ b/packages/yuccactl/tests/conftest.py
@@ -29,6 +29,7 @@
     streams: dict[str, list[dict[str, Any]]] = attrs.field(factory=dict)
     documents: list[dict[str, Any]] = attrs.field(factory=list)
     explained: dict[str, Any] = attrs.field(factory=dict)
+    configurations: dict[str, Any] = attrs.field(factory=dict)
     lose: bool = False
     lost_takes_effect: bool = True
     refuse: bool = False
@@ -122,6 +123,10 @@
             {**document, **self.documents[int(request.match_info['number'])]}
         )
 
+    async def configuration(self, request: web.Request) -> web.Response:
+        held = self.configurations.get(request.match_info['number'])
+        return web.json_response(held or {})
+
     async def explain(self, request: web.Request) -> web.Response:
         found = self.explained.get(request.match_info['request_id'])
         if found is None:
@@ -154,6 +159,9 @@
     application.router.add_post('/streams/{name}/records', platform.append)
     application.router.add_get('/streams/{name}/records', platform.read)
     application.router.add_get('/{number}/status', platform.status)
+    application.router.add_get(
+        '/{number}/configuration', platform.configuration
+    )
     application.router.add_get(
         '/{number}/explain/{request_id}', platform.explain
     )
--- a/packages/yuccactl/tests/test_parser.py
+++ b/packages/yuccactl/tests/test_parser.py
@@ -117,6 +117,7 @@
         ('bring back data_centre kochi', statements.BringBack('kochi')),
         ('limit o to 5 concurrent', statements.Limit('o', 5)),
         ('bill reconcile', statements.BillReconcile()),
+        ('repair configuration', statements.RepairConfiguration()),
         ('settings check s.yaml', statements.SettingsCheck('s.yaml')),
         ('take out kochi', statements.Incomplete('take out', ('kochi',))),
         ('limit o to 5', statements.Incomplete('limit', ('o', '5'))),
