Give equal configurations equal state digests

Change: these defaults are converted to floats. Measured: the new test fails without the change and passes with it. Conclusion: peers compare state digests of equal configurations as equal.

--- a/packages/common/src/yuccarouter_common/model.py
+++ b/packages/common/src/yuccarouter_common/model.py
@@ -122,7 +122,7 @@
     distance: float = 1.0
     cold: float = 1.0
     cache: float = 1.0
-    exposure: float = 0
+    exposure: float = attrs.field(default=0, converter=float)
 
 
 @attrs.frozen
@@ -191,7 +191,7 @@
     baseline: str
     state: str = 'created'
     step: int = 0
-    share: float = 0
+    share: float = attrs.field(default=0, converter=float)
     steps: tuple[float, ...] = (0.01, 0.05, 0.2, 0.5, 1.0)
     reason: str = ''
     fencing_number: int = 0
--- a/packages/common/tests/test_apply.py
+++ b/packages/common/tests/test_apply.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from yuccarouter_common import apply, model, records
+from yuccarouter_common import apply, history, model, records
 
 
 def _record(
@@ -103,3 +103,14 @@
     assert void is None
     assert restored.versions == current.versions
     assert restored.position == model.Position(0, 9)
+
+
+def test_snapshot_is_read_back_unchanged() -> None:
+    """Guards against equal configurations with different state digests."""
+    current = model.Configuration(
+        pools={'p': model.Pool('p')},
+        rollouts={'c@2': model.Rollout('c@2', 'c', '2', '1')},
+    )
+    body = apply.snapshot_body(current)
+    read = apply.snapshot_body(apply.from_snapshot(body))
+    assert history.digest(read) == history.digest(body)
