Reconcile the bill with what the registry writes

Cause: bill reconcile looked for items of another form, in 16 partitions where the daemons use 8, and outcomes held nothing to make a row from. Change: an outcome holds its bill row, which the agent fills. Reconcile matches outcomes to rows by request id, the registry's key. The number of partitions has one default. Readers of an earlier version refuse an outcome with the new field, so agents must not be mixed with earlier ones. Measured: tests of yuccactl, common, registry, admission and billing pass. Conclusion: a row lost with its entry and agent can be written again.

--- a/packages/common/src/yuccarouter_common/billing_rows.py
+++ b/packages/common/src/yuccarouter_common/billing_rows.py
@@ -6,6 +6,7 @@
 
 import attrs
 import cattrs
+import orjson
 
 from yuccarouter_common import errors, records
 
@@ -13,6 +14,7 @@
     from collections.abc import Iterable
 
     from yuccarouter_common import model
+    from yuccarouter_common.proto import router_pb2
 
 STREAM: Final = 'billing'
 
@@ -54,6 +56,51 @@
     )
 
 
+def attempt_row(
+    request: router_pb2.RunRequest,
+    usage: router_pb2.Usage,
+    configuration: model.Configuration,
+    time_ms: int,
+) -> BillRow:
+    """Return the row of an attempt whose answer is whole."""
+    cost = cost_microcents(
+        configuration.versions.get(f'{request.model}@{request.version}'),
+        usage.prompt_tokens,
+        usage.completion_tokens,
+    )
+    return BillRow(
+        request_id=request.request_id,
+        organisation=request.organisation,
+        model=request.model,
+        version=request.version,
+        kind=request.kind,
+        prompt_tokens=usage.prompt_tokens,
+        completion_tokens=usage.completion_tokens,
+        cost_microcents=cost + request.price_microcents,
+        entry=request.entry,
+        attempt_id=request.attempt_id,
+        time_ms=time_ms,
+    )
+
+
+def row_json(row: BillRow) -> bytes:
+    """Return the JSON form of one row."""
+    return orjson.dumps(records.converter.unstructure(row))
+
+
+def row_of(document: Any) -> BillRow:
+    """Return the row that a JSON text or a parsed document holds.
+
+    Raises ``BillRowError`` when it is not a row.
+    """
+    try:
+        if isinstance(document, bytes):
+            document = orjson.loads(document)
+        return records.converter.structure(dict(document), BillRow)
+    except (cattrs.BaseValidationError, TypeError, ValueError) as fault:
+        raise BillRowError(f'not a bill row: {fault}') from fault
+
+
 def payload_of(rows: Iterable[BillRow]) -> dict[str, Any]:
     """Return the payload of one append that holds the rows."""
     return {'rows': [records.converter.unstructure(row) for row in rows]}
--- a/packages/common/src/yuccarouter_common/settings.py
+++ b/packages/common/src/yuccarouter_common/settings.py
@@ -16,6 +16,8 @@
 
 ENTRY: Final = 'entry'
 AGENT: Final = 'agent'
+# Default of the daemons and of the operators' program, which must agree.
+REGISTRY_PARTITIONS: Final = 8
 
 _MAX_PORT: Final = 65535
 _MIN_SECRET_LENGTH: Final = 16
@@ -195,7 +197,9 @@
     listen: Address | None = None
     endpoint: Endpoint | None = None
     peers: tuple[str, ...] = ()
-    registry_partitions: int = attrs.field(default=8, validator=_is_positive)
+    registry_partitions: int = attrs.field(
+        default=REGISTRY_PARTITIONS, validator=_is_positive
+    )
     limits: Limits = Limits()
     timing: Timing = Timing()
 
--- a/packages/daemon/src/yuccarouter/admission/once.py
+++ b/packages/daemon/src/yuccarouter/admission/once.py
@@ -4,17 +4,20 @@
 
 import asyncio
 import functools
+import time
 from typing import Final
 
 import grpc
 
 from yuccarouter.admission import attempt as attempts
 from yuccarouter.admission import counters, errors, relay
+from yuccarouter_common import billing_rows
 from yuccarouter_common import errors as common_errors
 from yuccarouter_common.proto import router_pb2
 
 _OUTCOME: Final = 'outcome'
 _RELEASE: Final = 'release'
+_MS_PER_S: Final = 1000
 # Recording waits for the log; the caller's answer waits no longer than this.
 _RECORD_S: Final = 3.0
 
@@ -97,7 +100,7 @@
     # The outcome is recorded before the answer is given, so that a repeated
     # request never finds less than its caller has seen.
     if attempt.request.HasField('claim'):
-        await _record(caller, _record_of(attempt.request, _OUTCOME, answer))
+        await _record(caller, _outcome_of(caller, attempt.request, answer))
     caller.parts.usage.completed(attempt.request, answer.done.usage, whole=True)
     return answer
 
@@ -120,17 +123,30 @@
 def _record_of(
     request: router_pb2.RunRequest,
     item: str,
-    answer: relay.Answer | None = None,
 ) -> router_pb2.RecordRequest:
-    record = router_pb2.RecordRequest(
+    return router_pb2.RecordRequest(
         partition=request.claim.partition,
         # A call without a claim has no key that a repeat could come with.
         key=request.request_id if request.HasField('claim') else '',
         attempt_id=request.attempt_id,
         item=item,
     )
-    if answer is not None:
-        record.status = answer.done.status
-        record.content_type = answer.done.content_type
-        record.body = answer.body
+
+
+def _outcome_of(
+    caller: attempts.Caller,
+    request: router_pb2.RunRequest,
+    answer: relay.Answer,
+) -> router_pb2.RecordRequest:
+    record = _record_of(request, _OUTCOME)
+    record.status = answer.done.status
+    record.content_type = answer.done.content_type
+    record.body = answer.body
+    row = billing_rows.attempt_row(
+        request,
+        answer.done.usage,
+        caller.parts.configuration(),
+        int(time.time() * _MS_PER_S),
+    )
+    record.bill_row = billing_rows.row_json(row)
     return record
--- a/packages/daemon/src/yuccarouter/billing/cover.py
+++ b/packages/daemon/src/yuccarouter/billing/cover.py
@@ -109,21 +109,9 @@
     def _row(
         self, request: router_pb2.RunRequest, usage: router_pb2.Usage
     ) -> billing_rows.BillRow:
-        versions = self._configuration().versions
-        version = versions.get(f'{request.model}@{request.version}')
-        cost = billing_rows.cost_microcents(
-            version, usage.prompt_tokens, usage.completion_tokens
-        )
-        return billing_rows.BillRow(
-            request_id=request.request_id,
-            organisation=request.organisation,
-            model=request.model,
-            version=request.version,
-            kind=request.kind,
-            prompt_tokens=usage.prompt_tokens,
-            completion_tokens=usage.completion_tokens,
-            cost_microcents=cost + request.price_microcents,
-            entry=request.entry,
-            attempt_id=request.attempt_id,
-            time_ms=int(time.time() * _MS_PER_S),
+        return billing_rows.attempt_row(
+            request,
+            usage,
+            self._configuration(),
+            int(time.time() * _MS_PER_S),
         )
--- a/packages/daemon/src/yuccarouter/registry/answers.py
+++ b/packages/daemon/src/yuccarouter/registry/answers.py
@@ -4,7 +4,10 @@
 
 from typing import Final
 
+import eliot
+
 from yuccarouter.registry import items, partition
+from yuccarouter_common import billing_rows
 from yuccarouter_common.proto import router_pb2
 
 WON: Final = 'won'
@@ -58,9 +61,23 @@
         request.status,
         request.body,
         request.content_type,
+        _bill_row(request),
     )
 
 
+def _bill_row(
+    request: router_pb2.RecordRequest,
+) -> billing_rows.BillRow | None:
+    """Return the row in a request; the outcome is recorded without it too."""
+    if not request.HasField('bill_row'):
+        return None
+    try:
+        return billing_rows.row_of(request.bill_row)
+    except billing_rows.BillRowError as fault:
+        eliot.log_message('bill_row_not_recorded', reason=fault.message)
+        return None
+
+
 def took_effect(
     state: partition.Partition,
     item: items.Outcome | items.Release,
--- a/packages/daemon/src/yuccarouter/registry/items.py
+++ b/packages/daemon/src/yuccarouter/registry/items.py
@@ -12,7 +12,7 @@
 import cattrs
 
 from yuccarouter.registry import errors
-from yuccarouter_common import records
+from yuccarouter_common import billing_rows, records
 
 _TAG: Final = 'item'
 
@@ -35,13 +35,18 @@
 
 @attrs.frozen
 class Outcome:
-    """The response to the attempt that holds a key."""
+    """The response to the attempt that holds a key.
+
+    ``bill_row`` lets operators bill a request whose entry and agent were both
+    lost before its row was written.
+    """
 
     key: str
     attempt_id: str
     status: int
     body: bytes = b''
     content_type: str = ''
+    bill_row: billing_rows.BillRow | None = None
 
 
 @attrs.frozen
--- a/packages/daemon/tests/admission/test_run.py
+++ b/packages/daemon/tests/admission/test_run.py
@@ -9,7 +9,7 @@
 import orjson
 import pytest
 
-from yuccarouter_common import model, refusals
+from yuccarouter_common import billing_rows, model, refusals
 from yuccarouter_common.proto import router_pb2
 
 
@@ -242,6 +242,21 @@
     assert endpoint.calls[0].headers['Idempotency-Key'] == 'k1'
 
 
+async def test_outcome_holds_the_bill_row(
+    agent: Any, parts: Any, plain_request: Any
+) -> None:
+    """Guards against a call that nobody can bill when two VMs are lost."""
+    request = plain_request(price_microcents=40, entry='entry-1')
+    await agent.events(request)
+    row = billing_rows.row_of(parts.recorded[0].bill_row)
+    assert (row.request_id, row.attempt_id, row.cost_microcents) == (
+        request.request_id,
+        request.attempt_id,
+        40,
+    )
+    assert (row.organisation, row.entry) == (request.organisation, 'entry-1')
+
+
 async def test_recording_fails(
     agent: Any, parts: Any, plain_request: Any
 ) -> None:
--- a/packages/daemon/tests/registry/test_owner.py
+++ b/packages/daemon/tests/registry/test_owner.py
@@ -18,6 +18,7 @@
     writer,
 )
 
+from yuccarouter_common import billing_rows
 from yuccarouter_common.proto import router_pb2
 from yuccarouter_testkit import memory_log
 
@@ -60,6 +61,9 @@
         yield owners
 
 
+_ROW = billing_rows.BillRow('r', 'o', '', '', 'k', 0, 0, 7, 'entry-1', 'a', 1)
+
+
 def claim(attempt: str, **fields: Any) -> router_pb2.ClaimRequest:
     return router_pb2.ClaimRequest(
         key=_KEY,
@@ -92,6 +96,26 @@
         assert other.state == answers.CONFLICT
 
 
+@pytest.mark.parametrize(
+    ('written', 'found'),
+    [
+        (billing_rows.row_json(_ROW), _ROW),
+        (b'{}', None),
+        (b'not JSON', None),
+        (None, None),
+    ],
+)
+def test_bill_row_in_the_outcome(
+    written: bytes | None, found: billing_rows.BillRow | None
+) -> None:
+    """Guards against an outcome that a damaged bill row keeps out."""
+    item = answers.item_of(record('a', 'outcome', bill_row=written))
+    assert item is not None
+    [read] = items.decode(items.encode([item]))
+    assert isinstance(read, items.Outcome)
+    assert read.bill_row == found
+
+
 async def test_outcome_is_replayed(log: memory_log.MemoryLog) -> None:
     """Guards against a repeated request that runs again after a restart."""
     async with running(log) as [first]:
--- a/packages/yuccactl/src/yuccactl/bill.py
+++ b/packages/yuccactl/src/yuccactl/bill.py
@@ -10,6 +10,7 @@
 import attrs
 
 from yuccactl import errors, output, sources
+from yuccarouter_common import billing_rows
 from yuccarouter_common.platform import errors as platform_errors
 from yuccarouter_common.platform import log
 
@@ -46,11 +47,11 @@
 class Missing:
     """Recorded outcomes without a bill row.
 
-    ``rows`` can be written; ``not_rebuilt`` names the attempts whose outcome
+    ``rows`` can be written; ``not_rebuilt`` names the requests whose outcome
     does not hold the row.
     """
 
-    rows: list[output.Row]
+    rows: list[billing_rows.BillRow]
     not_rebuilt: list[str]
 
 
@@ -96,34 +97,39 @@
 
 
 async def missing(context: sources.Context) -> Missing:
-    """Return what the registry's outcomes show to be missing in the bill."""
-    billed = await read(context.log)
-    attempts = {row.get('attempt_id') for row in billed.rows}
-    requests = {row['request_id'] for row in billed.rows}
+    """Return what the registry's outcomes show to be missing in the bill.
+
+    A registry key is the id of its request. The first outcome of a key
+    counts.
+    """
+    # The registry is read first: a row that is written meanwhile is seen.
     streams = await asyncio.gather(
         *(
             sources.entries(context.log, f'registry-{partition:02d}')
             for partition in range(context.settings.registry_partitions)
         )
     )
-    unbilled = [
-        outcome
-        for entry in itertools.chain.from_iterable(streams)
-        for outcome in _outcomes(entry.payload)
-        if outcome.get('attempt_id') not in attempts
-    ]
-    rebuilt = _rows({'rows': [part.get('bill_row') for part in unbilled]})
-    rows = {
-        row['request_id']: row
-        for row in reversed(rebuilt)
-        if row['request_id'] not in requests
-    }
-    not_rebuilt = [
-        str(outcome.get('attempt_id'))
-        for outcome in unbilled
-        if outcome.get('bill_row') not in rebuilt
-    ]
-    return Missing(list(rows.values()), not_rebuilt)
+    billed = await read(context.log)
+    requests = {str(row['request_id']) for row in billed.rows}
+    outcomes: dict[str, dict[str, Any]] = {}
+    for entry in itertools.chain.from_iterable(streams):
+        for outcome in _outcomes(entry.payload):
+            outcomes.setdefault(outcome['key'], outcome)
+    unbilled = [key for key in outcomes if key not in requests]
+    rows = {key: _rebuilt(outcomes[key]) for key in unbilled}
+    return Missing(
+        [row for row in rows.values() if row is not None],
+        [key for key, row in rows.items() if row is None],
+    )
+
+
+def _rebuilt(outcome: dict[str, Any]) -> billing_rows.BillRow | None:
+    """Return the row in an outcome, none if it is not one of its request."""
+    try:
+        row = billing_rows.row_of(outcome.get('bill_row'))
+    except billing_rows.BillRowError:
+        return None
+    return row if row.request_id == outcome['key'] else None
 
 
 async def reconcile(context: sources.Context) -> output.Answer:
@@ -135,19 +141,24 @@
     notes = [f'rows written: {len(found.rows)}']
     if found.not_rebuilt:
         notes.append(
-            'outcomes without a row that do not hold one: '
+            'requests without a row whose outcome does not hold one: '
             f'{", ".join(found.not_rebuilt)}'
         )
     if found.rows:
         await _append(context, found.rows)
     billed = await read(context.log)
-    return output.Answer(summary(found.rows), notes, [source(context, billed)])
+    written = [attrs.asdict(row) for row in found.rows]
+    return output.Answer(summary(written), notes, [source(context, billed)])
 
 
-async def _append(context: sources.Context, rows: list[output.Row]) -> None:
+async def _append(
+    context: sources.Context, rows: list[billing_rows.BillRow]
+) -> None:
     try:
         await context.log.append(
-            sources.BILLING_STREAM, uuid.uuid4().hex, {'rows': rows}
+            sources.BILLING_STREAM,
+            uuid.uuid4().hex,
+            billing_rows.payload_of(rows),
         )
     except platform_errors.UnavailableError as fault:
         raise errors.RejectedError(
@@ -176,5 +187,6 @@
         part
         for part in found
         if isinstance(part, dict)
-        and 'outcome' in {part.get('item'), part.get('type'), part.get('kind')}
+        and part.get('item') == 'outcome'
+        and isinstance(part.get('key'), str)
     ]
--- a/packages/yuccactl/src/yuccactl/settings.py
+++ b/packages/yuccactl/src/yuccactl/settings.py
@@ -10,6 +10,7 @@
 import yaml
 
 from yuccactl import errors
+from yuccarouter_common import settings as daemon_settings
 
 
 @attrs.frozen
@@ -24,7 +25,7 @@
     daemons: list[str] = attrs.field(factory=list)
     author: str = ''
     operator_key: str = attrs.field(default='', repr=False)
-    registry_partitions: int = 16
+    registry_partitions: int = daemon_settings.REGISTRY_PARTITIONS
 
 
 _converter = cattrs.Converter(forbid_extra_keys=True)
--- a/packages/yuccactl/tests/test_queries.py
+++ b/packages/yuccactl/tests/test_queries.py
@@ -9,6 +9,7 @@
 import yaml
 
 from yuccactl import errors, execute, output, parser
+from yuccarouter_common import billing_rows, records
 
 
 async def _ask(bench: Any, text: str) -> output.Answer:
@@ -138,21 +139,31 @@
 
 async def test_reconcile(bench: Any) -> None:
     """Guards against billing an outcome twice, or not at all."""
-    row = {'request_id': 'r', 'organisation': 'o', 'attempt_id': 'a'}
-    outcomes = [
-        {'item': 'outcome', 'attempt_id': 'a', 'bill_row': row},
-        {'item': 'outcome', 'attempt_id': 'b'},
-        {'item': 'claim', 'attempt_id': 'c'},
+    row = billing_rows.BillRow('r', 'o', '', '', 'k', 0, 0, 7, 'e', 'a', 1)
+    document = records.converter.unstructure(row)
+    claim = {'item': 'claim', 'key': 'c', 'attempt_id': 'c', 'owner': 'x'}
+    outcome = {'item': 'outcome', 'attempt_id': 'a', 'status': 201}
+    batch = [
+        claim,
+        {**outcome, 'key': 'r', 'bill_row': document},
+        {**outcome, 'key': 'r', 'bill_row': document},
+        {**outcome, 'key': 'without'},
+        {**outcome, 'key': 'other', 'bill_row': document},
+        {**outcome, 'key': 'billed', 'bill_row': None},
     ]
-    bench.platform.put('registry-03', 'x', {'items': outcomes})
+    billed = {**document, 'request_id': 'billed'}
+    bench.platform.put('registry-07', 'x', {'items': batch})
+    bench.platform.put('billing', 'y', {'rows': [billed]})
     answer = await _ask(bench, 'bill reconcile')
     assert answer.notes == [
         'rows written: 1',
-        'outcomes without a row that do not hold one: b',
+        'requests without a row whose outcome does not hold one: '
+        'without, other',
     ]
+    assert answer.rows[0]['cost_microcents'] == 7
     repeated = await _ask(bench, 'bill reconcile')
     assert repeated.notes[0] == 'rows written: 0'
-    assert len(bench.platform.streams['billing']) == 1
+    assert len(bench.platform.streams['billing']) == 2
 
 
 @pytest.mark.parametrize('part', ['oldest', 'newest'])
