--- a/packages/testkit/src/yuccarouter_testkit/demo/calls.py
+++ b/packages/testkit/src/yuccarouter_testkit/demo/calls.py
@@ -117,9 +117,21 @@
         raise StepError(f'expected {expected}; found {found}')
 
 
-async def operate(running: fleet.Fleet, statement: str) -> tuple[int, str]:
-    """Run a statement of the operators' language; return status and text."""
-    path = running.started.folder / f'{running.deployment.name}-ctl.yaml'
+@attrs.frozen
+class Operated:
+    """What the operators' program did; ``progress`` has its errors too."""
+
+    status: int
+    output: str
+    progress: str
+
+
+async def operate_as(
+    running: fleet.Fleet, author: str, statement: str
+) -> Operated:
+    """Run a statement of the operators' language in the name of an author."""
+    name = f'{running.deployment.name}-ctl-{author}.yaml'
+    path = running.started.folder / name
     path.write_text(
         yaml.safe_dump(
             {
@@ -128,7 +140,7 @@
                     *running.admins,
                     *(endpoint.agent_admin for endpoint in running.endpoints),
                 ],
-                'author': 'demo',
+                'author': author,
                 'operator_key': running.operator_key,
             }
         ),
@@ -143,9 +155,15 @@
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.PIPE,
     )
-    output, faults = await asyncio.wait_for(child.communicate(), _LIMIT_S)
-    status = child.returncode or 0
-    return status, (output if status == 0 else output + faults).decode()
+    output, progress = await asyncio.wait_for(child.communicate(), _LIMIT_S)
+    return Operated(child.returncode or 0, output.decode(), progress.decode())
+
+
+async def operate(running: fleet.Fleet, statement: str) -> tuple[int, str]:
+    """Run a statement; return its status and, for a fault, all its text."""
+    done = await operate_as(running, 'demo', statement)
+    text = done.output if done.status == 0 else done.output + done.progress
+    return done.status, text
 
 
 async def billed_rows(running: fleet.Fleet) -> list[billing_rows.BillRow]:
