--- a/packages/testkit/src/yuccarouter_testkit/demo/calls.py
+++ b/packages/testkit/src/yuccarouter_testkit/demo/calls.py
@@ -198,14 +198,15 @@
 async def served_at(running: fleet.Fleet, data_centre: str) -> int:
     """Return how many requests the endpoints of a data centre have started."""
     counts = [
-        await _started(running, endpoint)
+        await started(running, endpoint)
         for endpoint in running.endpoints
         if endpoint.data_centre == data_centre
     ]
     return sum(counts)
 
 
-async def _started(running: fleet.Fleet, endpoint: fleet.Endpoint) -> int:
+async def started(running: fleet.Fleet, endpoint: fleet.Endpoint) -> int:
+    """Return how many requests an endpoint has started."""
     path = 'calls' if endpoint.pool.endswith('-app') else 'served'
     async with running.session.get(f'{endpoint.url}/{path}') as response:
         listed = (await response.json())[path]
--- a/packages/testkit/tests/test_operators.py
+++ b/packages/testkit/tests/test_operators.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import contextlib
-import pathlib
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
@@ -103,7 +102,7 @@
 
 @when('asha states explain request of the last one')
 def explain(run: Run, fleet: world.World, scene: _Scene) -> None:
-    statement = f'explain request {scene.served[-1]}'
+    statement = f'--output=json explain request {scene.served[-1]}'
     scene.done = run(calls.operate_as(fleet.running, 'asha', statement))
 
 
@@ -216,9 +215,23 @@
 
 
 @then('it names an endpoint that served it')
-def names_endpoint(fleet: world.World, scene: _Scene) -> None:
-    names = [item.name for item in fleet.endpoints('record-assistants')]
-    assert any(name in scene.done.output for name in names), scene.done
+def names_endpoint(run: Run, fleet: world.World, scene: _Scene) -> None:
+    rows = orjson.loads(scene.done.output)['rows']
+    found = {row['field']: row['value'] for row in rows}
+    assert found['request_id'] == scene.served[-1]
+    steps = {
+        field.removesuffix('.step'): value
+        for field, value in found.items()
+        if field.endswith('.step')
+    }
+    [chosen] = [
+        found[f'{decision}.endpoint']
+        for decision, step in steps.items()
+        if step == 'choose_endpoint'
+    ]
+    pool = fleet.endpoints('record-assistants')
+    [endpoint] = [item for item in pool if item.name == chosen]
+    assert run(calls.started(fleet.running, endpoint)) > 0
 
 
 @then('the bill has one row for each request')
--- a/packages/yuccactl/src/yuccactl/sources.py
+++ b/packages/yuccactl/src/yuccactl/sources.py
@@ -13,7 +13,7 @@
 
 from yuccactl import errors
 from yuccactl import settings as settings_module
-from yuccarouter_common import apply, model, records
+from yuccarouter_common import apply, history, model, records
 from yuccarouter_common.platform import errors as platform_errors
 from yuccarouter_common.platform import log
 
@@ -95,7 +95,10 @@
 
 
 async def replay(client: log.Client) -> Replay:
-    """Read the stream ``configuration`` and apply it from its start.
+    """Read the stream ``configuration`` and apply it.
+
+    When the oldest records are gone, the configuration is that of the newest
+    usable snapshot and the records after it.
 
     Raises ``errors.CommandError`` when the log can't be read.
     """
@@ -109,15 +112,38 @@
         for entry in batch.records:
             configuration, change = _apply(configuration, entry)
             changes.append(change)
+    complete = first_offset == 0
+    if not complete:
+        base = await _from_snapshot(client)
+        complete = base is not None
+        configuration = base or configuration
     return Replay(
         configuration,
         changes,
         end_offset,
-        complete=_is_complete(first_offset, changes)
-        and configuration.position.offset + 1 >= end_offset,
+        complete=complete and configuration.position.offset + 1 >= end_offset,
     )
 
 
+async def _from_snapshot(client: log.Client) -> model.Configuration | None:
+    """Return what starting daemons read, none without a usable snapshot."""
+    try:
+        base = await history.load(client)
+    except history.HistoryError:
+        return None
+    except platform_errors.PlatformError as fault:
+        raise errors.CommandError(
+            f'stream {CONFIGURATION_STREAM} can not be read: {fault.message}'
+        ) from fault
+    configuration = base.configuration
+    for entry in base.entries:
+        if entry.offset == configuration.position.offset + 1:
+            configuration, _ = history.step(
+                configuration, entry.offset, entry.payload
+            )
+    return configuration
+
+
 async def entries(client: log.Client, stream: str) -> list[log.Entry]:
     """Return all records of a stream.
 
@@ -224,12 +250,5 @@
     return applied, Change(entry.offset, entry.time_ms, record, void)
 
 
-def _is_complete(first_offset: int, changes: list[Change]) -> bool:
-    if first_offset == 0 or not changes:
-        return first_offset == 0
-    first = changes[0].record
-    return first is not None and first.kind is records.Kind.SNAPSHOT
-
-
 def _whole(found: Any, missing: int) -> int:
     return found if isinstance(found, int) else missing
--- a/packages/yuccactl/tests/conftest.py
+++ b/packages/yuccactl/tests/conftest.py
@@ -42,7 +42,7 @@
     def put(self, stream: str, append_id: str, payload: Any) -> int:
         """Append directly and return the offset."""
         held = self.streams.setdefault(stream, [])
-        offset = len(held)
+        offset = held[-1]['offset'] + 1 if held else 0
         held.append(
             {
                 'offset': offset,
--- a/packages/yuccactl/tests/test_queries.py
+++ b/packages/yuccactl/tests/test_queries.py
@@ -8,8 +8,8 @@
 import pytest
 import yaml
 
-from yuccactl import errors, execute, output, parser
-from yuccarouter_common import billing_rows, records
+from yuccactl import errors, execute, output, parser, sources
+from yuccarouter_common import billing_rows, history, records, snapshots
 
 
 async def _ask(bench: Any, text: str) -> output.Answer:
@@ -177,3 +177,26 @@
     assert 'incomplete' in answer.sources[0].log_state
     with pytest.raises(errors.RejectedError, match='does not give the whole'):
         await _ask(bench, 'limit o to 5 concurrent')
+
+
+async def test_history_from_a_snapshot(bench: Any) -> None:
+    """Guards against refusing all orders once the log drops old records."""
+    held = (await sources.replay(bench.context.log)).configuration
+    stream = bench.platform.streams['configuration']
+    digest = history.digest(stream[-1]['payload'])
+    bench.platform.change('limits', {'name': 'o', 'max_concurrent': 4})
+    bench.platform.put_record(
+        snapshots.snapshot_record(held, digest, 'entry-1', 0)
+    )
+    del stream[:2]
+    replay = await sources.replay(bench.context.log)
+    assert replay.complete
+    assert replay.configuration.organisations['o'].max_concurrent == 4
+    assert set(replay.configuration.versions) == {'c@1', 'c@2'}
+    bench.platform.documents = [{'position': {'generation': 0, 'offset': 7}}]
+    with pytest.raises(errors.RejectedError, match='ahead|restored'):
+        await _ask(bench, 'limit o to 5 concurrent')
+    bench.platform.documents = [{'position': {'generation': 0, 'offset': 6}}]
+    with pytest.raises(errors.NotYetError):
+        await _ask(bench, 'limit o to 5 concurrent')
+    assert bench.platform.last()['body']['max_concurrent'] == 5
