Lose answers of appends alone in the log's stand-in

Change: lose_appends counts appends, and the scenario checks that it was used. Conclusion: the scenario loses the answer that it is about.

--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/log.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/log.py
@@ -39,13 +39,16 @@
 
     ``lag_ms`` hides records from readers until they have this age.
     ``rewind_to`` removes, once, all records from this offset on and
-    ``truncate_to`` all records before it; ``stream`` limits both to one
+    ``truncate_to`` all records before it. ``lose_appends`` is the number of
+    next appends that take effect and lose their answer; unlike with
+    ``lose_answers``, reads don't count. ``stream`` limits these three to one
     stream.
     """
 
     lag_ms: float = 0
     rewind_to: int | None = None
     truncate_to: int | None = None
+    lose_appends: int = 0
     stream: str = ''
 
 
@@ -119,6 +122,15 @@
                 stream.rewind(given['rewind_to'])
             stream.notify()
 
+    def take_lost_append(self, name: str) -> bool:
+        current = self.injector.current
+        if not current.lose_appends or current.stream not in {'', name}:
+            return False
+        self.injector.current = attrs.evolve(
+            current, lose_appends=current.lose_appends - 1
+        )
+        return True
+
     async def take_turn(self) -> bool:
         now_s = time.monotonic()
         turn_s = max(now_s, self.next_turn_s)
@@ -170,7 +182,10 @@
         return faults.error_response(400, 'invalid_append', repr(bad))
     if not await log.take_turn():
         return faults.error_response(503, 'overloaded', 'too many appends')
-    record = log.append(request.match_info['name'], append_id, payload)
+    name = request.match_info['name']
+    record = log.append(name, append_id, payload)
+    if log.take_lost_append(name):
+        return faults.drop_connection(request)
     return faults.json_response(
         {'offset': record.offset, 'time_ms': record.time_ms}
     )
--- a/packages/testkit/tests/features/operators.feature
+++ b/packages/testkit/tests/features/operators.feature
@@ -20,7 +20,7 @@
     And the other is rejected and told which change won
 
   Scenario: The log loses the answer to an order
-    Given the log loses its answers
+    Given the log loses the answer to the next change
     When asha states limit board to 77 concurrent
     Then the statement is done
     And the configuration has this change once
--- a/packages/testkit/tests/test_operators.py
+++ b/packages/testkit/tests/test_operators.py
@@ -95,9 +95,15 @@
     run(fleet.fault(fleet.running.platform['log'], slow_ms=300))
 
 
-@given('the log loses its answers')
+@given('the log loses the answer to the next change')
 def log_loses(run: Run, fleet: world.World) -> None:
-    run(fleet.fault(fleet.running.platform['log'], lose_answers=6))
+    run(
+        fleet.fault(
+            fleet.running.platform['log'],
+            stream=history.STREAM,
+            lose_appends=1,
+        )
+    )
 
 
 @when('asha states explain request of the last one')
@@ -266,6 +272,12 @@
 
 @then('the configuration has this change once')
 def once(run: Run, fleet: world.World) -> None:
+    async def left() -> int:
+        url = f'{fleet.running.platform["log"]}/faults'
+        async with fleet.running.session.get(url) as response:
+            return int((await response.json())['lose_appends'])
+
+    assert run(left()) == 0
     values = [
         entry.payload['body']['max_concurrent']
         for entry in run(_configuration_entries(fleet))
