--- a/packages/yuccactl/tests/test_queries.py
+++ b/packages/yuccactl/tests/test_queries.py
@@ -8,7 +8,8 @@
 import pytest
 import yaml
 
-from yuccactl import errors, execute, output, parser
+from yuccactl import errors, execute, output, parser, sources
+from yuccarouter_common import billing_rows, history, records, snapshots
 
 
 async def _ask(bench: Any, text: str) -> output.Answer:
@@ -138,21 +139,31 @@
 
 async def test_reconcile(bench: Any) -> None:
     """Guards against billing an outcome twice, or not at all."""
-    row = {'request_id': 'r', 'organisation': 'o', 'attempt_id': 'a'}
-    outcomes = [
-        {'item': 'outcome', 'attempt_id': 'a', 'bill_row': row},
-        {'item': 'outcome', 'attempt_id': 'b'},
-        {'item': 'claim', 'attempt_id': 'c'},
+    row = billing_rows.BillRow('r', 'o', '', '', 'k', 0, 0, 7, 'e', 'a', 1)
+    document = records.converter.unstructure(row)
+    claim = {'item': 'claim', 'key': 'c', 'attempt_id': 'c', 'owner': 'x'}
+    outcome = {'item': 'outcome', 'attempt_id': 'a', 'status': 201}
+    batch = [
+        claim,
+        {**outcome, 'key': 'r', 'bill_row': document},
+        {**outcome, 'key': 'r', 'bill_row': document},
+        {**outcome, 'key': 'without'},
+        {**outcome, 'key': 'other', 'bill_row': document},
+        {**outcome, 'key': 'billed', 'bill_row': None},
     ]
-    bench.platform.put('registry-03', 'x', {'items': outcomes})
+    billed = {**document, 'request_id': 'billed'}
+    bench.platform.put('registry-07', 'x', {'items': batch})
+    bench.platform.put('billing', 'y', {'rows': [billed]})
     answer = await _ask(bench, 'bill reconcile')
     assert answer.notes == [
         'rows written: 1',
-        'outcomes without a row that do not hold one: b',
+        'requests without a row whose outcome does not hold one: '
+        'without, other',
     ]
+    assert answer.rows[0]['cost_microcents'] == 7
     repeated = await _ask(bench, 'bill reconcile')
     assert repeated.notes[0] == 'rows written: 0'
-    assert len(bench.platform.streams['billing']) == 1
+    assert len(bench.platform.streams['billing']) == 2
 
 
 @pytest.mark.parametrize('part', ['oldest', 'newest'])
@@ -166,3 +177,26 @@
     assert 'incomplete' in answer.sources[0].log_state
     with pytest.raises(errors.RejectedError, match='does not give the whole'):
         await _ask(bench, 'limit o to 5 concurrent')
+
+
+async def test_history_from_a_snapshot(bench: Any) -> None:
+    """Guards against refusing all orders once the log drops old records."""
+    held = (await sources.replay(bench.context.log)).configuration
+    stream = bench.platform.streams['configuration']
+    digest = history.digest(stream[-1]['payload'])
+    bench.platform.change('limits', {'name': 'o', 'max_concurrent': 4})
+    bench.platform.put_record(
+        snapshots.snapshot_record(held, digest, 'entry-1', 0)
+    )
+    del stream[:2]
+    replay = await sources.replay(bench.context.log)
+    assert replay.complete
+    assert replay.configuration.organisations['o'].max_concurrent == 4
+    assert set(replay.configuration.versions) == {'c@1', 'c@2'}
+    bench.platform.documents = [{'position': {'generation': 0, 'offset': 7}}]
+    with pytest.raises(errors.RejectedError, match='ahead|restored'):
+        await _ask(bench, 'limit o to 5 concurrent')
+    bench.platform.documents = [{'position': {'generation': 0, 'offset': 6}}]
+    with pytest.raises(errors.NotYetError):
+        await _ask(bench, 'limit o to 5 concurrent')
+    assert bench.platform.last()['body']['max_concurrent'] == 5
