--- a/packages/testkit/src/yuccarouter_testkit/bench/_rows.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/_rows.py
@@ -96,7 +96,8 @@
             )
         yield Row(
             COST,
-            f'quality relative to the best model, ratings {ratings.name}',
+            f'quality relative to the best model, ratings {ratings.name} '
+            '(naive: always the cheapest)',
             (f'{group}.cascade_quality',),
             f'{group}.cheap_quality',
             Target(0.98, at_least=True),
@@ -202,6 +203,7 @@
             ('cold_overloads', zero),
             ('refused', None),
             ('late', None),
+            ('started_after_return', None),
         ):
             yield _service_row(scenario, name, target)
         for phase in ('before', 'leaving', 'out', 'returning'):
