--- a/packages/testkit/src/yuccarouter_testkit/bench/__main__.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/__main__.py
@@ -68,6 +68,8 @@
         for name in kind:
             if name in names:
                 runs[name] = _run(name, seed, deadline_s)
+                state = runs[name].fault or 'ended'
+                sys.stderr.write(f'{name}: {state}\n')
 
     with futures.ThreadPoolExecutor() as pool:
         # Raises what went wrong in either.
