Count a returned data centre without work as a missed target

Routing's weight for cold endpoints seems to keep all work away while warm ones have room; it is not changed here.

--- a/packages/testkit/src/yuccarouter_testkit/bench/_rows.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/_rows.py
@@ -203,7 +203,8 @@
             ('cold_overloads', zero),
             ('refused', None),
             ('late', None),
-            ('started_after_return', None),
+            # Without any work, no cold overload proves nothing.
+            ('started_after_return', Target(1, at_least=True)),
         ):
             yield _service_row(scenario, name, target)
         for phase in ('before', 'leaving', 'out', 'returning'):
--- a/packages/testkit/src/yuccarouter_testkit/bench/data_centres.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/data_centres.py
@@ -137,13 +137,19 @@
 
 
 def missed(figures: dict[str, Any]) -> list[str]:
-    """Return the figures of the router that are not 0, as they must be."""
-    return [
-        f'{scenario.name}.router.{name}'
-        for scenario in SCENARIOS
-        for name in _TARGETS
-        if figures[scenario.name]['router'][name] != 0
-    ]
+    """Return the router's figures that are not as they must be.
+
+    A data centre that gets no work after its return is not back, and the
+    absence of cold overloads then proves nothing.
+    """
+    found = []
+    for scenario in SCENARIOS:
+        own = figures[scenario.name]['router']
+        names = [name for name in _TARGETS if own[name] != 0]
+        if own['started_after_return'] == 0:
+            names.append('started_after_return')
+        found += [f'{scenario.name}.router.{name}' for name in names]
+    return found
 
 
 async def _measure(
--- a/packages/testkit/tests/test_bench_page.py
+++ b/packages/testkit/tests/test_bench_page.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import pytest
-from yuccarouter_testkit.bench import _page, _rows
+from yuccarouter_testkit.bench import _page, _rows, data_centres
 
 
 def _alerts(**own: Any) -> dict[str, _page.Run]:
@@ -81,3 +81,28 @@
 def test_rows_name_existing_measures() -> None:
     """Guards against a row that no table shows."""
     assert {row.measure for row in _rows.ROWS} == set(_rows.MEASURES)
+
+
+@pytest.mark.parametrize(
+    ('figure', 'missed'),
+    [
+        ({}, []),
+        ({'lost': 1}, ['one.router.lost']),
+        ({'started_late': 1}, ['one.router.started_late']),
+        ({'cold_overloads': 1}, ['one.router.cold_overloads']),
+        ({'started_after_return': 0}, ['one.router.started_after_return']),
+    ],
+)
+def test_data_centre_targets(figure: dict[str, int], missed: list[str]) -> None:
+    """Guards against a missed target of data centres that is not listed."""
+    good = {
+        'lost': 0,
+        'started_late': 0,
+        'cold_overloads': 0,
+        'started_after_return': 5,
+    }
+    figures = {
+        scenario.name: {'router': good} for scenario in data_centres.SCENARIOS
+    }
+    figures['one'] = {'router': {**good, **figure}}
+    assert data_centres.missed(figures) == missed
