--- a/packages/yuccactl/src/yuccactl/execute.py
+++ b/packages/yuccactl/src/yuccactl/execute.py
@@ -43,12 +43,16 @@
 
 
 def check_settings(statement: statements.SettingsCheck) -> output.Answer:
-    """Check a settings file without using it."""
-    found = settings.load(statement.path)
-    daemons = len(found.daemons)
-    return output.Answer(
-        notes=[f'{statement.path} is valid: {daemons} daemons']
-    )
+    """Check a settings file, a daemon's or one of this program.
+
+    Raises ``errors.UsageError`` with every fault of a daemon's file.
+    """
+    path = statement.path
+    if settings.is_of_daemon(path):
+        found = settings.load_of_daemon(path)
+        return output.Answer(notes=[f'{path} is valid: {found.role}'])
+    daemons = len(settings.load(path).daemons)
+    return output.Answer(notes=[f'{path} is valid: {daemons} daemons'])
 
 
 async def _order(
--- a/packages/yuccactl/src/yuccactl/settings.py
+++ b/packages/yuccactl/src/yuccactl/settings.py
@@ -36,13 +36,36 @@
 
     Raises ``errors.UsageError`` when it can't be read or holds something else.
     """
+    return parse(_read(path), path)
+
+
+def is_of_daemon(path: str) -> bool:
+    """Return whether a file holds the settings of a daemon.
+
+    Raises ``errors.UsageError`` when it can't be read.
+    """
+    document = _read(path)
+    return isinstance(document, dict) and 'role' in document
+
+
+def load_of_daemon(path: str) -> daemon_settings.Settings:
+    """Read the settings of a daemon, checked as the daemon checks them.
+
+    Raises ``errors.UsageError`` with every fault.
+    """
+    try:
+        return daemon_settings.load(path)
+    except daemon_settings.SettingsError as faults:
+        raise errors.UsageError(faults.message) from faults
+
+
+def _read(path: str) -> Any:
     try:
-        document: Any = yaml.safe_load(pathlib.Path(path).read_text())
+        return yaml.safe_load(pathlib.Path(path).read_text(encoding='utf-8'))
     except (OSError, UnicodeDecodeError) as missing:
         raise errors.UsageError(f'{path} can not be read: {missing}')
     except yaml.YAMLError as malformed:
         raise errors.UsageError(f'{path} is not YAML: {malformed}')
-    return parse(document, path)
 
 
 def parse(document: Any, path: str) -> Settings:
--- a/packages/yuccactl/tests/test_main.py
+++ b/packages/yuccactl/tests/test_main.py
@@ -114,3 +114,27 @@
     """Guards against help that names no flags or counts as an error."""
     assert await _main('--help') == errors.DONE
     assert '--settings' in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ('text', 'status', 'shown'),
+    [
+        ('log_url: http://l', 0, 'is valid'),
+        ('role: entry', 2, '$.secrets: required field is missing'),
+        ('role: king', 2, '$.role: expected entry or agent'),
+        ('role: [', 2, 'is not YAML'),
+    ],
+)
+def test_check_of_any_settings(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+    text: str,
+    status: int,
+    shown: str,
+) -> None:
+    """Guards against a check that rejects the files of the daemons."""
+    path = tmp_path / 's.yaml'
+    path.write_text(text)
+    assert main.main(['yuccactl', 'settings', 'check', str(path)]) == status
+    captured = capsys.readouterr()
+    assert shown in captured.out + captured.err
