--- a/packages/daemon/src/yuccarouter/request_path/attempt.py
+++ b/packages/daemon/src/yuccarouter/request_path/attempt.py
@@ -79,8 +79,10 @@
         raise _converted(fault) from fault
     except asyncio.CancelledError:
         # A call that is cancelled here cancels its reader in the same way as
-        # a caller who leaves.
-        if abandoned:
+        # a caller who leaves or a deadline, which go first.
+        task = asyncio.current_task()
+        is_cancelled = task is not None and task.cancelling() > 0
+        if abandoned and not is_cancelled:
             raise errors.AttemptLostError('the agent is silent') from None
         raise
     finally:
