--- a/packages/testkit/src/yuccarouter_testkit/demo/calls.py
+++ b/packages/testkit/src/yuccarouter_testkit/demo/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import pathlib
 import secrets
 import sys
 from typing import Any, Final
@@ -126,12 +127,17 @@
     progress: str
 
 
+def settings_path(running: fleet.Fleet, author: str) -> pathlib.Path:
+    """Return where the operators' settings of an author are written."""
+    name = f'{running.deployment.name}-ctl-{author}.yaml'
+    return running.started.folder / name
+
+
 async def operate_as(
     running: fleet.Fleet, author: str, statement: str
 ) -> Operated:
     """Run a statement of the operators' language in the name of an author."""
-    name = f'{running.deployment.name}-ctl-{author}.yaml'
-    path = running.started.folder / name
+    path = settings_path(running, author)
     path.write_text(
         yaml.safe_dump(
             {
