--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 
 # More examples of the property tests than CI, from another seed.
 soak: setup
-	timeout $(SOAK_S) $(PY) -m pytest -n 4 --hypothesis-profile=soak \
+	timeout $(SOAK_S) $(PY) -m pytest -n 4 --timeout=$(SOAK_S) --hypothesis-profile=soak \
 		--hypothesis-seed=$(SEED) packages/daemon/tests packages/common/tests \
 		packages/yuccactl/tests
 
