Parse streams and platform answers in one place

Cause: five decoders each listed the errors of the converter, which is how two of them had missed one; the log client had its own copy of the HTTP exchange that the other platform clients share. Change: records.structure and structure_field raise one error for JSON of any other shape, and each decoder converts that; the log client uses platform.exchanges. A service that limits the rate has done nothing, so that error is now a kind of UnavailableError, as the log client had it.

--- a/packages/common/src/yuccarouter_common/apply.py
+++ b/packages/common/src/yuccarouter_common/apply.py
@@ -100,8 +100,8 @@
     Raises ``records.RecordError`` when the body is not a configuration.
     """
     try:
-        return records.converter.structure(body, model.Configuration)
-    except (cattrs.BaseValidationError, ValueError, TypeError) as fault:
+        return records.structure(body, model.Configuration)
+    except records.ShapeError as fault:
         raise records.RecordError(f'not a snapshot: {fault}') from fault
 
 
--- a/packages/common/src/yuccarouter_common/billing_rows.py
+++ b/packages/common/src/yuccarouter_common/billing_rows.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
-import cattrs
 import orjson
 
 from yuccarouter_common import errors, records
@@ -95,9 +94,9 @@
     """
     try:
         if isinstance(document, bytes):
-            document = orjson.loads(document)
-        return records.converter.structure(dict(document), BillRow)
-    except (cattrs.BaseValidationError, TypeError, ValueError) as fault:
+            document = records.loads(document)
+        return records.structure(document, BillRow)
+    except records.ShapeError as fault:
         raise BillRowError(f'not a bill row: {fault}') from fault
 
 
@@ -112,13 +111,8 @@
     Raises ``BillRowError`` when the payload is not a batch of rows.
     """
     try:
-        return records.converter.structure(payload['rows'], list[BillRow])
-    except (
-        cattrs.BaseValidationError,
-        KeyError,
-        TypeError,
-        ValueError,
-    ) as fault:
+        return records.structure_field(payload, 'rows', list[BillRow])
+    except records.ShapeError as fault:
         raise BillRowError(f'not a batch of bill rows: {fault}') from fault
 
 
--- a/packages/common/src/yuccarouter_common/platform/errors.py
+++ b/packages/common/src/yuccarouter_common/platform/errors.py
@@ -23,8 +23,8 @@
     code = 'platform_answer_lost'
 
 
-class RateLimitedError(PlatformError):
-    """The service asks to come back later."""
+class RateLimitedError(UnavailableError):
+    """The service asks to come back later; nothing took effect."""
 
     code = 'platform_rate_limited'
 
--- a/packages/common/src/yuccarouter_common/platform/exchanges.py
+++ b/packages/common/src/yuccarouter_common/platform/exchanges.py
@@ -7,8 +7,6 @@
 
 import aiohttp
 import attrs
-import cattrs
-import orjson
 
 from yuccarouter_common import records
 from yuccarouter_common.platform import errors
@@ -70,29 +68,11 @@
         ) from fault
 
 
-def status_error(service: str, status: int) -> errors.PlatformError:
-    """Return the error for a status, of a call that has an effect.
-
-    Only a 4xx and a 503 say that nothing took effect: other server errors may
-    come from a gateway that gave up on a call that goes on.
-    """
-    message = f'{service} answered {status}'
-    if status < _HTTP_SERVER_ERROR or status == _HTTP_UNAVAILABLE:
-        return errors.UnavailableError(message)
-    return errors.AnswerLostError(message)
-
-
 def structure(service: str, answer: bytes, kind: type[_Answer]) -> _Answer:
     """Parse an answer; raises ``BadAnswerError``."""
     try:
-        return records.converter.structure(orjson.loads(answer), kind)
-    # cattrs raises the builtin errors for JSON of another shape, like null.
-    except (
-        ValueError,
-        TypeError,
-        AttributeError,
-        cattrs.BaseValidationError,
-    ) as fault:
+        return records.structure(records.loads(answer), kind)
+    except records.ShapeError as fault:
         raise errors.BadAnswerError(
             f'bad answer of {service}: {fault}'
         ) from fault
@@ -111,12 +91,24 @@
             _retry_after_ms(response),
         )
     if exchange.has_effect:
-        raise status_error(exchange.service, response.status)
+        raise _status_error(exchange.service, response.status)
     raise errors.UnavailableError(
         f'{exchange.service} answered {response.status}'
     )
 
 
+def _status_error(service: str, status: int) -> errors.PlatformError:
+    """Return the error for a status, of a call that has an effect.
+
+    Only a 4xx and a 503 say that nothing took effect: other server errors may
+    come from a gateway that gave up on a call that goes on.
+    """
+    message = f'{service} answered {status}'
+    if status < _HTTP_SERVER_ERROR or status == _HTTP_UNAVAILABLE:
+        return errors.UnavailableError(message)
+    return errors.AnswerLostError(message)
+
+
 def _retry_after_ms(response: aiohttp.ClientResponse) -> int:
     seconds = response.headers.get('Retry-After', '')
     return int(seconds) * 1000 if seconds.isdecimal() else _DEFAULT_RETRY_MS
--- a/packages/common/src/yuccarouter_common/platform/log.py
+++ b/packages/common/src/yuccarouter_common/platform/log.py
@@ -2,20 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Any, Final
 
 import aiohttp
 import attrs
 import orjson
 
-from yuccarouter_common.platform import errors, exchanges
+from yuccarouter_common.platform import exchanges
 
 _APPEND_TIMEOUT_S: Final = 2.0
 _READ_MARGIN_S: Final = 2.0
-_HTTP_OK: Final = 200
 _DEFAULT_LIMIT: Final = 1000
 _SERVICE: Final = 'log'
+_MS_PER_S: Final = 1000
 
 
 @attrs.frozen
@@ -69,19 +68,17 @@
         ``AnswerLostError`` when that is not known; ``find`` then tells.
         """
         body = orjson.dumps({'append_id': append_id, 'payload': payload})
-        try:
-            async with self.session.post(
-                f'{self.url}/streams/{stream}/records',
-                data=body,
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
-            ) as response:
-                answer = await response.read()
-                if response.status != _HTTP_OK:
-                    raise exchanges.status_error(_SERVICE, response.status)
-        except aiohttp.ClientConnectorError as fault:
-            raise errors.UnavailableError('log is unreachable') from fault
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as fault:
-            raise errors.AnswerLostError('append answer lost') from fault
+        answer = await exchanges.send(
+            self.session,
+            exchanges.Exchange(
+                _SERVICE,
+                'POST',
+                self._records_url(stream),
+                timeout_s,
+                body,
+                has_effect=True,
+            ),
+        )
         return exchanges.structure(_SERVICE, answer, Appended)
 
     async def read(
@@ -101,20 +98,16 @@
             'limit': str(limit),
             'wait_ms': str(wait_ms),
         }
-        timeout_s = wait_ms / 1000 + _READ_MARGIN_S
-        try:
-            async with self.session.get(
-                f'{self.url}/streams/{stream}/records',
-                params=query,
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
-            ) as response:
-                answer = await response.read()
-                if response.status != _HTTP_OK:
-                    raise errors.UnavailableError(
-                        f'log answered {response.status} to a read'
-                    )
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as fault:
-            raise errors.UnavailableError('log can not be read') from fault
+        answer = await exchanges.send(
+            self.session,
+            exchanges.Exchange(
+                _SERVICE,
+                'GET',
+                self._records_url(stream),
+                wait_ms / _MS_PER_S + _READ_MARGIN_S,
+                query=query,
+            ),
+        )
         return exchanges.structure(_SERVICE, answer, Batch)
 
     async def find(
@@ -135,3 +128,6 @@
             if not batch.records:
                 return None
             start = batch.records[-1].offset + 1
+
+    def _records_url(self, stream: str) -> str:
+        return f'{self.url}/streams/{stream}/records'
--- a/packages/common/src/yuccarouter_common/records.py
+++ b/packages/common/src/yuccarouter_common/records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from typing import Any
+from typing import Any, TypeVar
 
 import attrs
 import cattrs
@@ -13,6 +13,15 @@
 from yuccarouter_common import errors
 
 
+_Value = TypeVar('_Value')
+
+
+class ShapeError(errors.RouterError):
+    """JSON does not have the shape of the value that is wanted."""
+
+    code = 'bad_shape'
+
+
 class RecordError(errors.RouterError):
     """A configuration record can't be decoded."""
 
@@ -68,27 +77,51 @@
 converter = orjson_preconf.make_converter(forbid_extra_keys=True)
 
 
-def encode(record: Record) -> bytes:
-    """Return the JSON form of a record."""
-    return orjson.dumps(converter.unstructure(record))
+def loads(text: bytes) -> Any:
+    """Parse a JSON text; raises ``ShapeError``."""
+    try:
+        return orjson.loads(text)
+    except (orjson.JSONDecodeError, TypeError) as fault:
+        raise ShapeError(f'not JSON: {fault}') from fault
 
 
-def decode(payload: bytes | dict[str, Any]) -> Record:
-    """Parse the JSON form of a record.
+def structure(document: Any, kind: type[_Value]) -> _Value:
+    """Return the value that parsed JSON holds; raises ``ShapeError``.
 
-    Raises ``RecordError`` for anything that is not a valid record.
+    The converter raises built-in errors for JSON of another shape, such as a
+    text or null, so that each decoder would have to know them.
     """
     try:
-        document = payload if isinstance(payload, dict) else _loads(payload)
-        return converter.structure(document, Record)
+        return converter.structure(document, kind)
     except (
         cattrs.BaseValidationError,
         AttributeError,
-        ValueError,
+        LookupError,
         TypeError,
+        ValueError,
     ) as fault:
-        raise RecordError(f'not a configuration record: {fault}') from fault
+        raise ShapeError(str(fault)) from fault
 
 
-def _loads(payload: bytes) -> Any:
-    return orjson.loads(payload)
+def structure_field(document: Any, name: str, kind: type[_Value]) -> _Value:
+    """Return the value of one field of an object; raises ``ShapeError``."""
+    if not isinstance(document, dict) or name not in document:
+        raise ShapeError(f'no object with {name!r}')
+    return structure(document[name], kind)
+
+
+def encode(record: Record) -> bytes:
+    """Return the JSON form of a record."""
+    return orjson.dumps(converter.unstructure(record))
+
+
+def decode(payload: bytes | dict[str, Any]) -> Record:
+    """Parse the JSON form of a record.
+
+    Raises ``RecordError`` for anything that is not a valid record.
+    """
+    try:
+        document = loads(payload) if isinstance(payload, bytes) else payload
+        return structure(document, Record)
+    except ShapeError as fault:
+        raise RecordError(f'not a configuration record: {fault}') from fault
--- a/packages/daemon/src/yuccarouter/registry/items.py
+++ b/packages/daemon/src/yuccarouter/registry/items.py
@@ -9,7 +9,6 @@
 from typing import Any, Final
 
 import attrs
-import cattrs
 
 from yuccarouter.registry import errors
 from yuccarouter_common import billing_rows, records
@@ -93,13 +92,11 @@
     Raises ``ItemError`` for a payload of another form.
     """
     try:
-        return [_structure(dict(document)) for document in payload['items']]
-    except (
-        cattrs.BaseValidationError,
-        KeyError,
-        TypeError,
-        ValueError,
-    ) as fault:
+        documents = records.structure_field(
+            payload, 'items', list[dict[str, Any]]
+        )
+        return [_structure(document) for document in documents]
+    except records.ShapeError as fault:
         raise errors.ItemError(f'not a registry record: {fault}') from fault
 
 
@@ -110,6 +107,9 @@
 
 
 def _structure(document: dict[str, Any]) -> Item:
-    kind = _KINDS[document.pop(_TAG)]
-    item: Item = records.converter.structure(document, kind)
+    tag = document.pop(_TAG, None)
+    kind = _KINDS.get(tag) if isinstance(tag, str) else None
+    if kind is None:
+        raise records.ShapeError('unknown kind of item')
+    item: Item = records.structure(document, kind)
     return item
--- a/packages/daemon/src/yuccarouter/rollout/leases.py
+++ b/packages/daemon/src/yuccarouter/rollout/leases.py
@@ -6,7 +6,6 @@
 from typing import Any, Final
 
 import attrs
-import cattrs
 
 from yuccarouter.rollout import errors
 from yuccarouter_common import records
@@ -64,13 +63,8 @@
 def decode(payload: Any) -> LeaseRecord:
     """Parse a record; raises ``LeaseRecordError`` for anything else."""
     try:
-        return records.converter.structure(payload, LeaseRecord)
-    except (
-        cattrs.BaseValidationError,
-        AttributeError,
-        ValueError,
-        TypeError,
-    ) as fault:
+        return records.structure(payload, LeaseRecord)
+    except records.ShapeError as fault:
         raise errors.LeaseRecordError(f'not a lease record: {fault}') from fault
 
 
--- a/packages/daemon/src/yuccarouter/rollout/observations.py
+++ b/packages/daemon/src/yuccarouter/rollout/observations.py
@@ -11,7 +11,6 @@
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
-import cattrs
 import eliot
 import mode
 
@@ -207,13 +206,8 @@
 def decode(payload: Any) -> list[Observation]:
     """Parse a payload of the stream; raises ``RolloutError``."""
     try:
-        return records.converter.structure(
-            payload['observations'], list[Observation]
+        return records.structure_field(
+            payload, 'observations', list[Observation]
         )
-    except (
-        cattrs.BaseValidationError,
-        KeyError,
-        TypeError,
-        ValueError,
-    ) as bad:
+    except records.ShapeError as bad:
         raise errors.RolloutError(f'not a batch of evidence: {bad}') from bad
--- a/packages/daemon/tests/test_decoders.py
+++ b/packages/daemon/tests/test_decoders.py
@@ -19,11 +19,22 @@
     (
         'rows', 'items', 'observations', 'action', 'lease', 'holder', 'kind',
         'body', 'change_id', 'author', 'time_ms', 'condition', 'name', 'key',
-        'position', 'allowed', 'model', 'version', 'expected',
+        'position', 'allowed', 'item', 'type', 'append_id', 'model', 'version', 'expected',
     )
 )  # fmt: skip
 _WORDS = st.sampled_from(
-    ('acquire', 'renew', 'organisation', 'allow', 'snapshot', 'limits', 'x')
+    (
+        'acquire',
+        'renew',
+        'claim',
+        'outcome',
+        'release',
+        'organisation',
+        'allow',
+        'snapshot',
+        'limits',
+        'x',
+    )
 )
 _JSON = st.recursive(
     st.none() | st.booleans() | st.integers(-9, 9) | _WORDS,
