Take the time from one module; sort imports alike

Change: yuccarouter_common.clocks has both clocks; constants that nothing uses are gone; imports are sorted.

--- /dev/null
+++ b/packages/common/src/yuccarouter_common/clocks.py
@@ -0,0 +1,19 @@
+"""The clocks of a process, in milliseconds."""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+
+_MS_PER_S: Final = 1000
+_NS_PER_MS: Final = 1_000_000
+
+
+def monotonic_ms() -> float:
+    """Return a clock that never steps; it has no meaning outside a process."""
+    return time.monotonic() * _MS_PER_S
+
+
+def wall_ms() -> int:
+    """Return the Unix time, which may step when a VM's clock is set."""
+    return time.time_ns() // _NS_PER_MS
--- a/packages/common/src/yuccarouter_common/records.py
+++ b/packages/common/src/yuccarouter_common/records.py
@@ -12,7 +12,6 @@
 
 from yuccarouter_common import errors
 
-
 _Value = TypeVar('_Value')
 
 
--- a/packages/common/tests/test_apply.py
+++ b/packages/common/tests/test_apply.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import pytest
-
 from yuccarouter_common import apply, history, model, records
 
 
--- a/packages/daemon/src/yuccarouter/admission/attempt.py
+++ b/packages/daemon/src/yuccarouter/admission/attempt.py
@@ -8,6 +8,8 @@
 
 import aiohttp
 import attrs
+from yuccarouter_common import refusals
+from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.admission import (
     calls,
@@ -20,8 +22,6 @@
     stream,
     tracing,
 )
-from yuccarouter_common import refusals
-from yuccarouter_common.proto import router_pb2
 
 RETRY_MS: Final = 500
 
--- a/packages/daemon/src/yuccarouter/admission/endpoint.py
+++ b/packages/daemon/src/yuccarouter/admission/endpoint.py
@@ -10,6 +10,7 @@
 import cattrs
 import eliot
 import orjson
+from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.admission import (
     cache,
@@ -20,7 +21,6 @@
     slots,
 )
 from yuccarouter.admission import gate as gates
-from yuccarouter_common.proto import router_pb2
 
 READY: Final = 'ready'
 COLD: Final = 'cold'
--- a/packages/daemon/src/yuccarouter/admission/events.py
+++ b/packages/daemon/src/yuccarouter/admission/events.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import attrs
-
-from yuccarouter.admission import counters, ports
 from yuccarouter_common import refusals
 from yuccarouter_common.proto import router_pb2
 
+from yuccarouter.admission import counters, ports
+
 
 @attrs.define
 class Events:
--- a/packages/daemon/src/yuccarouter/admission/once.py
+++ b/packages/daemon/src/yuccarouter/admission/once.py
@@ -4,20 +4,18 @@
 
 import asyncio
 import functools
-import time
 from typing import Final
 
 import grpc
+from yuccarouter_common import billing_rows, clocks
+from yuccarouter_common import errors as common_errors
+from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.admission import attempt as attempts
 from yuccarouter.admission import counters, errors, relay
-from yuccarouter_common import billing_rows
-from yuccarouter_common import errors as common_errors
-from yuccarouter_common.proto import router_pb2
 
 _OUTCOME: Final = 'outcome'
 _RELEASE: Final = 'release'
-_MS_PER_S: Final = 1000
 # Recording waits for the log; the caller's answer waits no longer than this.
 _RECORD_S: Final = 3.0
 
@@ -146,7 +144,7 @@
         request,
         answer.done.usage,
         caller.parts.configuration(),
-        int(time.time() * _MS_PER_S),
+        clocks.wall_ms(),
     )
     record.bill_row = billing_rows.row_json(row)
     return record
--- a/packages/daemon/src/yuccarouter/admission/service.py
+++ b/packages/daemon/src/yuccarouter/admission/service.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import mode
+from yuccarouter_common.proto import router_pb2_grpc
 
 from yuccarouter.admission import (
     calls,
@@ -16,7 +17,6 @@
     ports,
     wiring,
 )
-from yuccarouter_common.proto import router_pb2_grpc
 
 # How long a cold start can stay unnoticed, besides the report's own lag.
 _LOAD_INTERVAL_S: Final = 0.1
--- a/packages/daemon/src/yuccarouter/admission/waits.py
+++ b/packages/daemon/src/yuccarouter/admission/waits.py
@@ -5,11 +5,11 @@
 from typing import Final
 
 import attrs
-
-from yuccarouter.admission import gate as gates
 from yuccarouter_common import refusals
 from yuccarouter_common.proto import router_pb2
 
+from yuccarouter.admission import gate as gates
+
 _MIN_RETRY_MS: Final = 100
 _MAX_RETRY_MS: Final = 30_000
 # Stands in for the cost of a request while no service time is known.
--- a/packages/daemon/src/yuccarouter/billing/cover.py
+++ b/packages/daemon/src/yuccarouter/billing/cover.py
@@ -8,17 +8,18 @@
 import attrs
 import eliot
 import mode
+from yuccarouter_common import billing_rows, clocks
 
 from yuccarouter.billing import errors
-from yuccarouter_common import billing_rows
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from yuccarouter.billing import ledger
     from yuccarouter_common import model
     from yuccarouter_common.proto import router_pb2
 
+    from yuccarouter.billing import ledger
+
 _CHECK_INTERVAL_S: Final = 0.5
 _MS_PER_S: Final = 1000
 _MAX_HELD_ATTEMPTS: Final = 50_000
@@ -113,5 +114,5 @@
             request,
             usage,
             self._configuration(),
-            int(time.time() * _MS_PER_S),
+            clocks.wall_ms(),
         )
--- a/packages/daemon/src/yuccarouter/configuration/snapshots.py
+++ b/packages/daemon/src/yuccarouter/configuration/snapshots.py
@@ -11,10 +11,10 @@
 import eliot
 import mode
 import xxhash
+from yuccarouter_common import clocks, history, records, snapshots
+from yuccarouter_common.platform import errors as platform_errors
 
 from yuccarouter.configuration import store as stores
-from yuccarouter_common import history, records, snapshots
-from yuccarouter_common.platform import errors as platform_errors
 
 # A start reads at most this many records, and a log that keeps a day's 960
 # changes always holds a snapshot.
@@ -27,7 +27,6 @@
 # describe a history that the log has lost.
 _FRESH_MS: Final = 15_000
 _HASH_RANGE: Final = 2**64
-_MS: Final = 1000
 
 
 def delay_s(name: str, offset: int, processes: int) -> float:
@@ -113,7 +112,7 @@
             store.current(),
             store.digest_at(store.position.offset),
             self._name,
-            int(time.time() * _MS),
+            clocks.wall_ms(),
         )
         payload = records.converter.unstructure(record)
         append_id = f'{record.change_id}/{self._name}'
--- a/packages/daemon/src/yuccarouter/main.py
+++ b/packages/daemon/src/yuccarouter/main.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from absl import app, flags
-
 from yuccarouter_common import settings, telemetry
 
 if TYPE_CHECKING:
--- a/packages/daemon/src/yuccarouter/membership/digests.py
+++ b/packages/daemon/src/yuccarouter/membership/digests.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, Final
 
 import attrs
 import grpc
+from yuccarouter_common import clocks
+from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.membership import directory, sampling, subset
 from yuccarouter.routing import views
-from yuccarouter_common.proto import router_pb2
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -24,10 +24,6 @@
 _MS_PER_S: Final = 1000
 
 
-def _wall_clock_ms() -> int:
-    return int(time.time() * _MS_PER_S)
-
-
 @attrs.frozen
 class Source:
     """Makes digests of the endpoints of one data centre.
@@ -39,7 +35,7 @@
     fleet: views.Fleet
     known: directory.Directory
     now_ms: Callable[[], float]
-    wall_clock_ms: Callable[[], int] = _wall_clock_ms
+    wall_clock_ms: Callable[[], int] = clocks.wall_ms
 
     async def stream(
         self, request: router_pb2.EndpointsRequest, context: Any
--- a/packages/daemon/src/yuccarouter/membership/peer_service.py
+++ b/packages/daemon/src/yuccarouter/membership/peer_service.py
@@ -4,15 +4,17 @@
 
 from typing import TYPE_CHECKING, Any
 
-from yuccarouter.membership import relay
 from yuccarouter_common.proto import router_pb2_grpc
 
+from yuccarouter.membership import relay
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from yuccarouter.membership import digests
     from yuccarouter_common.proto import router_pb2
 
+    from yuccarouter.membership import digests
+
 
 class PeerService(router_pb2_grpc.PeerServicer):
     """Serves digests of this data centre's endpoints and gathers appends."""
--- a/packages/daemon/src/yuccarouter/membership/remote.py
+++ b/packages/daemon/src/yuccarouter/membership/remote.py
@@ -4,25 +4,26 @@
 
 import asyncio
 import collections
-import time
 from typing import TYPE_CHECKING, Final
 
 import attrs
 import eliot
 import mode
 from grpc import aio
+from yuccarouter_common import clocks
+from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.membership import reports, sampling, subset
 from yuccarouter.routing import views
-from yuccarouter_common.proto import router_pb2
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from yuccarouter.membership import channels, directory, pause
     from yuccarouter_common import settings
     from yuccarouter_common.platform import vms
 
+    from yuccarouter.membership import channels, directory, pause
+
 _INTERVAL_MS: Final = 1000
 _SILENCE_S: Final = 3.0
 _RETRY_DELAY_S: Final = 0.25
@@ -34,10 +35,6 @@
 _MS_PER_S: Final = 1000
 
 
-def _now_ms() -> float:
-    return time.monotonic() * _MS_PER_S
-
-
 @attrs.define
 class _Centre:
     """One followed data centre and what the fleet holds of it."""
@@ -76,7 +73,7 @@
         known: directory.Directory,
         daemons: channels.Channels,
         pauses: pause.PauseWatch,
-        now_ms: Callable[[], float] = _now_ms,
+        now_ms: Callable[[], float] = clocks.monotonic_ms,
     ) -> None:
         super().__init__()
         self._conf = conf
--- a/packages/daemon/src/yuccarouter/membership/reports.py
+++ b/packages/daemon/src/yuccarouter/membership/reports.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
@@ -11,17 +10,19 @@
 import grpc
 import mode
 from grpc import aio
+from yuccarouter_common import clocks
+from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.membership import subset
 from yuccarouter.routing import views
-from yuccarouter_common.proto import router_pb2
 
 if TYPE_CHECKING:
-    from yuccarouter.membership import channels, directory, pause
-    from yuccarouter.membership import watch as watches
     from yuccarouter_common import settings
     from yuccarouter_common.platform import vms
 
+    from yuccarouter.membership import channels, directory, pause
+    from yuccarouter.membership import watch as watches
+
 _RECONNECT_DELAY_S: Final = 0.25
 # Reports stop for this many intervals before an agent is taken as down.
 _MISSED_INTERVALS: Final = 4
@@ -270,7 +271,7 @@
         first_token_ms=report.first_token_ms,
         prefixes=frozenset(report.prefixes),
         age_ms=report.age_ms,
-        received_ms=time.monotonic() * _MS_PER_S,
+        received_ms=clocks.monotonic_ms(),
         sequence=report.sequence,
     )
 
--- a/packages/daemon/src/yuccarouter/membership/subset.py
+++ b/packages/daemon/src/yuccarouter/membership/subset.py
@@ -7,7 +7,6 @@
 
 import attrs
 import xxhash
-
 from yuccarouter_common.platform import vms
 
 if TYPE_CHECKING:
--- a/packages/daemon/src/yuccarouter/registry/answers.py
+++ b/packages/daemon/src/yuccarouter/registry/answers.py
@@ -5,11 +5,11 @@
 from typing import Final
 
 import eliot
-
-from yuccarouter.registry import items, partition
 from yuccarouter_common import billing_rows
 from yuccarouter_common.proto import router_pb2
 
+from yuccarouter.registry import items, partition
+
 WON: Final = 'won'
 LOST: Final = 'lost'
 CONFLICT: Final = 'conflict'
--- a/packages/daemon/src/yuccarouter/registry/owner.py
+++ b/packages/daemon/src/yuccarouter/registry/owner.py
@@ -9,6 +9,9 @@
 
 import eliot
 import mode
+from yuccarouter_common import history
+from yuccarouter_common.platform import errors as platform_errors
+from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.registry import (
     answers,
@@ -19,9 +22,6 @@
 )
 from yuccarouter.registry import served as served_partitions
 from yuccarouter.registry import writer as writers
-from yuccarouter_common import history
-from yuccarouter_common.platform import errors as platform_errors
-from yuccarouter_common.proto import router_pb2
 
 DEFAULT_WINDOW_MS: Final = 3_600_000
 _RECORD_TIMEOUT_MS: Final = 5000
--- a/packages/daemon/src/yuccarouter/request_path/bills.py
+++ b/packages/daemon/src/yuccarouter/request_path/bills.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING, Final
 
+from yuccarouter_common import billing_rows, clocks, refusals
+
 from yuccarouter.billing import errors
-from yuccarouter_common import billing_rows, refusals
 
 if TYPE_CHECKING:
     from yuccarouter.request_path import plan, router
 
-_MS_PER_S: Final = 1000
 _FULL_RETRY_MS: Final = 5000
 
 
@@ -50,7 +49,7 @@
         cost_microcents=cost,
         entry=shared.conf.name,
         attempt_id=answer.attempt_id,
-        time_ms=int(time.time() * _MS_PER_S),
+        time_ms=clocks.wall_ms(),
     )
     unused = []
     for note in progress.attempts:
--- a/packages/daemon/src/yuccarouter/request_path/cascading.py
+++ b/packages/daemon/src/yuccarouter/request_path/cascading.py
@@ -7,17 +7,18 @@
 
 import attrs
 import orjson
+from yuccarouter_common import clocks, refusals
+from yuccarouter_common.platform import errors as platform_errors
+from yuccarouter_common.platform import ratings
 
 from yuccarouter.request_path import plan, router, sender, whole
 from yuccarouter.routing import cascade as cascades
-from yuccarouter_common import refusals
-from yuccarouter_common.platform import errors as platform_errors
-from yuccarouter_common.platform import ratings
 
 if TYPE_CHECKING:
-    from yuccarouter.routing import allowed
     from yuccarouter_common import model
 
+    from yuccarouter.routing import allowed
+
 _MS_PER_S: Final = 1000
 # Tokens of English and German text are about this long.
 _CHARS_PER_TOKEN: Final = 4
@@ -102,7 +103,7 @@
     is_last: bool,
 ) -> plan.Answer | None:
     """Return a step's answer; ``None`` when a later step is to answer."""
-    started_ms = router.now_ms()
+    started_ms = clocks.monotonic_ms()
     try:
         found = await whole.answer(shared, _attempt(work, version))
     except refusals.RefusalError as fault:
@@ -112,7 +113,7 @@
         work.progress.explain('cascade_step_failed', code=fault.code)
         return None
     key = cascades.step_key(work.request.kind.name, version.name)
-    shared.latencies.record(key, router.now_ms() - started_ms)
+    shared.latencies.record(key, clocks.monotonic_ms() - started_ms)
     return found
 
 
@@ -157,13 +158,15 @@
         prompt=work.prompt,
         answer=text_of(found.body),
     )
-    started_ms = router.now_ms()
+    started_ms = clocks.monotonic_ms()
     try:
         score = await shared.ratings.score(asked, wait_ms / _MS_PER_S)
     except platform_errors.PlatformError as fault:
         work.progress.explain('rating_missing', why=fault.message)
         return None
-    shared.latencies.record(cascades.RATING_KEY, router.now_ms() - started_ms)
+    shared.latencies.record(
+        cascades.RATING_KEY, clocks.monotonic_ms() - started_ms
+    )
     return score
 
 
--- a/packages/daemon/src/yuccarouter/request_path/chat.py
+++ b/packages/daemon/src/yuccarouter/request_path/chat.py
@@ -6,7 +6,6 @@
 
 import attrs
 import orjson
-
 from yuccarouter_common import refusals
 
 _MAX_MESSAGES: Final = 4096
--- a/packages/daemon/src/yuccarouter/request_path/freshness.py
+++ b/packages/daemon/src/yuccarouter/request_path/freshness.py
@@ -4,11 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from yuccarouter.configuration import staleness
 from yuccarouter_common import refusals
 
+from yuccarouter.configuration import staleness
+
 if TYPE_CHECKING:
     from yuccarouter_common import model
+
     from yuccarouter.request_path import router
 
 
--- a/packages/daemon/src/yuccarouter/request_path/router.py
+++ b/packages/daemon/src/yuccarouter/request_path/router.py
@@ -5,14 +5,15 @@
 import asyncio
 import collections
 import random
-import time
 from typing import TYPE_CHECKING, Final
 
 import attrs
-
 from yuccarouter_common import refusals
 
 if TYPE_CHECKING:
+    from yuccarouter_common import model, settings
+    from yuccarouter_common.platform import ratings as rating_clients
+
     from yuccarouter.billing import ledger as ledgers
     from yuccarouter.configuration import store as stores
     from yuccarouter.membership import channels, directory
@@ -31,10 +32,7 @@
     )
     from yuccarouter.rollout import observations as rollout_observations
     from yuccarouter.routing import cascade, latency, retry_budget, views
-    from yuccarouter_common import model, settings
-    from yuccarouter_common.platform import ratings as rating_clients
 
-_MS_PER_S: Final = 1000
 _BUSY_RETRY_MS: Final = 500
 
 
@@ -117,8 +115,3 @@
     def session_key(self) -> bytes:
         """The key that signs session tokens."""
         return self.conf.secrets.session_key.encode()
-
-
-def now_ms() -> float:
-    """Return the monotonic time in milliseconds."""
-    return time.monotonic() * _MS_PER_S
--- a/packages/daemon/src/yuccarouter/request_path/whole.py
+++ b/packages/daemon/src/yuccarouter/request_path/whole.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
+from yuccarouter_common import clocks, refusals
 
 from yuccarouter.request_path import (
     attempt,
@@ -17,7 +18,6 @@
     sender,
 )
 from yuccarouter.routing import hedge
-from yuccarouter_common import refusals
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -86,12 +86,12 @@
         may_hedge=request.is_idempotent and request.kind.hedge,
         remaining_ms=request.remaining_ms(),
     )
-    started_ms = router.now_ms()
+    started_ms = clocks.monotonic_ms()
     if delay_ms is None:
         found = await _collect(shared, sending)
     else:
         found = await _hedged(shared, sending, delay_ms)
-    shared.latencies.record(key, router.now_ms() - started_ms)
+    shared.latencies.record(key, clocks.monotonic_ms() - started_ms)
     return found
 
 
--- a/packages/daemon/src/yuccarouter/roles/agent.py
+++ b/packages/daemon/src/yuccarouter/roles/agent.py
@@ -9,21 +9,20 @@
 import aiohttp
 import eliot
 import mode
+from yuccarouter_common import errors
+from yuccarouter_common.platform import log, vms
+from yuccarouter_common.proto import router_pb2_grpc
 
 from yuccarouter.admission import ports, service
 from yuccarouter.billing import cover, ledger
 from yuccarouter.configuration import follower, store
 from yuccarouter.membership import channels, directory
 from yuccarouter.registry import owner
-from yuccarouter.rollout import fence
 from yuccarouter.roles import admin, peering, servers
-from yuccarouter_common import errors
-from yuccarouter_common.platform import log, vms
-from yuccarouter_common.proto import router_pb2_grpc
+from yuccarouter.rollout import fence
 
 if TYPE_CHECKING:
     from grpc import aio
-
     from yuccarouter_common import billing_rows, model, settings, telemetry
 
 _CATCH_UP_MS: Final = 1000
--- a/packages/daemon/src/yuccarouter/roles/entry.py
+++ b/packages/daemon/src/yuccarouter/roles/entry.py
@@ -10,14 +10,16 @@
 import attrs
 import eliot
 import mode
+from yuccarouter_common import clocks
 
 from yuccarouter.request_path import front, router
 from yuccarouter.roles import admin, entry_parts, peering, servers
 
 if TYPE_CHECKING:
+    from yuccarouter_common import settings, telemetry
+
     from yuccarouter.membership import peer_service
     from yuccarouter.routing import views
-    from yuccarouter_common import settings, telemetry
 
 _MS_PER_S: Final = 1000
 _FLUSH_LIMIT_S: Final = 5.0
@@ -132,7 +134,7 @@
 def _endpoint(view: views.EndpointView) -> dict[str, Any]:
     fields = attrs.asdict(view)
     fields.pop('prefixes')
-    return {**fields, 'age_ms': router.now_ms() - view.measured_ms}
+    return {**fields, 'age_ms': clocks.monotonic_ms() - view.measured_ms}
 
 
 async def _bounded(work: Any, limit_s: float) -> None:
--- a/packages/daemon/src/yuccarouter/roles/entry_parts.py
+++ b/packages/daemon/src/yuccarouter/roles/entry_parts.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from yuccarouter_common import clocks
+from yuccarouter_common.platform import log, ratings, vms, weights
 
 from yuccarouter.billing import ledger
 from yuccarouter.configuration import follower, store
@@ -30,12 +32,10 @@
 from yuccarouter.roles import peering
 from yuccarouter.rollout import control, observations
 from yuccarouter.routing import cascade, latency, quality, retry_budget, views
-from yuccarouter_common.platform import log, ratings, vms, weights
 
 if TYPE_CHECKING:
     import aiohttp
     import mode
-
     from yuccarouter_common import settings
 
 
@@ -69,7 +69,7 @@
     )
     pauses = pause.PauseWatch()
     source = digests.Source(
-        conf.data_centre, shared.fleet, known, router.now_ms
+        conf.data_centre, shared.fleet, known, clocks.monotonic_ms
     )
     return EntryParts(
         shared,
@@ -138,14 +138,14 @@
 ) -> router.Router:
     rng = random.Random()
     settled = settlements.Settlements(daemons)
-    latencies = latency.Latencies(router.now_ms)
+    latencies = latency.Latencies(clocks.monotonic_ms)
     rater = ratings.Client(session, conf.platform.ratings_url)
     held = store.Store()
     client = log.Client(session, conf.platform.log_url)
     return router.Router(
         conf=conf,
         store=held,
-        fleet=views.Fleet(router.now_ms, rng.random),
+        fleet=views.Fleet(clocks.monotonic_ms, rng.random),
         daemons=daemons,
         known=known,
         watch=watch.EndpointWatch(),
@@ -156,7 +156,7 @@
         budget=retry_budget.RetryBudget(),
         latencies=latencies,
         cascades=cascade.Cascades(
-            quality.Estimates(router.now_ms), latencies, rng.random
+            quality.Estimates(clocks.monotonic_ms), latencies, rng.random
         ),
         ratings=rater,
         observations=observations.Observations(
--- a/packages/daemon/src/yuccarouter/rollout/control.py
+++ b/packages/daemon/src/yuccarouter/rollout/control.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
 import mode
+from yuccarouter_common import clocks, publish
+from yuccarouter_common.platform import errors as platform_errors
 
 from yuccarouter.rollout import (
     collectors,
@@ -15,19 +16,17 @@
     lease,
     loading,
 )
-from yuccarouter_common import publish
-from yuccarouter_common.platform import errors as platform_errors
 
 if TYPE_CHECKING:
-    from yuccarouter.configuration import store
-    from yuccarouter.membership import channels
-    from yuccarouter.routing import views
     from yuccarouter_common import history, records
     from yuccarouter_common.platform import ratings
     from yuccarouter_common.platform import weights as weight_store
 
+    from yuccarouter.configuration import store
+    from yuccarouter.membership import channels
+    from yuccarouter.routing import views
+
 _NO_NUMBER: Final = -1
-_MS_PER_S: Final = 1000
 
 
 @attrs.frozen
@@ -77,7 +76,7 @@
         # configured later counts in the pooled test.
         collected = collectors.Collectors(
             tuple(sorted(parts.held.current().kinds)),
-            _wall_clock_ms,
+            clocks.wall_ms,
             loader.is_loaded,
         )
         for part in (
@@ -99,7 +98,3 @@
         except publish.PublishError as fault:
             # The controller decides again from the configuration in effect.
             raise platform_errors.AnswerLostError(fault.message) from fault
-
-
-def _wall_clock_ms() -> int:
-    return int(time.time() * _MS_PER_S)
--- a/packages/daemon/src/yuccarouter/rollout/controller.py
+++ b/packages/daemon/src/yuccarouter/rollout/controller.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import time
 import uuid
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, Protocol
@@ -11,11 +10,11 @@
 import attrs
 import eliot
 import mode
+from yuccarouter_common import clocks, model, records
+from yuccarouter_common.platform import errors as platform_errors
 
 from yuccarouter.rollout import evidence as evidence_module
 from yuccarouter.rollout import policy
-from yuccarouter_common import model, records
-from yuccarouter_common.platform import errors as platform_errors
 
 _INTERVAL_S: Final = 1.0
 _ACTIVE_STATES: Final = frozenset(('created', 'rolling', 'held'))
@@ -180,7 +179,7 @@
         record = records.Record(
             change_id=uuid.uuid4().hex,
             author=_AUTHOR,
-            time_ms=time.time_ns() // 10**6,
+            time_ms=clocks.wall_ms(),
             kind=kind,
             body=body,
             condition=condition,
--- a/packages/daemon/src/yuccarouter/rollout/leases.py
+++ b/packages/daemon/src/yuccarouter/rollout/leases.py
@@ -6,11 +6,11 @@
 from typing import Any, Final
 
 import attrs
-
-from yuccarouter.rollout import errors
 from yuccarouter_common import records
 from yuccarouter_common.platform import log
 
+from yuccarouter.rollout import errors
+
 STREAM: Final = 'leases'
 
 # No record makes a lease valid for longer. A reader that starts within the
--- a/packages/daemon/src/yuccarouter/rollout/loading.py
+++ b/packages/daemon/src/yuccarouter/rollout/loading.py
@@ -2,24 +2,25 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING, Final
 
 import mode
 from grpc import aio
-
-from yuccarouter.rollout import errors, weights
+from yuccarouter_common import clocks
 from yuccarouter_common.platform import errors as platform_errors
 from yuccarouter_common.proto import router_pb2
 
+from yuccarouter.rollout import errors, weights
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from yuccarouter_common import model
+    from yuccarouter_common.platform import weights as weight_store
+
     from yuccarouter.membership import channels
     from yuccarouter.rollout import controller
     from yuccarouter.routing import views
-    from yuccarouter_common import model
-    from yuccarouter_common.platform import weights as weight_store
 
 LEASE: Final = 'rollouts'
 
@@ -30,7 +31,6 @@
 # A version is rolled out once most of its pool has it; the rest goes on
 # loading meanwhile and gets none of its requests.
 _LOADED_SHARE: Final = 0.5
-_MS_PER_S: Final = 1000
 
 
 class Loading(mode.Service):
@@ -92,7 +92,7 @@
             async def load(target: weights.Target) -> None:
                 await self._load(rollout, target)
 
-            known = weights.Loader(load, _now_ms)
+            known = weights.Loader(load, clocks.monotonic_ms)
             self._loaders[name] = known
         return known
 
@@ -131,7 +131,3 @@
     if reply.code == _RATE_LIMITED:
         return errors.LoadRefusedError(reply.message, reply.retry_after_ms)
     return errors.LoadFailedError(reply.message)
-
-
-def _now_ms() -> int:
-    return int(time.monotonic() * _MS_PER_S)
--- a/packages/daemon/src/yuccarouter/rollout/observations.py
+++ b/packages/daemon/src/yuccarouter/rollout/observations.py
@@ -6,19 +6,18 @@
 import collections
 import contextlib
 import random
-import time
 import uuid
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
 import eliot
 import mode
-
-from yuccarouter.rollout import errors, evidence
-from yuccarouter_common import records
+from yuccarouter_common import clocks, records
 from yuccarouter_common.platform import errors as platform_errors
 from yuccarouter_common.platform import ratings
 
+from yuccarouter.rollout import errors, evidence
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -39,7 +38,6 @@
 # rating more of the baseline than this would only load the rating service.
 _BASELINE_FACTOR: Final = 2.0
 _MIN_BASELINE_SHARE: Final = 0.02
-_MS_PER_S: Final = 1000
 
 
 @attrs.frozen
@@ -109,7 +107,7 @@
             is_new=False,
             failed=seen.failed,
             latency_ms=seen.latency_ms,
-            time_ms=int(time.time() * _MS_PER_S),
+            time_ms=clocks.wall_ms(),
             is_rated=is_rated,
         )
         self._held.append(Observation(seen.version.name, request))
--- a/packages/daemon/src/yuccarouter/rollout/weights.py
+++ b/packages/daemon/src/yuccarouter/rollout/weights.py
@@ -28,7 +28,7 @@
 @attrs.frozen
 class _Failure:
     count: int
-    retry_at_ms: int
+    retry_at_ms: float
 
 
 Load = Callable[[Target], Awaitable[None]]
@@ -75,9 +75,9 @@
     """
 
     load: Load
-    clock_ms: Callable[[], int]
+    clock_ms: Callable[[], float]
     interval_ms: int = _INTERVAL_MS
-    _next_ms: int = 0
+    _next_ms: float = 0
     _failures: dict[str, _Failure] = attrs.field(factory=dict)
 
     async def step(self, targets: Sequence[Target]) -> Target | None:
@@ -107,14 +107,14 @@
             await self.step(targets())
             await asyncio.sleep(self.interval_ms / 1000)
 
-    def _blocked(self, now_ms: int) -> frozenset[str]:
+    def _blocked(self, now_ms: float) -> frozenset[str]:
         return frozenset(
             endpoint
             for endpoint, failure in self._failures.items()
             if failure.retry_at_ms > now_ms
         )
 
-    def _back_off(self, endpoint: str, now_ms: int) -> None:
+    def _back_off(self, endpoint: str, now_ms: float) -> None:
         earlier = self._failures.get(endpoint, _Failure(0, 0))
         wait_ms = min(_FIRST_BACKOFF_MS * 2**earlier.count, _MAX_BACKOFF_MS)
         self._failures[endpoint] = _Failure(earlier.count + 1, now_ms + wait_ms)
--- a/packages/daemon/tests/configuration/test_exchange.py
+++ b/packages/daemon/tests/configuration/test_exchange.py
@@ -14,7 +14,6 @@
 from yuccarouter.configuration import recent as recents
 from yuccarouter.configuration import snapshots as snapshot_writers
 from yuccarouter.configuration import store as stores
-
 from yuccarouter_common import history, model, records, snapshots
 from yuccarouter_common.proto import router_pb2_grpc
 from yuccarouter_testkit import memory_log
--- a/packages/daemon/tests/configuration/test_follower.py
+++ b/packages/daemon/tests/configuration/test_follower.py
@@ -8,7 +8,6 @@
 import pytest
 from yuccarouter.configuration import follower as followers
 from yuccarouter.configuration import store as stores
-
 from yuccarouter_common import apply, errors, history, model, records
 from yuccarouter_testkit import memory_log
 
--- a/packages/daemon/tests/configuration/test_staleness.py
+++ b/packages/daemon/tests/configuration/test_staleness.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import pytest
-
 from yuccarouter.configuration import freshness, staleness
 from yuccarouter_common import model
 
--- a/packages/daemon/tests/membership/test_digests.py
+++ b/packages/daemon/tests/membership/test_digests.py
@@ -10,7 +10,6 @@
 from grpc import aio
 from hypothesis import given, settings
 from hypothesis import strategies as st
-
 from yuccarouter.admission import servicer
 from yuccarouter.membership import (
     channels,
--- a/packages/daemon/tests/membership/test_relay.py
+++ b/packages/daemon/tests/membership/test_relay.py
@@ -11,7 +11,6 @@
 from grpc import aio
 from hypothesis import given, settings
 from hypothesis import strategies as st
-
 from yuccarouter.billing import ledger
 from yuccarouter.membership import relay
 from yuccarouter_common import billing_rows
--- a/packages/daemon/tests/membership/test_reports.py
+++ b/packages/daemon/tests/membership/test_reports.py
@@ -6,7 +6,6 @@
 
 import pytest
 from grpc import aio
-
 from yuccarouter.membership import reports
 
 
--- a/packages/daemon/tests/registry/test_owner.py
+++ b/packages/daemon/tests/registry/test_owner.py
@@ -17,7 +17,6 @@
     partitions,
     writer,
 )
-
 from yuccarouter_common import billing_rows
 from yuccarouter_common.proto import router_pb2
 from yuccarouter_testkit import memory_log
--- a/packages/daemon/tests/roles/test_admin.py
+++ b/packages/daemon/tests/roles/test_admin.py
@@ -9,7 +9,6 @@
 from aiohttp import test_utils
 from yuccarouter.configuration import store
 from yuccarouter.roles import admin, peering
-
 from yuccarouter_common import apply, history, model, telemetry
 
 _CONF: Any = types.SimpleNamespace(
--- a/packages/daemon/tests/rollout/test_lease.py
+++ b/packages/daemon/tests/rollout/test_lease.py
@@ -10,7 +10,6 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 from yuccarouter.rollout import lease, leases
-
 from yuccarouter_common.platform import errors
 from yuccarouter_common.platform import log as platform_log
 from yuccarouter_testkit import memory_log, virtual_time
--- a/packages/daemon/tests/routing/test_allowed.py
+++ b/packages/daemon/tests/routing/test_allowed.py
@@ -4,9 +4,8 @@
 
 import attrs
 import pytest
-from yuccarouter_common import model
-
 from yuccarouter.routing import allowed, errors
+from yuccarouter_common import model
 
 _ORGANISATION = model.Organisation(
     'o', allowed=('clue@1', 'clue@2', 'big@1', 'gone@1')
--- a/packages/daemon/tests/routing/test_cascade.py
+++ b/packages/daemon/tests/routing/test_cascade.py
@@ -6,11 +6,10 @@
 import random
 
 import pytest
+from yuccarouter.routing import cascade, latency, quality
 from yuccarouter_common import model
 from yuccarouter_testkit.bench import _cascade
 
-from yuccarouter.routing import cascade, latency, quality
-
 _VERSIONS = tuple(
     model.ModelVersion(name, '1', name, 0, price)
     for name, price in (('small', 1), ('medium', 4), ('large', 20))
--- a/packages/daemon/tests/routing/test_choice.py
+++ b/packages/daemon/tests/routing/test_choice.py
@@ -7,11 +7,10 @@
 from typing import Any
 
 import pytest
+from yuccarouter.routing import choice, errors, views
 from yuccarouter_common import model
 from yuccarouter_testkit.bench import _first_token
 
-from yuccarouter.routing import choice, errors, views
-
 _VERSION = 'clue@1'
 
 
--- a/packages/daemon/tests/routing/test_differential.py
+++ b/packages/daemon/tests/routing/test_differential.py
@@ -10,9 +10,8 @@
 import random
 
 import pytest
-from yuccarouter_common import model
-
 from yuccarouter.routing import allowed, choice, errors, views
+from yuccarouter_common import model
 
 _MODELS = ('small', 'large')
 _ZONES = ('a', 'b', 'c')
--- a/packages/daemon/tests/routing/test_retries.py
+++ b/packages/daemon/tests/routing/test_retries.py
@@ -8,9 +8,8 @@
 import hypothesis
 import pytest
 from hypothesis import strategies as st
-from yuccarouter_testkit.bench import _retries
-
 from yuccarouter.routing import hedge, latency, retry_budget
+from yuccarouter_testkit.bench import _retries
 
 
 @hypothesis.given(
--- a/packages/daemon/tests/routing/test_sessions.py
+++ b/packages/daemon/tests/routing/test_sessions.py
@@ -6,9 +6,8 @@
 import hypothesis
 import pytest
 from hypothesis import strategies as st
-from yuccarouter_common import model
-
 from yuccarouter.routing import errors, sessions
+from yuccarouter_common import model
 
 _KEY = b'k' * 32
 _SESSION = sessions.Session('o', 's-1', 'clue@1')
--- a/packages/daemon/tests/test_rollout_controller.py
+++ b/packages/daemon/tests/test_rollout_controller.py
@@ -9,9 +9,14 @@
 import hypothesis
 import pytest
 from hypothesis import strategies
-
-from yuccarouter.rollout import collectors, controller, errors, evidence
-from yuccarouter.rollout import policy, weights
+from yuccarouter.rollout import (
+    collectors,
+    controller,
+    errors,
+    evidence,
+    policy,
+    weights,
+)
 from yuccarouter_common import apply, model, records
 from yuccarouter_common.platform import errors as platform_errors
 
--- a/packages/daemon/tests/test_rollout_test.py
+++ b/packages/daemon/tests/test_rollout_test.py
@@ -9,7 +9,6 @@
 import hypothesis
 import pytest
 from hypothesis import strategies
-
 from yuccarouter.rollout import evidence, sequential_test
 
 _GAINS = strategies.lists(
--- a/packages/testkit/src/yuccarouter_testkit/bench/admission.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/admission.py
@@ -15,7 +15,6 @@
 from typing import Any, Final
 
 import attrs
-
 from yuccarouter.admission import gate as gates
 from yuccarouter.admission import ledger, slots
 from yuccarouter_common import model, refusals
--- a/packages/testkit/src/yuccarouter_testkit/demo/fleet.py
+++ b/packages/testkit/src/yuccarouter_testkit/demo/fleet.py
@@ -11,16 +11,15 @@
 import aiohttp
 import attrs
 import yaml
-
-from yuccarouter_common import apply, model, records
+from yuccarouter_common import apply, clocks, model, records
 from yuccarouter_common.platform import log
+
 from yuccarouter_testkit.demo import deployments, processes
 
 _EXAMPLES: Final = pathlib.Path(__file__).resolve().parents[5] / 'examples'
 _HOST: Final = '127.0.0.1'
 _PLATFORM: Final = ('log', 'vms', 'ratings', 'weights')
 _STREAM: Final = 'configuration'
-_MS_PER_S: Final = 1000
 _TIMING: Final = {'drain_delay_ms': 200, 'cover_after_ms': 3000}
 
 
@@ -81,7 +80,7 @@
             record = records.Record(
                 change_id=uuid.uuid4().hex,
                 author='demo',
-                time_ms=int(time.time() * _MS_PER_S),
+                time_ms=clocks.wall_ms(),
                 kind=records.Kind(change['kind']),
                 body=change['body'],
             )
--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/completions.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/completions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 import uuid
 from collections.abc import AsyncIterator
 from typing import Any, Final
@@ -10,6 +9,7 @@
 import attrs
 import orjson
 from aiohttp import web
+from yuccarouter_common import clocks
 
 from yuccarouter_testkit.stand_ins import batch, engine_state, faults, texts
 
@@ -132,7 +132,7 @@
         stream=call.stream,
         resumed=bool(call.resume_text),
         prompt_tokens=texts.count_tokens(call.prompt),
-        time_ms=time.time_ns() // 1_000_000,
+        time_ms=clocks.wall_ms(),
     )
     engine.served.append(served)
     stream = batch.Stream(
--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/engine.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/engine.py
@@ -6,6 +6,7 @@
 import contextlib
 import functools
 from collections.abc import AsyncIterator
+
 import cattrs
 import orjson
 from aiohttp import web
--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/ratings.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/ratings.py
@@ -16,8 +16,9 @@
 import orjson
 import xxhash
 from aiohttp import web
-
+from yuccarouter_common import clocks
 from yuccarouter_common.platform import ratings
+
 from yuccarouter_testkit.stand_ins import faults, serving, texts
 
 _MAX_RATINGS: Final = 100_000
@@ -92,7 +93,7 @@
     def publish(self, answer: ratings.Answer, score: float) -> None:
         rating = ratings.Rating(
             offset=self.first_offset + len(self.published),
-            time_ms=time.time_ns() // 1_000_000,
+            time_ms=clocks.wall_ms(),
             request_id=answer.request_id,
             model=answer.model,
             version=answer.version,
--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/weights.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/weights.py
@@ -15,6 +15,7 @@
 import cattrs
 import orjson
 from aiohttp import web
+from yuccarouter_common import clocks
 
 from yuccarouter_testkit.stand_ins import faults, serving
 
@@ -98,7 +99,7 @@
     store.granted.append(
         {
             **faults.converter.unstructure(load),
-            'time_ms': time.time_ns() // 1_000_000,
+            'time_ms': clocks.wall_ms(),
         }
     )
     return faults.json_response({})
--- a/packages/testkit/tests/test_bench_checkpoints.py
+++ b/packages/testkit/tests/test_bench_checkpoints.py
@@ -5,7 +5,6 @@
 import math
 
 import pytest
-
 from yuccarouter_testkit.bench import checkpoints
 
 
--- a/packages/testkit/tests/test_bench_rollouts.py
+++ b/packages/testkit/tests/test_bench_rollouts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import pytest
-
 from yuccarouter_testkit.bench import rollouts, versions
 
 
--- a/packages/yuccactl/src/yuccactl/execute.py
+++ b/packages/yuccactl/src/yuccactl/execute.py
@@ -5,12 +5,25 @@
 from typing import Final
 
 import attrs
-
-from yuccactl import bill, capacity, errors, orders, output, publishing
-from yuccactl import queries, repair, settings, sources, statements, suggestions
-from yuccactl import views, waiting
 from yuccarouter_common import model, publish
 
+from yuccactl import (
+    bill,
+    capacity,
+    errors,
+    orders,
+    output,
+    publishing,
+    queries,
+    repair,
+    settings,
+    sources,
+    statements,
+    suggestions,
+    views,
+    waiting,
+)
+
 _QUERIES: Final = (
     statements.Show,
     statements.ExplainRequest,
--- a/packages/yuccactl/src/yuccactl/lookup.py
+++ b/packages/yuccactl/src/yuccactl/lookup.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 import attrs
+from yuccarouter_common import model, records
 
 from yuccactl import errors
-from yuccarouter_common import model, records
 
 
 @attrs.frozen
--- a/packages/yuccactl/src/yuccactl/main.py
+++ b/packages/yuccactl/src/yuccactl/main.py
@@ -12,8 +12,16 @@
 import attrs
 from absl import flags
 
-from yuccactl import errors, execute, output, parser, prompt, settings
-from yuccactl import sources, statements
+from yuccactl import (
+    errors,
+    execute,
+    output,
+    parser,
+    prompt,
+    settings,
+    sources,
+    statements,
+)
 
 _COMMENT: Final = '#'
 _USAGE: Final = 'usage: yuccactl [flags] [statement]\n'
--- a/packages/yuccactl/src/yuccactl/orders.py
+++ b/packages/yuccactl/src/yuccactl/orders.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import time
 import uuid
 from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
+from yuccarouter_common import apply, clocks, model, records
 
 from yuccactl import errors, fields, lookup, rollout_orders, statements
-from yuccarouter_common import apply, model, records
 
 
 @attrs.frozen
@@ -38,7 +37,7 @@
     record = records.Record(
         change_id=uuid.uuid4().hex,
         author=author,
-        time_ms=time.time_ns() // 10**6,
+        time_ms=clocks.wall_ms(),
         kind=change.kind,
         body=change.body,
         condition=change.condition,
--- a/packages/yuccactl/src/yuccactl/publishing.py
+++ b/packages/yuccactl/src/yuccactl/publishing.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from yuccactl import errors, sources
 from yuccarouter_common import history, model, publish, records
 
+from yuccactl import errors, sources
+
 
 async def publish_record(
     context: sources.Context,
--- a/packages/yuccactl/src/yuccactl/queries.py
+++ b/packages/yuccactl/src/yuccactl/queries.py
@@ -7,11 +7,19 @@
 
 import attrs
 import orjson
-
-from yuccactl import bill, errors, output, repair, sources, statements, views
-from yuccactl import why
 from yuccarouter_common import alerts, records
 
+from yuccactl import (
+    bill,
+    errors,
+    output,
+    repair,
+    sources,
+    statements,
+    views,
+    why,
+)
+
 # Attributes of the configuration that ``show`` lists under the same name.
 _TABLES: Final = frozenset(
     (
--- a/packages/yuccactl/src/yuccactl/repair.py
+++ b/packages/yuccactl/src/yuccactl/repair.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
-import time
 from typing import Any, Final
 
 import attrs
+from yuccarouter_common import (
+    apply,
+    clocks,
+    history,
+    model,
+    publish,
+    records,
+    snapshots,
+)
 
 from yuccactl import errors, output, publishing, sources, views, waiting
-from yuccarouter_common import apply, history, model, publish, records
-from yuccarouter_common import snapshots
 
 _STATEMENT: Final = 'repair configuration'
-_MS: Final = 10**6
 
 
 @attrs.frozen
@@ -109,7 +114,7 @@
         configuration,
         f'repair/{generation + 1}/{position.offset}/{held.digest}',
         context.settings.author,
-        time.time_ns() // _MS,
+        clocks.wall_ms(),
     )
 
 
--- a/packages/yuccactl/src/yuccactl/rollout_orders.py
+++ b/packages/yuccactl/src/yuccactl/rollout_orders.py
@@ -4,9 +4,10 @@
 
 from typing import Final
 
-from yuccactl import errors, lookup, statements
 from yuccarouter_common import model, records
 
+from yuccactl import errors, lookup, statements
+
 _ACTIVE_STATES: Final = frozenset(('created', 'rolling', 'held'))
 
 
--- a/packages/yuccactl/src/yuccactl/sources.py
+++ b/packages/yuccactl/src/yuccactl/sources.py
@@ -10,13 +10,13 @@
 import aiohttp
 import attrs
 import orjson
-
-from yuccactl import errors
-from yuccactl import settings as settings_module
 from yuccarouter_common import apply, history, model, records
 from yuccarouter_common.platform import errors as platform_errors
 from yuccarouter_common.platform import log
 
+from yuccactl import errors
+from yuccactl import settings as settings_module
+
 CONFIGURATION_STREAM: Final = 'configuration'
 BILLING_STREAM: Final = 'billing'
 
--- a/packages/yuccactl/src/yuccactl/suggestions.py
+++ b/packages/yuccactl/src/yuccactl/suggestions.py
@@ -5,9 +5,10 @@
 from collections.abc import Callable
 from typing import Final
 
-from yuccactl import errors, statements
 from yuccarouter_common import model
 
+from yuccactl import errors, statements
+
 _Suggest = Callable[
     [tuple[str, ...], model.Configuration], list[statements.Statement]
 ]
--- a/packages/yuccactl/tests/conftest.py
+++ b/packages/yuccactl/tests/conftest.py
@@ -11,7 +11,6 @@
 import pytest_asyncio
 import yaml
 from aiohttp import test_utils, web
-
 from yuccactl import settings, sources
 from yuccarouter_common import records
 
--- a/packages/yuccactl/tests/test_main.py
+++ b/packages/yuccactl/tests/test_main.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import pytest
-
 from yuccactl import errors, main, settings
 
 
--- a/packages/yuccactl/tests/test_prompt.py
+++ b/packages/yuccactl/tests/test_prompt.py
@@ -4,7 +4,6 @@
 
 import pytest
 from prompt_toolkit import application, completion, document, input, output
-
 from yuccactl import prompt
 
 
