--- a/packages/common/tests/test_alerts.py
+++ b/packages/common/tests/test_alerts.py
@@ -7,6 +7,7 @@
 
 import pytest
 import yaml
+
 from yuccarouter_common import alerts
 
 _BY_NAME = {alert.name: alert for alert in alerts.ALERTS}
--- a/packages/common/tests/test_apply.py
+++ b/packages/common/tests/test_apply.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import pytest
+
 from yuccarouter_common import apply, history, model, records
 
 
--- a/packages/common/tests/test_publish.py
+++ b/packages/common/tests/test_publish.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import pytest
+
 from yuccarouter_common import history, publish, records, snapshots
 from yuccarouter_testkit import memory_log, virtual_time
 
--- a/packages/common/tests/test_settings.py
+++ b/packages/common/tests/test_settings.py
@@ -8,6 +8,7 @@
 import yaml
 from hypothesis import given
 from hypothesis import strategies as st
+
 from yuccarouter_common import settings
 
 _EXAMPLES = pathlib.Path(__file__).parents[3] / 'examples'
--- a/packages/daemon/src/yuccarouter/admission/attempt.py
+++ b/packages/daemon/src/yuccarouter/admission/attempt.py
@@ -8,8 +8,6 @@
 
 import aiohttp
 import attrs
-from yuccarouter_common import refusals
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.admission import (
     calls,
@@ -22,6 +20,8 @@
     stream,
     tracing,
 )
+from yuccarouter_common import refusals
+from yuccarouter_common.proto import router_pb2
 
 RETRY_MS: Final = 500
 
--- a/packages/daemon/src/yuccarouter/admission/calls.py
+++ b/packages/daemon/src/yuccarouter/admission/calls.py
@@ -10,9 +10,9 @@
 
 import aiohttp
 import attrs
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.admission import errors
+from yuccarouter_common.proto import router_pb2
 
 _CONNECT_TIMEOUT_S: Final = 1.0
 # Ends calls without a deadline at an endpoint that hangs.
--- a/packages/daemon/src/yuccarouter/admission/checks.py
+++ b/packages/daemon/src/yuccarouter/admission/checks.py
@@ -4,11 +4,10 @@
 
 from typing import Final
 
+from yuccarouter.admission import ports
 from yuccarouter_common import model, refusals
 from yuccarouter_common.proto import router_pb2
 
-from yuccarouter.admission import ports
-
 _STALE_RETRY_MS: Final = 500
 _ELSEWHERE_RETRY_MS: Final = 200
 
--- a/packages/daemon/src/yuccarouter/admission/endpoint.py
+++ b/packages/daemon/src/yuccarouter/admission/endpoint.py
@@ -10,7 +10,6 @@
 import cattrs
 import eliot
 import orjson
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.admission import (
     cache,
@@ -21,6 +20,7 @@
     slots,
 )
 from yuccarouter.admission import gate as gates
+from yuccarouter_common.proto import router_pb2
 
 READY: Final = 'ready'
 COLD: Final = 'cold'
--- a/packages/daemon/src/yuccarouter/admission/events.py
+++ b/packages/daemon/src/yuccarouter/admission/events.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import attrs
-from yuccarouter_common import refusals
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.admission import counters, ports
+from yuccarouter_common import refusals
+from yuccarouter_common.proto import router_pb2
 
 
 @attrs.define
--- a/packages/daemon/src/yuccarouter/admission/gate.py
+++ b/packages/daemon/src/yuccarouter/admission/gate.py
@@ -6,9 +6,9 @@
 
 import attrs
 import eliot
-from yuccarouter_common import model
 
 from yuccarouter.admission import counters, ledger, ports, timing
+from yuccarouter_common import model
 
 
 @attrs.define
--- a/packages/daemon/src/yuccarouter/admission/once.py
+++ b/packages/daemon/src/yuccarouter/admission/once.py
@@ -7,12 +7,12 @@
 from typing import Final
 
 import grpc
-from yuccarouter_common import billing_rows, clocks
-from yuccarouter_common import errors as common_errors
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.admission import attempt as attempts
 from yuccarouter.admission import counters, errors, relay
+from yuccarouter_common import billing_rows, clocks
+from yuccarouter_common import errors as common_errors
+from yuccarouter_common.proto import router_pb2
 
 _OUTCOME: Final = 'outcome'
 _RELEASE: Final = 'release'
--- a/packages/daemon/src/yuccarouter/admission/orders.py
+++ b/packages/daemon/src/yuccarouter/admission/orders.py
@@ -11,10 +11,10 @@
 import attrs
 import eliot
 import orjson
-from yuccarouter_common import model
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.admission import counters, ports
+from yuccarouter_common import model
+from yuccarouter_common.proto import router_pb2
 
 _TIMEOUT_S: Final = 30.0
 _DEFAULT_RETRY_MS: Final = 1000
--- a/packages/daemon/src/yuccarouter/admission/ports.py
+++ b/packages/daemon/src/yuccarouter/admission/ports.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 import attrs
+
 from yuccarouter_common import model
 from yuccarouter_common.proto import router_pb2
 
--- a/packages/daemon/src/yuccarouter/admission/prepare.py
+++ b/packages/daemon/src/yuccarouter/admission/prepare.py
@@ -6,6 +6,7 @@
 
 import attrs
 import orjson
+
 from yuccarouter_common import refusals
 from yuccarouter_common.proto import router_pb2
 
--- a/packages/daemon/src/yuccarouter/admission/relay.py
+++ b/packages/daemon/src/yuccarouter/admission/relay.py
@@ -6,9 +6,9 @@
 
 import aiohttp
 import attrs
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.admission import errors, events, slots, stream
+from yuccarouter_common.proto import router_pb2
 
 _CHUNK_BYTES: Final = 64 * 1024
 # Bounds the memory that one buffered answer takes.
--- a/packages/daemon/src/yuccarouter/admission/runner.py
+++ b/packages/daemon/src/yuccarouter/admission/runner.py
@@ -6,8 +6,6 @@
 from typing import Final
 
 import attrs
-from yuccarouter_common import errors, refusals
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.admission import (
     attempt,
@@ -19,6 +17,8 @@
     prepare,
     slots,
 )
+from yuccarouter_common import errors, refusals
+from yuccarouter_common.proto import router_pb2
 
 _CATCH_UP_S: Final = 1.0
 
--- a/packages/daemon/src/yuccarouter/admission/service.py
+++ b/packages/daemon/src/yuccarouter/admission/service.py
@@ -8,7 +8,6 @@
 
 import aiohttp
 import mode
-from yuccarouter_common.proto import router_pb2_grpc
 
 from yuccarouter.admission import (
     calls,
@@ -17,6 +16,7 @@
     ports,
     wiring,
 )
+from yuccarouter_common.proto import router_pb2_grpc
 
 # How long a cold start can stay unnoticed, besides the report's own lag.
 _LOAD_INTERVAL_S: Final = 0.1
--- a/packages/daemon/src/yuccarouter/admission/servicer.py
+++ b/packages/daemon/src/yuccarouter/admission/servicer.py
@@ -9,10 +9,10 @@
 
 import xxhash
 from grpc import aio
-from yuccarouter_common import errors
-from yuccarouter_common.proto import router_pb2, router_pb2_grpc
 
 from yuccarouter.admission import orders, ports, runner, tracing
+from yuccarouter_common import errors
+from yuccarouter_common.proto import router_pb2, router_pb2_grpc
 
 _RETRY_MS: Final = 1000
 _DEFAULT_INTERVAL_MS: Final = 250
--- a/packages/daemon/src/yuccarouter/admission/slots.py
+++ b/packages/daemon/src/yuccarouter/admission/slots.py
@@ -7,11 +7,11 @@
 from collections.abc import Callable, Iterable
 
 import attrs
-from yuccarouter_common import refusals
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.admission import counters, ledger, ports, queue, shares, waits
 from yuccarouter.admission import gate as gates
+from yuccarouter_common import refusals
+from yuccarouter_common.proto import router_pb2
 
 Check = Callable[[router_pb2.RunRequest], None]
 
--- a/packages/daemon/src/yuccarouter/admission/stream.py
+++ b/packages/daemon/src/yuccarouter/admission/stream.py
@@ -7,9 +7,9 @@
 import attrs
 import cattrs
 import orjson
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.admission import errors
+from yuccarouter_common.proto import router_pb2
 
 _END_OF_EVENT: Final = b'\n\n'
 _DATA: Final = b'data:'
--- a/packages/daemon/src/yuccarouter/admission/waits.py
+++ b/packages/daemon/src/yuccarouter/admission/waits.py
@@ -5,10 +5,10 @@
 from typing import Final
 
 import attrs
-from yuccarouter_common import refusals
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.admission import gate as gates
+from yuccarouter_common import refusals
+from yuccarouter_common.proto import router_pb2
 
 _MIN_RETRY_MS: Final = 100
 _MAX_RETRY_MS: Final = 30_000
--- a/packages/daemon/src/yuccarouter/admission/wiring.py
+++ b/packages/daemon/src/yuccarouter/admission/wiring.py
@@ -4,8 +4,6 @@
 
 import aiohttp
 import attrs
-from yuccarouter_common import model
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.admission import (
     attempt,
@@ -18,6 +16,8 @@
     slots,
 )
 from yuccarouter.admission import gate as gates
+from yuccarouter_common import model
+from yuccarouter_common.proto import router_pb2
 
 
 @attrs.frozen
--- a/packages/daemon/src/yuccarouter/billing/cover.py
+++ b/packages/daemon/src/yuccarouter/billing/cover.py
@@ -8,18 +8,17 @@
 import attrs
 import eliot
 import mode
-from yuccarouter_common import billing_rows, clocks
 
 from yuccarouter.billing import errors
+from yuccarouter_common import billing_rows, clocks
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from yuccarouter.billing import ledger
     from yuccarouter_common import model
     from yuccarouter_common.proto import router_pb2
 
-    from yuccarouter.billing import ledger
-
 _CHECK_INTERVAL_S: Final = 0.5
 _MS_PER_S: Final = 1000
 _MAX_HELD_ATTEMPTS: Final = 50_000
@@ -55,11 +54,6 @@
         self._clock = clock
         self._held: dict[str, _Held] = {}
 
-    @property
-    def held_attempts(self) -> int:
-        """Number of attempts that are neither settled nor covered."""
-        return len(self._held)
-
     def completed(
         self,
         request: router_pb2.RunRequest,
--- a/packages/daemon/src/yuccarouter/billing/ledger.py
+++ b/packages/daemon/src/yuccarouter/billing/ledger.py
@@ -10,10 +10,10 @@
 import eliot
 import mode
 import prometheus_client
-from yuccarouter_common import billing_rows
-from yuccarouter_common.platform import errors as platform_errors
 
 from yuccarouter.billing import errors
+from yuccarouter_common import billing_rows
+from yuccarouter_common.platform import errors as platform_errors
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/packages/daemon/src/yuccarouter/configuration/exchange.py
+++ b/packages/daemon/src/yuccarouter/configuration/exchange.py
@@ -7,11 +7,11 @@
 
 import attrs
 import orjson
-from yuccarouter_common import apply, model, records
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.configuration import errors, recent
 from yuccarouter.configuration import store as stores
+from yuccarouter_common import apply, model, records
+from yuccarouter_common.proto import router_pb2
 
 # More records follow with the next exchange, a second later.
 MAX_DELTA_BYTES: Final = 65_536
--- a/packages/daemon/src/yuccarouter/configuration/follower.py
+++ b/packages/daemon/src/yuccarouter/configuration/follower.py
@@ -10,12 +10,12 @@
 import attrs
 import eliot
 import mode
+
+from yuccarouter.configuration import store as stores
 from yuccarouter_common import errors, history
 from yuccarouter_common.platform import errors as platform_errors
 from yuccarouter_common.platform import log
 
-from yuccarouter.configuration import store as stores
-
 # Long enough that idle processes cost the log little, short enough that a
 # process notices a rewound log within the 13 s in which a change must spread.
 _WAIT_MS: Final = 5000
--- a/packages/daemon/src/yuccarouter/configuration/peers.py
+++ b/packages/daemon/src/yuccarouter/configuration/peers.py
@@ -12,11 +12,11 @@
 import eliot
 import grpc
 import mode
-from yuccarouter_common import errors as common_errors
-from yuccarouter_common.proto import router_pb2, router_pb2_grpc
 
 from yuccarouter.configuration import errors, exchange
 from yuccarouter.configuration import store as stores
+from yuccarouter_common import errors as common_errors
+from yuccarouter_common.proto import router_pb2, router_pb2_grpc
 
 _INTERVAL_S: Final = 1.0
 # With three peers a second, a change known to one process reaches 1,200 in
--- a/packages/daemon/src/yuccarouter/configuration/snapshots.py
+++ b/packages/daemon/src/yuccarouter/configuration/snapshots.py
@@ -11,10 +11,10 @@
 import eliot
 import mode
 import xxhash
-from yuccarouter_common import clocks, history, records, snapshots
-from yuccarouter_common.platform import errors as platform_errors
 
 from yuccarouter.configuration import store as stores
+from yuccarouter_common import clocks, history, records, snapshots
+from yuccarouter_common.platform import errors as platform_errors
 
 # A start reads at most this many records, and a log that keeps a day's 960
 # changes always holds a snapshot.
--- a/packages/daemon/src/yuccarouter/configuration/store.py
+++ b/packages/daemon/src/yuccarouter/configuration/store.py
@@ -9,10 +9,10 @@
 from typing import Any, Final
 
 import attrs
-from yuccarouter_common import history, model, records
 
 from yuccarouter.configuration import freshness as freshnesses
 from yuccarouter.configuration import recent as recents
+from yuccarouter_common import history, model, records
 
 _MAX_VOIDS: Final = 256
 _MS: Final = 1000
--- a/packages/daemon/src/yuccarouter/main.py
+++ b/packages/daemon/src/yuccarouter/main.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from absl import app, flags
+
 from yuccarouter_common import settings, telemetry
 
 if TYPE_CHECKING:
--- a/packages/daemon/src/yuccarouter/membership/channels.py
+++ b/packages/daemon/src/yuccarouter/membership/channels.py
@@ -7,6 +7,7 @@
 
 import attrs
 from grpc import aio
+
 from yuccarouter_common import peer_auth
 from yuccarouter_common.proto import router_pb2_grpc
 
--- a/packages/daemon/src/yuccarouter/membership/digests.py
+++ b/packages/daemon/src/yuccarouter/membership/digests.py
@@ -7,11 +7,11 @@
 
 import attrs
 import grpc
-from yuccarouter_common import clocks
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.membership import directory, sampling, subset
 from yuccarouter.routing import views
+from yuccarouter_common import clocks
+from yuccarouter_common.proto import router_pb2
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
--- a/packages/daemon/src/yuccarouter/membership/directory.py
+++ b/packages/daemon/src/yuccarouter/membership/directory.py
@@ -8,6 +8,7 @@
 import eliot
 import mode
 import prometheus_client
+
 from yuccarouter_common import errors
 from yuccarouter_common.platform import vms as vm_lists
 
--- a/packages/daemon/src/yuccarouter/membership/peer_service.py
+++ b/packages/daemon/src/yuccarouter/membership/peer_service.py
@@ -4,16 +4,14 @@
 
 from typing import TYPE_CHECKING, Any
 
-from yuccarouter_common.proto import router_pb2_grpc
-
 from yuccarouter.membership import relay
+from yuccarouter_common.proto import router_pb2_grpc
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from yuccarouter_common.proto import router_pb2
-
     from yuccarouter.membership import digests
+    from yuccarouter_common.proto import router_pb2
 
 
 class PeerService(router_pb2_grpc.PeerServicer):
--- a/packages/daemon/src/yuccarouter/membership/relay.py
+++ b/packages/daemon/src/yuccarouter/membership/relay.py
@@ -19,19 +19,18 @@
 import orjson
 import prometheus_client
 from grpc import aio
+
+from yuccarouter.membership import subset
 from yuccarouter_common import billing_rows
 from yuccarouter_common.platform import errors, log
 from yuccarouter_common.proto import router_pb2
 
-from yuccarouter.membership import subset
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from yuccarouter_common import settings
-
     from yuccarouter.billing import ledger
     from yuccarouter.membership import channels, directory
+    from yuccarouter_common import settings
 
 APPENDED: Final = 'appended'
 UNAVAILABLE: Final = 'unavailable'
--- a/packages/daemon/src/yuccarouter/membership/remote.py
+++ b/packages/daemon/src/yuccarouter/membership/remote.py
@@ -4,26 +4,25 @@
 
 import asyncio
 import collections
+import functools
 from typing import TYPE_CHECKING, Final
 
 import attrs
 import eliot
 import mode
-from grpc import aio
-from yuccarouter_common import clocks
-from yuccarouter_common.proto import router_pb2
 
-from yuccarouter.membership import reports, sampling, subset
+from yuccarouter.membership import sampling, streams, subset
 from yuccarouter.routing import views
+from yuccarouter_common import clocks
+from yuccarouter_common.proto import router_pb2
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from yuccarouter.membership import channels, directory, pause
     from yuccarouter_common import settings
     from yuccarouter_common.platform import vms
 
-    from yuccarouter.membership import channels, directory, pause
-
 _INTERVAL_MS: Final = 1000
 _SILENCE_S: Final = 3.0
 _RETRY_DELAY_S: Final = 0.25
@@ -151,7 +150,6 @@
         The text is empty when another source or other shares are wanted, and
         after a pause of this process, as for reports.
         """
-        pauses = self._pauses.count
         shares = self.shares()
         call = self._daemons.at(address).peer.Endpoints(
             router_pb2.EndpointsRequest(
@@ -165,22 +163,17 @@
             ),
             metadata=self._daemons.metadata,
         )
-        try:
-            while self.shares() == shares and address in centre.sources:
-                digest = await reports.read(call, _SILENCE_S)
-                self._pauses.check()
-                if pauses != self._pauses.count:
-                    return ''
-                if digest is None:
-                    return 'no digest in time'
-                if digest is aio.EOF:
-                    return 'the source ended the digests'
-                self._apply(centre, digest)
-        except aio.AioRpcError as fault:
-            return f'the digest stream broke: {fault.code().name}'
-        finally:
-            call.cancel()
-        return ''
+        return await streams.follow(
+            call,
+            self._pauses,
+            streams.Reading(
+                silence_s=_SILENCE_S,
+                take=functools.partial(self._apply, centre),
+                is_wanted=lambda: (
+                    self.shares() == shares and address in centre.sources
+                ),
+            ),
+        )
 
     def _apply(
         self, centre: _Centre, digest: router_pb2.EndpointDigest
@@ -203,10 +196,7 @@
 
     def _keep_only(self, centre: _Centre, sampled: set[str]) -> None:
         for endpoint in centre.fed.keys() - sampled:
-            vm = centre.fed.pop(endpoint)
-            held = self._fleet.find(endpoint)
-            if held is not None and held.vm == vm:
-                self._fleet.remove(endpoint)
+            self._fleet.remove(endpoint, centre.fed.pop(endpoint))
 
 
 def _is_held(
--- a/packages/daemon/src/yuccarouter/membership/reports.py
+++ b/packages/daemon/src/yuccarouter/membership/reports.py
@@ -3,25 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any, Final
+import functools
+from typing import TYPE_CHECKING, Final
 
 import attrs
 import eliot
-import grpc
 import mode
-from grpc import aio
-from yuccarouter_common import clocks
-from yuccarouter_common.proto import router_pb2
 
-from yuccarouter.membership import subset
+from yuccarouter.membership import streams, subset
 from yuccarouter.routing import views
+from yuccarouter_common import clocks
+from yuccarouter_common.proto import router_pb2
 
 if TYPE_CHECKING:
-    from yuccarouter_common import settings
-    from yuccarouter_common.platform import vms
-
     from yuccarouter.membership import channels, directory, pause
     from yuccarouter.membership import watch as watches
+    from yuccarouter_common import settings
+    from yuccarouter_common.platform import vms
 
 _RECONNECT_DELAY_S: Final = 0.25
 # Reports stop for this many intervals before an agent is taken as down.
@@ -32,7 +30,6 @@
 _MAX_DELAY_S: Final = 1.25
 # A report at the shortest interval has up to 64 prefixes of 8 bytes each.
 _MAX_PREFIXES: Final = 64
-_GRACE_S: Final = 0.25
 _MS_PER_S: Final = 1000
 
 
@@ -169,11 +166,7 @@
         """
         endpoint, vm = follower.fed_endpoint, follower.fed_vm
         follower.fed_endpoint = ''
-        held = self._fleet.find(endpoint)
-        if held is None or held.vm != vm:
-            return False
-        self._fleet.remove(endpoint)
-        return True
+        return self._fleet.remove(endpoint, vm)
 
     async def _read_reports(self, follower: _Follower) -> str:
         """Read reports until the stream ends; return why it ended.
@@ -181,7 +174,6 @@
         The text is empty when another stream is wanted: for another interval
         or after a pause of this process.
         """
-        pauses = self._pauses.count
         interval_ms = self._interval_ms
         shortest_ms = self._conf.timing.report_interval_ms
         call = self._daemons.at(follower.vm.address).stub.Reports(
@@ -192,22 +184,15 @@
             ),
             metadata=self._daemons.metadata,
         )
-        try:
-            while interval_ms == self._interval_ms:
-                report = await read(call, _silence_s(interval_ms))
-                self._pauses.check()
-                if pauses != self._pauses.count:
-                    return ''
-                if report is None:
-                    return 'no report in time'
-                if report is aio.EOF:
-                    return 'the agent ended the reports'
-                self._feed(follower, report)
-        except aio.AioRpcError as fault:
-            return _reason(fault)
-        finally:
-            call.cancel()
-        return ''
+        return await streams.follow(
+            call,
+            self._pauses,
+            streams.Reading(
+                silence_s=_silence_s(interval_ms),
+                take=functools.partial(self._feed, follower),
+                is_wanted=lambda: interval_ms == self._interval_ms,
+            ),
+        )
 
     def _feed(
         self, follower: _Follower, report: router_pb2.EndpointReport
@@ -235,23 +220,6 @@
     )
 
 
-async def read(call: Any, silence_s: float) -> Any:
-    """Return the next message of a stream, or ``None`` when none comes in time.
-
-    Two waits follow each other: when this process itself was paused, the
-    first one ends at once although reports have arrived meanwhile.
-    """
-    reading = asyncio.ensure_future(call.read())
-    try:
-        for limit_s in (silence_s, _GRACE_S):
-            done, _ = await asyncio.wait({reading}, timeout=limit_s)
-            if done:
-                return reading.result()
-    finally:
-        reading.cancel()
-    return None
-
-
 def view_of(
     report: router_pb2.EndpointReport, address: str
 ) -> views.EndpointView:
@@ -274,8 +242,3 @@
         received_ms=clocks.monotonic_ms(),
         sequence=report.sequence,
     )
-
-
-def _reason(fault: aio.AioRpcError) -> str:
-    code: grpc.StatusCode = fault.code()
-    return f'the report stream broke: {code.name}'
--- a/packages/daemon/src/yuccarouter/membership/subset.py
+++ b/packages/daemon/src/yuccarouter/membership/subset.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
-import xxhash
+
+from yuccarouter_common import rendezvous
 from yuccarouter_common.platform import vms
 
 if TYPE_CHECKING:
@@ -104,18 +105,9 @@
     return interval_ms
 
 
-def rendezvous_score(name: str, member: str) -> int:
-    """Return the weight of ``member`` for ``name``; the highest one wins."""
-    return xxhash.xxh3_64_intdigest(f'{name}/{member}'.encode())
-
-
 def ranked(name: str, members: Iterable[vms.Vm]) -> list[vms.Vm]:
-    """Return the members by their weights for ``name``, highest first."""
-    return sorted(
-        members,
-        key=lambda vm: rendezvous_score(name, vm.vm),
-        reverse=True,
-    )
+    """Return VMs by their preference for ``name``, best first."""
+    return rendezvous.ranked(name, members, lambda vm: vm.vm)
 
 
 def followed(
--- a/packages/daemon/src/yuccarouter/registry/answers.py
+++ b/packages/daemon/src/yuccarouter/registry/answers.py
@@ -5,10 +5,10 @@
 from typing import Final
 
 import eliot
-from yuccarouter_common import billing_rows
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.registry import items, partition
+from yuccarouter_common import billing_rows
+from yuccarouter_common.proto import router_pb2
 
 WON: Final = 'won'
 LOST: Final = 'lost'
--- a/packages/daemon/src/yuccarouter/registry/items.py
+++ b/packages/daemon/src/yuccarouter/registry/items.py
@@ -9,9 +9,9 @@
 from typing import Any, Final
 
 import attrs
-from yuccarouter_common import billing_rows, records
 
 from yuccarouter.registry import errors
+from yuccarouter_common import billing_rows, records
 
 _TAG: Final = 'item'
 
--- a/packages/daemon/src/yuccarouter/registry/loading.py
+++ b/packages/daemon/src/yuccarouter/registry/loading.py
@@ -5,12 +5,12 @@
 from typing import Final
 
 import attrs
+
+from yuccarouter.registry import partition
 from yuccarouter_common import history
 from yuccarouter_common.platform import errors as platform_errors
 from yuccarouter_common.platform import log
 
-from yuccarouter.registry import partition
-
 # The newest records are kept, so that a writer finds its own among them.
 _TAIL_RECORDS: Final = 64
 
--- a/packages/daemon/src/yuccarouter/registry/owner.py
+++ b/packages/daemon/src/yuccarouter/registry/owner.py
@@ -9,9 +9,6 @@
 
 import eliot
 import mode
-from yuccarouter_common import history
-from yuccarouter_common.platform import errors as platform_errors
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.registry import (
     answers,
@@ -22,6 +19,9 @@
 )
 from yuccarouter.registry import served as served_partitions
 from yuccarouter.registry import writer as writers
+from yuccarouter_common import history, settings
+from yuccarouter_common.platform import errors as platform_errors
+from yuccarouter_common.proto import router_pb2
 
 DEFAULT_WINDOW_MS: Final = 3_600_000
 _RECORD_TIMEOUT_MS: Final = 5000
@@ -43,7 +43,7 @@
         self,
         client: history.LogClient,
         window_ms: int = DEFAULT_WINDOW_MS,
-        partition_count: int = partitions.PARTITIONS,
+        partition_count: int = settings.REGISTRY_PARTITIONS,
         min_interval_ms: float = writers.MIN_INTERVAL_MS,
         wait_ms: int = 5000,
         drain_s: float = _DRAIN_S,
--- a/packages/daemon/src/yuccarouter/registry/partition.py
+++ b/packages/daemon/src/yuccarouter/registry/partition.py
@@ -7,9 +7,9 @@
 
 import attrs
 import xxhash
-from yuccarouter_common.platform import log
 
 from yuccarouter.registry import errors, items
+from yuccarouter_common.platform import log
 
 # Clocks of callers and of the log may differ by this much; keys are kept for
 # so long after the window in which they are answered.
--- a/packages/daemon/src/yuccarouter/registry/partitions.py
+++ b/packages/daemon/src/yuccarouter/registry/partitions.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import Final
 
 import xxhash
 
-# With the writer's minimum interval this bounds the registry's appends to 320
-# a second for the fleet, below the several hundred that the log takes.
-PARTITIONS: Final = 32
+from yuccarouter_common import rendezvous, settings
 
 
-def partition_of(key: str, count: int = PARTITIONS) -> int:
+def partition_of(key: str, count: int = settings.REGISTRY_PARTITIONS) -> int:
     """Return the partition of a key, the same in every process."""
     return xxhash.xxh3_64_intdigest(key.encode()) % count
 
@@ -29,11 +26,4 @@
     entries with different views of the live agents may use two owners, which
     costs appends but does not change who wins.
     """
-    return sorted(
-        agents,
-        key=lambda agent: (-_weight(partition, agent), agent),
-    )
-
-
-def _weight(partition: int, agent: str) -> int:
-    return xxhash.xxh3_64_intdigest(f'{partition}/{agent}'.encode())
+    return rendezvous.ranked(str(partition), agents, str)
--- a/packages/daemon/src/yuccarouter/registry/served.py
+++ b/packages/daemon/src/yuccarouter/registry/served.py
@@ -9,12 +9,12 @@
 
 import eliot
 import mode
+
+from yuccarouter.registry import items, loading, partition, writer
 from yuccarouter_common import history
 from yuccarouter_common.platform import errors as platform_errors
 from yuccarouter_common.platform import log
 
-from yuccarouter.registry import items, loading, partition, writer
-
 _WAIT_MS: Final = 5000
 _MIN_BACKOFF_MS: Final = 100
 _MAX_BACKOFF_MS: Final = 2000
--- a/packages/daemon/src/yuccarouter/registry/writer.py
+++ b/packages/daemon/src/yuccarouter/registry/writer.py
@@ -9,12 +9,12 @@
 from typing import Final
 
 import attrs
+
+from yuccarouter.registry import errors, items
 from yuccarouter_common import history
 from yuccarouter_common.platform import errors as platform_errors
 from yuccarouter_common.platform import log
 
-from yuccarouter.registry import errors, items
-
 # With 32 partitions at most 320 appends a second for the fleet.
 MIN_INTERVAL_MS: Final = 100
 _MAX_BACKOFF_MS: Final = 2000
--- a/packages/daemon/src/yuccarouter/request_path/answers.py
+++ b/packages/daemon/src/yuccarouter/request_path/answers.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+
 from yuccarouter_common import refusals
 
 if TYPE_CHECKING:
--- a/packages/daemon/src/yuccarouter/request_path/attempt.py
+++ b/packages/daemon/src/yuccarouter/request_path/attempt.py
@@ -16,9 +16,8 @@
     from collections.abc import AsyncGenerator, Callable
     from contextlib import AbstractContextManager
 
-    from yuccarouter_common.proto import router_pb2
-
     from yuccarouter.membership import channels
+    from yuccarouter_common.proto import router_pb2
 
 _CONNECT_TIMEOUT_S: Final = 1.0
 _MS_PER_S: Final = 1000
--- a/packages/daemon/src/yuccarouter/request_path/bills.py
+++ b/packages/daemon/src/yuccarouter/request_path/bills.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING, Final
 
-from yuccarouter_common import billing_rows, clocks, refusals
-
 from yuccarouter.billing import errors
+from yuccarouter_common import billing_rows, clocks, refusals
 
 if TYPE_CHECKING:
     from yuccarouter.request_path import plan, router
--- a/packages/daemon/src/yuccarouter/request_path/cascading.py
+++ b/packages/daemon/src/yuccarouter/request_path/cascading.py
@@ -7,17 +7,16 @@
 
 import attrs
 import orjson
-from yuccarouter_common import clocks, refusals
-from yuccarouter_common.platform import errors as platform_errors
-from yuccarouter_common.platform import ratings
 
 from yuccarouter.request_path import plan, router, sender, whole
 from yuccarouter.routing import cascade as cascades
+from yuccarouter_common import clocks, refusals
+from yuccarouter_common.platform import errors as platform_errors
+from yuccarouter_common.platform import ratings
 
 if TYPE_CHECKING:
-    from yuccarouter_common import model
-
     from yuccarouter.routing import allowed
+    from yuccarouter_common import model
 
 _MS_PER_S: Final = 1000
 # Tokens of English and German text are about this long.
--- a/packages/daemon/src/yuccarouter/request_path/chat.py
+++ b/packages/daemon/src/yuccarouter/request_path/chat.py
@@ -6,6 +6,7 @@
 
 import attrs
 import orjson
+
 from yuccarouter_common import refusals
 
 _MAX_MESSAGES: Final = 4096
--- a/packages/daemon/src/yuccarouter/request_path/claims.py
+++ b/packages/daemon/src/yuccarouter/request_path/claims.py
@@ -7,10 +7,10 @@
 from typing import TYPE_CHECKING, Final
 
 from grpc import aio
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.registry import partitions
 from yuccarouter.request_path import errors, sender
+from yuccarouter_common.proto import router_pb2
 
 if TYPE_CHECKING:
     from yuccarouter.request_path import router
--- a/packages/daemon/src/yuccarouter/request_path/completions.py
+++ b/packages/daemon/src/yuccarouter/request_path/completions.py
@@ -7,7 +7,6 @@
 
 import attrs
 from aiohttp import web
-from yuccarouter_common import refusals
 
 from yuccarouter.request_path import (
     bills,
@@ -25,11 +24,11 @@
 from yuccarouter.rollout import observations
 from yuccarouter.routing import allowed, sessions
 from yuccarouter.routing import errors as routing_errors
+from yuccarouter_common import refusals
 
 if TYPE_CHECKING:
-    from yuccarouter_common import model
-
     from yuccarouter.request_path import router
+    from yuccarouter_common import model
 
 _EVENT_STREAM: Final = 'text/event-stream'
 
--- a/packages/daemon/src/yuccarouter/request_path/freshness.py
+++ b/packages/daemon/src/yuccarouter/request_path/freshness.py
@@ -4,14 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from yuccarouter_common import refusals
-
 from yuccarouter.configuration import staleness
+from yuccarouter_common import refusals
 
 if TYPE_CHECKING:
-    from yuccarouter_common import model
-
     from yuccarouter.request_path import router
+    from yuccarouter_common import model
 
 
 def check(shared: router.Router, organisation: model.Organisation) -> None:
--- a/packages/daemon/src/yuccarouter/request_path/front.py
+++ b/packages/daemon/src/yuccarouter/request_path/front.py
@@ -11,7 +11,6 @@
 import orjson
 import prometheus_client
 from aiohttp import web
-from yuccarouter_common import errors, refusals, telemetry
 
 from yuccarouter.request_path import (
     authentication,
@@ -22,12 +21,13 @@
     service_calls,
 )
 from yuccarouter.routing import allowed
+from yuccarouter_common import errors, refusals, telemetry
 
 if TYPE_CHECKING:
     from opentelemetry import trace
-    from yuccarouter_common import model
 
     from yuccarouter.request_path import router
+    from yuccarouter_common import model
 
 _JSON: Final = 'application/json'
 # Faults of this program; the caller gets a code for them as well.
--- a/packages/daemon/src/yuccarouter/request_path/intake.py
+++ b/packages/daemon/src/yuccarouter/request_path/intake.py
@@ -9,14 +9,13 @@
 
 import xxhash
 from aiohttp import web
-from yuccarouter_common import model, refusals, telemetry
 
 from yuccarouter.request_path import claims, plan
+from yuccarouter_common import model, refusals, telemetry
 
 if TYPE_CHECKING:
-    from yuccarouter_common import settings
-
     from yuccarouter.request_path import router
+    from yuccarouter_common import settings
 
 _MS_PER_S: Final = 1000
 _MAX_KEY_CHARS: Final = 255
--- a/packages/daemon/src/yuccarouter/request_path/plan.py
+++ b/packages/daemon/src/yuccarouter/request_path/plan.py
@@ -9,9 +9,9 @@
 
 if TYPE_CHECKING:
     from opentelemetry import context
-    from yuccarouter_common import model, refusals
 
     from yuccarouter.routing import sessions
+    from yuccarouter_common import model, refusals
 
 _MS_PER_S: Final = 1000
 
--- a/packages/daemon/src/yuccarouter/request_path/replies.py
+++ b/packages/daemon/src/yuccarouter/request_path/replies.py
@@ -8,9 +8,9 @@
 import attrs
 import orjson
 from aiohttp import web
-from yuccarouter_common import refusals
 
 from yuccarouter.routing import sessions
+from yuccarouter_common import refusals
 
 if TYPE_CHECKING:
     from yuccarouter.request_path import plan, router
--- a/packages/daemon/src/yuccarouter/request_path/retries.py
+++ b/packages/daemon/src/yuccarouter/request_path/retries.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING, Final
 
 import prometheus_client
-from yuccarouter_common import refusals
 
 from yuccarouter.request_path import errors, sender
 from yuccarouter.routing import retry_budget
+from yuccarouter_common import refusals
 
 if TYPE_CHECKING:
     from yuccarouter.request_path import plan, router
--- a/packages/daemon/src/yuccarouter/request_path/router.py
+++ b/packages/daemon/src/yuccarouter/request_path/router.py
@@ -8,12 +8,10 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
+
 from yuccarouter_common import refusals
 
 if TYPE_CHECKING:
-    from yuccarouter_common import model, settings
-    from yuccarouter_common.platform import ratings as rating_clients
-
     from yuccarouter.billing import ledger as ledgers
     from yuccarouter.configuration import store as stores
     from yuccarouter.membership import channels, directory
@@ -32,6 +30,8 @@
     )
     from yuccarouter.rollout import observations as rollout_observations
     from yuccarouter.routing import cascade, latency, retry_budget, views
+    from yuccarouter_common import model, settings
+    from yuccarouter_common.platform import ratings as rating_clients
 
 _BUSY_RETRY_MS: Final = 500
 
--- a/packages/daemon/src/yuccarouter/request_path/sender.py
+++ b/packages/daemon/src/yuccarouter/request_path/sender.py
@@ -10,12 +10,12 @@
 import attrs
 import prometheus_client
 from opentelemetry import trace
-from yuccarouter_common import clocks, refusals, telemetry
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.request_path import attempt, errors, plan, router
 from yuccarouter.routing import choice
 from yuccarouter.routing import errors as routing_errors
+from yuccarouter_common import clocks, refusals, telemetry
+from yuccarouter_common.proto import router_pb2
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, AsyncIterator
--- a/packages/daemon/src/yuccarouter/request_path/service_calls.py
+++ b/packages/daemon/src/yuccarouter/request_path/service_calls.py
@@ -6,8 +6,6 @@
 
 import attrs
 from aiohttp import web
-from yuccarouter_common import model, refusals
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.request_path import (
     bills,
@@ -20,6 +18,8 @@
     sender,
     whole,
 )
+from yuccarouter_common import model, refusals
+from yuccarouter_common.proto import router_pb2
 
 if TYPE_CHECKING:
     from yuccarouter.request_path import router
--- a/packages/daemon/src/yuccarouter/request_path/session_versions.py
+++ b/packages/daemon/src/yuccarouter/request_path/session_versions.py
@@ -6,16 +6,15 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
-from yuccarouter_common.proto import router_pb2
 
 from yuccarouter.request_path import claims, errors
 from yuccarouter.routing import allowed, sessions
 from yuccarouter.routing import errors as routing_errors
+from yuccarouter_common.proto import router_pb2
 
 if TYPE_CHECKING:
-    from yuccarouter_common import model
-
     from yuccarouter.request_path import plan, router
+    from yuccarouter_common import model
 
 _MAX_KNOWN: Final = 20_000
 
--- a/packages/daemon/src/yuccarouter/request_path/settlements.py
+++ b/packages/daemon/src/yuccarouter/request_path/settlements.py
@@ -7,13 +7,13 @@
 from typing import TYPE_CHECKING, Final
 
 from grpc import aio
+
 from yuccarouter_common.proto import router_pb2
 
 if TYPE_CHECKING:
-    from yuccarouter_common import billing_rows
-
     from yuccarouter.membership import channels
     from yuccarouter.request_path import plan
+    from yuccarouter_common import billing_rows
 
 _SETTLE_TIMEOUT_S: Final = 1.0
 # An attempt that is not settled is covered by its agent, so forgetting the
--- a/packages/daemon/src/yuccarouter/request_path/whole.py
+++ b/packages/daemon/src/yuccarouter/request_path/whole.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
-from yuccarouter_common import clocks, refusals
 
 from yuccarouter.request_path import (
     attempt,
@@ -18,6 +17,7 @@
     sender,
 )
 from yuccarouter.routing import hedge
+from yuccarouter_common import clocks, refusals
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/packages/daemon/src/yuccarouter/roles/agent.py
+++ b/packages/daemon/src/yuccarouter/roles/agent.py
@@ -9,9 +9,6 @@
 import aiohttp
 import eliot
 import mode
-from yuccarouter_common import errors
-from yuccarouter_common.platform import log, vms
-from yuccarouter_common.proto import router_pb2_grpc
 
 from yuccarouter.admission import ports, service
 from yuccarouter.billing import cover, ledger
@@ -20,9 +17,13 @@
 from yuccarouter.registry import owner
 from yuccarouter.roles import admin, peering, servers
 from yuccarouter.rollout import fence
+from yuccarouter_common import errors
+from yuccarouter_common.platform import log, vms
+from yuccarouter_common.proto import router_pb2_grpc
 
 if TYPE_CHECKING:
     from grpc import aio
+
     from yuccarouter_common import billing_rows, model, settings, telemetry
 
 _CATCH_UP_MS: Final = 1000
--- a/packages/daemon/src/yuccarouter/roles/entry.py
+++ b/packages/daemon/src/yuccarouter/roles/entry.py
@@ -10,16 +10,15 @@
 import attrs
 import eliot
 import mode
-from yuccarouter_common import clocks
 
 from yuccarouter.request_path import front, router
 from yuccarouter.roles import admin, entry_parts, peering, servers
+from yuccarouter_common import clocks
 
 if TYPE_CHECKING:
-    from yuccarouter_common import settings, telemetry
-
     from yuccarouter.membership import peer_service
     from yuccarouter.routing import views
+    from yuccarouter_common import settings, telemetry
 
 _MS_PER_S: Final = 1000
 _FLUSH_LIMIT_S: Final = 5.0
--- a/packages/daemon/src/yuccarouter/roles/entry_parts.py
+++ b/packages/daemon/src/yuccarouter/roles/entry_parts.py
@@ -6,8 +6,6 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from yuccarouter_common import clocks
-from yuccarouter_common.platform import log, ratings, vms, weights
 
 from yuccarouter.billing import ledger
 from yuccarouter.configuration import follower, store
@@ -32,10 +30,13 @@
 from yuccarouter.roles import peering
 from yuccarouter.rollout import control, observations
 from yuccarouter.routing import cascade, latency, quality, retry_budget, views
+from yuccarouter_common import clocks
+from yuccarouter_common.platform import log, ratings, vms, weights
 
 if TYPE_CHECKING:
     import aiohttp
     import mode
+
     from yuccarouter_common import settings
 
 
@@ -60,13 +61,8 @@
         conf.timing.vm_list_interval_ms,
     )
     gatherer = relay.Gatherer(client)
-    shared = _router(
-        conf,
-        session,
-        known,
-        daemons,
-        relay.RelayedLog(conf, client, gatherer, known, daemons),
-    )
+    bills = relay.RelayedLog(conf, client, gatherer, known, daemons)
+    shared = _router(conf, session, client, known, daemons, bills)
     pauses = pause.PauseWatch()
     source = digests.Source(
         conf.data_centre, shared.fleet, known, clocks.monotonic_ms
@@ -132,6 +128,7 @@
 def _router(
     conf: settings.Settings,
     session: aiohttp.ClientSession,
+    client: log.Client,
     known: directory.Directory,
     daemons: channels.Channels,
     bills: relay.RelayedLog,
@@ -141,7 +138,6 @@
     latencies = latency.Latencies(clocks.monotonic_ms)
     rater = ratings.Client(session, conf.platform.ratings_url)
     held = store.Store()
-    client = log.Client(session, conf.platform.log_url)
     return router.Router(
         conf=conf,
         store=held,
--- a/packages/daemon/src/yuccarouter/roles/peering.py
+++ b/packages/daemon/src/yuccarouter/roles/peering.py
@@ -7,20 +7,20 @@
 
 import attrs
 import orjson
-from yuccarouter_common import apply, settings
-from yuccarouter_common.proto import router_pb2, router_pb2_grpc
 
 from yuccarouter.configuration import peers, snapshots
 from yuccarouter.membership import subset
+from yuccarouter_common import apply, settings
+from yuccarouter_common.proto import router_pb2, router_pb2_grpc
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     import grpc
-    from yuccarouter_common import history
 
     from yuccarouter.configuration import store
     from yuccarouter.membership import channels, directory
+    from yuccarouter_common import history
 
 _VOIDS_SHOWN: Final = 20
 # Daemons that a process exchanges its position with: enough that a change
--- a/packages/daemon/src/yuccarouter/roles/servers.py
+++ b/packages/daemon/src/yuccarouter/roles/servers.py
@@ -8,6 +8,7 @@
 import mode
 from aiohttp import web
 from grpc import aio
+
 from yuccarouter_common import peer_auth
 
 if TYPE_CHECKING:
--- a/packages/daemon/src/yuccarouter/rollout/collectors.py
+++ b/packages/daemon/src/yuccarouter/rollout/collectors.py
@@ -8,9 +8,9 @@
 
 import attrs
 import xxhash
-from yuccarouter_common import model
 
 from yuccarouter.rollout import evidence as evidence_module
+from yuccarouter_common import model
 
 _RATE_WINDOW_MS: Final = 60_000
 # Requests that are compared, so that control takes well under 1% of a core at
--- a/packages/daemon/src/yuccarouter/rollout/control.py
+++ b/packages/daemon/src/yuccarouter/rollout/control.py
@@ -6,8 +6,6 @@
 
 import attrs
 import mode
-from yuccarouter_common import clocks, publish
-from yuccarouter_common.platform import errors as platform_errors
 
 from yuccarouter.rollout import (
     collectors,
@@ -16,15 +14,16 @@
     lease,
     loading,
 )
+from yuccarouter_common import clocks, publish
+from yuccarouter_common.platform import errors as platform_errors
 
 if TYPE_CHECKING:
-    from yuccarouter_common import history, records
-    from yuccarouter_common.platform import ratings
-    from yuccarouter_common.platform import weights as weight_store
-
     from yuccarouter.configuration import store
     from yuccarouter.membership import channels
     from yuccarouter.routing import views
+    from yuccarouter_common import history, records
+    from yuccarouter_common.platform import ratings
+    from yuccarouter_common.platform import weights as weight_store
 
 _NO_NUMBER: Final = -1
 
--- a/packages/daemon/src/yuccarouter/rollout/controller.py
+++ b/packages/daemon/src/yuccarouter/rollout/controller.py
@@ -10,11 +10,11 @@
 import attrs
 import eliot
 import mode
-from yuccarouter_common import clocks, model, records
-from yuccarouter_common.platform import errors as platform_errors
 
 from yuccarouter.rollout import evidence as evidence_module
 from yuccarouter.rollout import policy
+from yuccarouter_common import clocks, model, records
+from yuccarouter_common.platform import errors as platform_errors
 
 _INTERVAL_S: Final = 1.0
 _ACTIVE_STATES: Final = frozenset(('created', 'rolling', 'held'))
--- a/packages/daemon/src/yuccarouter/rollout/feed.py
+++ b/packages/daemon/src/yuccarouter/rollout/feed.py
@@ -7,16 +7,15 @@
 
 import attrs
 import mode
-from yuccarouter_common.platform import errors as platform_errors
 
 from yuccarouter.rollout import errors, evidence, observations
+from yuccarouter_common.platform import errors as platform_errors
 
 if TYPE_CHECKING:
+    from yuccarouter.rollout import collectors
     from yuccarouter_common import history
     from yuccarouter_common.platform import ratings
 
-    from yuccarouter.rollout import collectors
-
 _INTERVAL_S: Final = 0.5
 _WAIT_MS: Final = 500
 _MAX_PAIRS: Final = 20_000
--- a/packages/daemon/src/yuccarouter/rollout/fence.py
+++ b/packages/daemon/src/yuccarouter/rollout/fence.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING, Final
 
 import mode
-from yuccarouter_common.platform import errors as platform_errors
 
 from yuccarouter.rollout import errors, lease, leases
+from yuccarouter_common.platform import errors as platform_errors
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/daemon/src/yuccarouter/rollout/lease.py
+++ b/packages/daemon/src/yuccarouter/rollout/lease.py
@@ -12,12 +12,12 @@
 import attrs
 import eliot
 import mode
+
+from yuccarouter.rollout import leases
 from yuccarouter_common import history
 from yuccarouter_common.platform import errors as platform_errors
 from yuccarouter_common.platform import log
 
-from yuccarouter.rollout import leases
-
 # A lost controller is replaced within 12 s and some jitter; three renewals
 # may fail before the lease is lost.
 _TTL_MS: Final = 12_000
--- a/packages/daemon/src/yuccarouter/rollout/leases.py
+++ b/packages/daemon/src/yuccarouter/rollout/leases.py
@@ -6,10 +6,10 @@
 from typing import Any, Final
 
 import attrs
-from yuccarouter_common import records
-from yuccarouter_common.platform import log
 
 from yuccarouter.rollout import errors
+from yuccarouter_common import records
+from yuccarouter_common.platform import log
 
 STREAM: Final = 'leases'
 
--- a/packages/daemon/src/yuccarouter/rollout/loading.py
+++ b/packages/daemon/src/yuccarouter/rollout/loading.py
@@ -6,21 +6,20 @@
 
 import mode
 from grpc import aio
+
+from yuccarouter.rollout import errors, weights
 from yuccarouter_common import clocks
 from yuccarouter_common.platform import errors as platform_errors
 from yuccarouter_common.proto import router_pb2
 
-from yuccarouter.rollout import errors, weights
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from yuccarouter_common import model
-    from yuccarouter_common.platform import weights as weight_store
-
     from yuccarouter.membership import channels
     from yuccarouter.rollout import controller
     from yuccarouter.routing import views
+    from yuccarouter_common import model
+    from yuccarouter_common.platform import weights as weight_store
 
 LEASE: Final = 'rollouts'
 
--- a/packages/daemon/src/yuccarouter/rollout/observations.py
+++ b/packages/daemon/src/yuccarouter/rollout/observations.py
@@ -12,12 +12,12 @@
 import attrs
 import eliot
 import mode
+
+from yuccarouter.rollout import errors, evidence
 from yuccarouter_common import clocks, records
 from yuccarouter_common.platform import errors as platform_errors
 from yuccarouter_common.platform import ratings
 
-from yuccarouter.rollout import errors, evidence
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
--- a/packages/daemon/src/yuccarouter/rollout/policy.py
+++ b/packages/daemon/src/yuccarouter/rollout/policy.py
@@ -5,9 +5,9 @@
 from typing import Final
 
 import attrs
-from yuccarouter_common import model
 
 from yuccarouter.rollout import evidence as evidence_module
+from yuccarouter_common import model
 
 # At most 1 in 100 good versions is withdrawn: an e-value of harm exceeds 100
 # with a probability of at most 1 in 100, whenever it is looked at.
--- a/packages/daemon/src/yuccarouter/routing/allowed.py
+++ b/packages/daemon/src/yuccarouter/routing/allowed.py
@@ -7,9 +7,9 @@
 
 import attrs
 import xxhash
-from yuccarouter_common import model
 
 from yuccarouter.routing import errors
+from yuccarouter_common import model
 
 _HASH_RANGE: Final = 2**64
 
--- a/packages/daemon/src/yuccarouter/routing/cascade.py
+++ b/packages/daemon/src/yuccarouter/routing/cascade.py
@@ -6,9 +6,9 @@
 from typing import Final
 
 import attrs
-from yuccarouter_common import model
 
 from yuccarouter.routing import _members, latency, quality
+from yuccarouter_common import model
 
 # Steps that are not worth their cost by what is known run for some requests,
 # so that the entry learns when they get better. These are the bounds of the
--- a/packages/daemon/src/yuccarouter/routing/choice.py
+++ b/packages/daemon/src/yuccarouter/routing/choice.py
@@ -6,9 +6,9 @@
 from typing import Final
 
 import attrs
-from yuccarouter_common import model
 
 from yuccarouter.routing import _members, errors, views
+from yuccarouter_common import model
 
 # Candidates by distance. What a nearer tier lacks is drawn from the next.
 _LOCAL_SAMPLES: Final = 4
--- a/packages/daemon/src/yuccarouter/routing/sessions.py
+++ b/packages/daemon/src/yuccarouter/routing/sessions.py
@@ -11,9 +11,9 @@
 
 import attrs
 import orjson
-from yuccarouter_common import model
 
 from yuccarouter.routing import allowed, errors
+from yuccarouter_common import model
 
 _PREFIX: Final = 'yrs1.'
 _MAX_HEADER_BYTES: Final = 512
--- a/packages/daemon/src/yuccarouter/routing/views.py
+++ b/packages/daemon/src/yuccarouter/routing/views.py
@@ -145,13 +145,20 @@
         self._reindex(held, view)
         return True
 
-    def remove(self, endpoint: str) -> None:
-        """Forget an endpoint, for example when its VM is gone."""
-        held = self._views.pop(endpoint, None)
-        if held is not None:
-            self._index.discard(held.place)
-            own = self._evidence.pop(endpoint).in_flight
-            self._pools[held.pool].count(held, own, -1)
+    def remove(self, endpoint: str, vm: str = '') -> bool:
+        """Forget an endpoint and return whether it was held.
+
+        With ``vm``, only an endpoint of that VM is forgotten: another one may
+        have taken its place since.
+        """
+        held = self._views.get(endpoint)
+        if held is None or vm not in {'', held.vm}:
+            return False
+        self._views.pop(endpoint)
+        self._index.discard(held.place)
+        own = self._evidence.pop(endpoint).in_flight
+        self._pools[held.pool].count(held, own, -1)
+        return True
 
     def started(self, endpoint: str) -> None:
         """Count an own request that is being sent to an endpoint."""
--- a/packages/daemon/tests/admission/conftest.py
+++ b/packages/daemon/tests/admission/conftest.py
@@ -12,6 +12,7 @@
 import pytest
 from aiohttp import web
 from grpc import aio
+
 from yuccarouter.admission import calls, ports, wiring
 from yuccarouter.admission import runner as runners
 from yuccarouter_common import model
--- a/packages/daemon/tests/admission/test_endpoint.py
+++ b/packages/daemon/tests/admission/test_endpoint.py
@@ -7,6 +7,7 @@
 
 import attrs
 import pytest
+
 from yuccarouter.admission import cache, ports, service
 from yuccarouter_common import model, refusals
 from yuccarouter_common.proto import router_pb2
--- a/packages/daemon/tests/admission/test_gate.py
+++ b/packages/daemon/tests/admission/test_gate.py
@@ -10,6 +10,7 @@
 import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
+
 from yuccarouter.admission import gate as gates
 from yuccarouter.admission import ledger
 from yuccarouter_common import model
--- a/packages/daemon/tests/admission/test_queue.py
+++ b/packages/daemon/tests/admission/test_queue.py
@@ -10,6 +10,7 @@
 import hypothesis
 import pytest
 from hypothesis import strategies as st
+
 from yuccarouter.admission import gate as gates
 from yuccarouter.admission import ledger, queue, slots
 from yuccarouter_common import model, refusals
--- a/packages/daemon/tests/admission/test_run.py
+++ b/packages/daemon/tests/admission/test_run.py
@@ -8,6 +8,7 @@
 import attrs
 import orjson
 import pytest
+
 from yuccarouter_common import billing_rows, model, refusals
 from yuccarouter_common.proto import router_pb2
 
--- a/packages/daemon/tests/billing/test_ledger.py
+++ b/packages/daemon/tests/billing/test_ledger.py
@@ -8,6 +8,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from yuccarouter.billing import cover, errors, ledger
 from yuccarouter_common import billing_rows, model
 from yuccarouter_common.proto import router_pb2
--- a/packages/daemon/tests/configuration/test_exchange.py
+++ b/packages/daemon/tests/configuration/test_exchange.py
@@ -10,6 +10,7 @@
 import hypothesis
 import pytest
 from hypothesis import strategies as st
+
 from yuccarouter.configuration import errors, exchange, peers, staleness
 from yuccarouter.configuration import recent as recents
 from yuccarouter.configuration import snapshots as snapshot_writers
--- a/packages/daemon/tests/configuration/test_follower.py
+++ b/packages/daemon/tests/configuration/test_follower.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import pytest
+
 from yuccarouter.configuration import follower as followers
 from yuccarouter.configuration import store as stores
 from yuccarouter_common import apply, errors, history, model, records
--- a/packages/daemon/tests/configuration/test_staleness.py
+++ b/packages/daemon/tests/configuration/test_staleness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+
 from yuccarouter.configuration import freshness, staleness
 from yuccarouter_common import model
 
--- a/packages/daemon/tests/membership/conftest.py
+++ b/packages/daemon/tests/membership/conftest.py
@@ -10,6 +10,7 @@
 import grpc
 import pytest
 from grpc import aio
+
 from yuccarouter.membership import directory, pause, reports, watch
 from yuccarouter.routing import views
 from yuccarouter_common import settings
--- a/packages/daemon/tests/membership/test_digests.py
+++ b/packages/daemon/tests/membership/test_digests.py
@@ -10,6 +10,7 @@
 from grpc import aio
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from yuccarouter.admission import servicer
 from yuccarouter.membership import (
     channels,
--- a/packages/daemon/tests/membership/test_relay.py
+++ b/packages/daemon/tests/membership/test_relay.py
@@ -11,6 +11,7 @@
 from grpc import aio
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from yuccarouter.billing import ledger
 from yuccarouter.membership import relay
 from yuccarouter_common import billing_rows
--- a/packages/daemon/tests/membership/test_reports.py
+++ b/packages/daemon/tests/membership/test_reports.py
@@ -6,7 +6,8 @@
 
 import pytest
 from grpc import aio
-from yuccarouter.membership import reports
+
+from yuccarouter.membership import reports, streams
 
 
 @pytest.mark.parametrize('fault', ['missing list', 'empty list', 'late list'])
@@ -62,11 +63,11 @@
     world: Any, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a frozen agent that keeps its stream open."""
-    monkeypatch.setattr(reports, '_GRACE_S', 0)
+    monkeypatch.setattr(streams, '_GRACE_S', 0)
     call = world.daemons.at('x:1').stub.Reports(None)
-    assert await reports.read(call, 0.001) is None
+    assert await streams.read(call, 0.001) is None
     await world.daemons.send('x:1', 'report')
-    assert await reports.read(call, 60) == 'report'
+    assert await streams.read(call, 60) == 'report'
 
 
 async def test_replaced_agent_at_the_same_address(world: Any) -> None:
--- a/packages/daemon/tests/membership/test_subset.py
+++ b/packages/daemon/tests/membership/test_subset.py
@@ -7,6 +7,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from yuccarouter.membership import channels, subset
 from yuccarouter_common.platform import vms
 
--- a/packages/daemon/tests/registry/test_interleaving.py
+++ b/packages/daemon/tests/registry/test_interleaving.py
@@ -9,6 +9,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
+
 from yuccarouter.registry import answers, owner, partitions
 from yuccarouter_common.proto import router_pb2
 from yuccarouter_testkit import memory_log, virtual_time
--- a/packages/daemon/tests/registry/test_owner.py
+++ b/packages/daemon/tests/registry/test_owner.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import pytest
+
 from yuccarouter.registry import (
     answers,
     items,
--- a/packages/daemon/tests/request_path/conftest.py
+++ b/packages/daemon/tests/request_path/conftest.py
@@ -13,6 +13,7 @@
 import yarl
 from aiohttp import test_utils, web
 from grpc import aio
+
 from yuccarouter.billing import ledger
 from yuccarouter.configuration import store
 from yuccarouter.membership import channels, directory, watch
--- a/packages/daemon/tests/request_path/test_chat.py
+++ b/packages/daemon/tests/request_path/test_chat.py
@@ -8,6 +8,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+
 from yuccarouter.request_path import chat, claims, events
 
 _MESSAGES = [{'role': 'user', 'content': 'hello'}]
--- a/packages/daemon/tests/request_path/test_front.py
+++ b/packages/daemon/tests/request_path/test_front.py
@@ -10,6 +10,7 @@
 import pytest
 import yarl
 from opentelemetry.sdk import trace as sdk_trace
+
 from yuccarouter.request_path import bills
 from yuccarouter_common import model, telemetry
 from yuccarouter_testkit import fake_agent as fake
--- a/packages/daemon/tests/roles/test_admin.py
+++ b/packages/daemon/tests/roles/test_admin.py
@@ -7,6 +7,7 @@
 
 import pytest
 from aiohttp import test_utils
+
 from yuccarouter.configuration import store
 from yuccarouter.roles import admin, peering
 from yuccarouter_common import apply, history, model, telemetry
--- a/packages/daemon/tests/rollout/test_feed.py
+++ b/packages/daemon/tests/rollout/test_feed.py
@@ -8,6 +8,7 @@
 
 import attrs
 import pytest
+
 from yuccarouter.rollout import collectors, evidence, feed, observations
 from yuccarouter_common import model
 from yuccarouter_common.platform import ratings
--- a/packages/daemon/tests/rollout/test_fence.py
+++ b/packages/daemon/tests/rollout/test_fence.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import pytest
+
 from yuccarouter.rollout import fence, leases
 from yuccarouter_common.platform import errors
 from yuccarouter_testkit import memory_log
--- a/packages/daemon/tests/rollout/test_lease.py
+++ b/packages/daemon/tests/rollout/test_lease.py
@@ -9,6 +9,7 @@
 import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
+
 from yuccarouter.rollout import lease, leases
 from yuccarouter_common.platform import errors
 from yuccarouter_common.platform import log as platform_log
--- a/packages/daemon/tests/routing/test_allowed.py
+++ b/packages/daemon/tests/routing/test_allowed.py
@@ -4,6 +4,7 @@
 
 import attrs
 import pytest
+
 from yuccarouter.routing import allowed, errors
 from yuccarouter_common import model
 
--- a/packages/daemon/tests/routing/test_cascade.py
+++ b/packages/daemon/tests/routing/test_cascade.py
@@ -6,6 +6,7 @@
 import random
 
 import pytest
+
 from yuccarouter.routing import cascade, latency, quality
 from yuccarouter_common import model
 from yuccarouter_testkit.bench import _cascade
--- a/packages/daemon/tests/routing/test_choice.py
+++ b/packages/daemon/tests/routing/test_choice.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+
 from yuccarouter.routing import choice, errors, views
 from yuccarouter_common import model
 from yuccarouter_testkit.bench import _first_token
--- a/packages/daemon/tests/routing/test_differential.py
+++ b/packages/daemon/tests/routing/test_differential.py
@@ -10,6 +10,7 @@
 import random
 
 import pytest
+
 from yuccarouter.routing import allowed, choice, errors, views
 from yuccarouter_common import model
 
--- a/packages/daemon/tests/routing/test_fleet.py
+++ b/packages/daemon/tests/routing/test_fleet.py
@@ -11,6 +11,7 @@
 import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
+
 from yuccarouter.routing import views
 
 _NAMES = [f'e{number}' for number in range(6)]
--- a/packages/daemon/tests/routing/test_quality.py
+++ b/packages/daemon/tests/routing/test_quality.py
@@ -7,6 +7,7 @@
 import hypothesis
 import pytest
 from hypothesis import strategies as st
+
 from yuccarouter.routing import _calibration, _estimate, quality
 
 _MINUTE_MS = 60_000
--- a/packages/daemon/tests/routing/test_retries.py
+++ b/packages/daemon/tests/routing/test_retries.py
@@ -8,6 +8,7 @@
 import hypothesis
 import pytest
 from hypothesis import strategies as st
+
 from yuccarouter.routing import hedge, latency, retry_budget
 from yuccarouter_testkit.bench import _retries
 
--- a/packages/daemon/tests/routing/test_sessions.py
+++ b/packages/daemon/tests/routing/test_sessions.py
@@ -6,6 +6,7 @@
 import hypothesis
 import pytest
 from hypothesis import strategies as st
+
 from yuccarouter.routing import errors, sessions
 from yuccarouter_common import model
 
--- a/packages/daemon/tests/test_decoders.py
+++ b/packages/daemon/tests/test_decoders.py
@@ -9,6 +9,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+
 from yuccarouter.configuration import store
 from yuccarouter.registry import items
 from yuccarouter.rollout import leases, observations
--- a/packages/daemon/tests/test_rollout_controller.py
+++ b/packages/daemon/tests/test_rollout_controller.py
@@ -9,6 +9,7 @@
 import hypothesis
 import pytest
 from hypothesis import strategies
+
 from yuccarouter.rollout import (
     collectors,
     controller,
--- a/packages/daemon/tests/test_rollout_test.py
+++ b/packages/daemon/tests/test_rollout_test.py
@@ -9,6 +9,7 @@
 import hypothesis
 import pytest
 from hypothesis import strategies
+
 from yuccarouter.rollout import evidence, sequential_test
 
 _GAINS = strategies.lists(
--- a/packages/testkit/src/yuccarouter_testkit/bench/_appends.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/_appends.py
@@ -10,7 +10,6 @@
 from yuccarouter.membership import relay
 from yuccarouter_common import billing_rows
 from yuccarouter_common.platform import vms
-
 from yuccarouter_testkit import memory_log
 
 _ZONES: Final = 7
--- a/packages/testkit/src/yuccarouter_testkit/bench/_cascade.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/_cascade.py
@@ -7,9 +7,9 @@
 from typing import Final
 
 import attrs
+
 from yuccarouter.routing import cascade, latency, quality
 from yuccarouter_common import model
-
 from yuccarouter_testkit.bench import _fakes
 
 _REQUESTS: Final = 20_000
--- a/packages/testkit/src/yuccarouter_testkit/bench/_control.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/_control.py
@@ -12,6 +12,7 @@
 
 import attrs
 from grpc import aio
+
 from yuccarouter.admission import servicer
 from yuccarouter.membership import (
     channels,
@@ -20,6 +21,7 @@
     remote,
     reports,
     sampling,
+    streams,
 )
 from yuccarouter.routing import views
 from yuccarouter_common import clocks
@@ -128,7 +130,7 @@
                 )
             )
             while True:
-                message = await reports.read(call, _WINDOW_S * 3)
+                message = await streams.read(call, _WINDOW_S * 3)
                 fleet.update(reports.view_of(message, daemon.address))
                 received.note(message)
 
@@ -157,7 +159,7 @@
                 digest_request(endpoints, _DIGEST_INTERVAL_MS)
             )
             while True:
-                received.note(await reports.read(call, _WINDOW_S))
+                received.note(await streams.read(call, _WINDOW_S))
 
     await _measure([follow(zone) for zone in range(peers)], received)
     return received
--- a/packages/testkit/src/yuccarouter_testkit/bench/_data_centre_fleets.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/_data_centre_fleets.py
@@ -15,8 +15,8 @@
 import aiohttp
 import attrs
 import orjson
-from yuccarouter_common import model
 
+from yuccarouter_common import model
 from yuccarouter_testkit.demo import calls, deployments, fleet, processes
 from yuccarouter_testkit.stand_ins import texts
 
--- a/packages/testkit/src/yuccarouter_testkit/bench/_decisions.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/_decisions.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 import attrs
+
 from yuccarouter.routing import allowed, choice, views
 from yuccarouter_common import model
 
--- a/packages/testkit/src/yuccarouter_testkit/bench/_fakes.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/_fakes.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 import attrs
+
 from yuccarouter.routing import views
 
 Action = Callable[[], None]
--- a/packages/testkit/src/yuccarouter_testkit/bench/_first_token.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/_first_token.py
@@ -10,9 +10,9 @@
 
 import attrs
 from hdrh import histogram
+
 from yuccarouter.routing import choice, views
 from yuccarouter_common import model
-
 from yuccarouter_testkit.bench import _fakes
 
 _ENDPOINTS: Final = 24
--- a/packages/testkit/src/yuccarouter_testkit/bench/_retries.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/_retries.py
@@ -9,9 +9,9 @@
 from typing import Final
 
 import attrs
+
 from yuccarouter.routing import choice, errors, retry_budget, views
 from yuccarouter_common import model
-
 from yuccarouter_testkit.bench import _fakes
 
 _ENDPOINTS: Final = 30
--- a/packages/testkit/src/yuccarouter_testkit/bench/admission.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/admission.py
@@ -15,6 +15,7 @@
 from typing import Any, Final
 
 import attrs
+
 from yuccarouter.admission import gate as gates
 from yuccarouter.admission import ledger, slots
 from yuccarouter_common import model, refusals
--- a/packages/testkit/src/yuccarouter_testkit/bench/alerts.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/alerts.py
@@ -17,6 +17,7 @@
 from typing import Any, Final
 
 import attrs
+
 from yuccarouter_common import alerts
 
 _STEP_S: Final = 15
--- a/packages/testkit/src/yuccarouter_testkit/bench/control.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/control.py
@@ -15,11 +15,11 @@
 from typing import Any, Final
 
 import grpc
+
 from yuccarouter.configuration import peers
 from yuccarouter.registry import items, partition
 from yuccarouter_common.platform import log
 from yuccarouter_common.proto import router_pb2_grpc
-
 from yuccarouter_testkit.bench import spread
 
 _OBJECTS: Final = 1000
--- a/packages/testkit/src/yuccarouter_testkit/bench/data_centres.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/data_centres.py
@@ -19,8 +19,8 @@
 import aiohttp
 import attrs
 import orjson
-from yuccarouter_common import clocks
 
+from yuccarouter_common import clocks
 from yuccarouter_testkit.bench import _data_centre_fleets as fleets
 from yuccarouter_testkit.demo import processes
 
--- a/packages/testkit/src/yuccarouter_testkit/bench/membership.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/membership.py
@@ -13,7 +13,6 @@
 from typing import Any, Final
 
 from yuccarouter.membership import subset
-
 from yuccarouter_testkit.bench import _appends, _control
 
 _SEED: Final = 1
--- a/packages/testkit/src/yuccarouter_testkit/bench/rollouts.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/rollouts.py
@@ -15,9 +15,9 @@
 from typing import Any, Final
 
 import attrs
+
 from yuccarouter.rollout import controller, evidence, policy
 from yuccarouter_common import model
-
 from yuccarouter_testkit.bench import versions
 
 _GOOD_ROLLOUTS: Final = 60
--- a/packages/testkit/src/yuccarouter_testkit/bench/spread.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/spread.py
@@ -8,6 +8,7 @@
 from typing import Any, Final
 
 import attrs
+
 from yuccarouter.configuration import exchange
 from yuccarouter.configuration import store as stores
 from yuccarouter_common import records
--- a/packages/testkit/src/yuccarouter_testkit/demo/calls.py
+++ b/packages/testkit/src/yuccarouter_testkit/demo/calls.py
@@ -13,8 +13,8 @@
 import multidict
 import orjson
 import yaml
-from yuccarouter_common import billing_rows
 
+from yuccarouter_common import billing_rows
 from yuccarouter_testkit.demo import deployments, fleet
 
 _TRACE_FORMAT: Final = '00-{trace_id}-{span_id}-01'
--- a/packages/testkit/src/yuccarouter_testkit/demo/fleet.py
+++ b/packages/testkit/src/yuccarouter_testkit/demo/fleet.py
@@ -11,9 +11,9 @@
 import aiohttp
 import attrs
 import yaml
+
 from yuccarouter_common import apply, clocks, model, records
 from yuccarouter_common.platform import log
-
 from yuccarouter_testkit.demo import deployments, processes
 
 _EXAMPLES: Final = pathlib.Path(__file__).resolve().parents[5] / 'examples'
--- a/packages/testkit/src/yuccarouter_testkit/demo/world.py
+++ b/packages/testkit/src/yuccarouter_testkit/demo/world.py
@@ -8,8 +8,8 @@
 
 import aiohttp
 import attrs
-from yuccarouter_common import billing_rows
 
+from yuccarouter_common import billing_rows
 from yuccarouter_testkit.demo import calls, deployments, fleet, processes
 
 _POLL_S: Final = 0.1
--- a/packages/testkit/src/yuccarouter_testkit/fake_agent.py
+++ b/packages/testkit/src/yuccarouter_testkit/fake_agent.py
@@ -9,6 +9,7 @@
 import attrs
 import grpc
 import orjson
+
 from yuccarouter_common.proto import router_pb2, router_pb2_grpc
 
 WORDS: Final = ('grid', 'is', 'fair', 'and', 'light')
--- a/packages/testkit/src/yuccarouter_testkit/load.py
+++ b/packages/testkit/src/yuccarouter_testkit/load.py
@@ -16,8 +16,8 @@
 
 import orjson
 from absl import flags
-from yuccarouter_common import records
 
+from yuccarouter_common import records
 from yuccarouter_testkit import load_report, load_run, mixes
 
 # Bounds that keep a mistyped flag from filling the machine.
--- a/packages/testkit/src/yuccarouter_testkit/memory_log.py
+++ b/packages/testkit/src/yuccarouter_testkit/memory_log.py
@@ -9,6 +9,7 @@
 
 import attrs
 import orjson
+
 from yuccarouter_common import clocks
 from yuccarouter_common.platform import errors, log
 
--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/completions.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/completions.py
@@ -9,8 +9,8 @@
 import attrs
 import orjson
 from aiohttp import web
-from yuccarouter_common import clocks
 
+from yuccarouter_common import clocks
 from yuccarouter_testkit.stand_ins import batch, engine_state, faults, texts
 
 _DONE: Final = b'data: [DONE]\n\n'
--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/engine_state.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/engine_state.py
@@ -7,8 +7,8 @@
 from typing import Any, Final
 
 import attrs
-from yuccarouter_common import clocks
 
+from yuccarouter_common import clocks
 from yuccarouter_testkit.stand_ins import batch, faults
 
 _MAX_SERVED: Final = 200_000
--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/plain_service.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/plain_service.py
@@ -14,8 +14,8 @@
 import attrs
 import orjson
 from aiohttp import web
-from yuccarouter_common import clocks
 
+from yuccarouter_common import clocks
 from yuccarouter_testkit.stand_ins import faults, serving
 
 _MAX_KEYS: Final = 200_000
--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/ratings.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/ratings.py
@@ -16,9 +16,9 @@
 import orjson
 import xxhash
 from aiohttp import web
+
 from yuccarouter_common import clocks
 from yuccarouter_common.platform import ratings
-
 from yuccarouter_testkit.stand_ins import faults, serving, texts
 
 _MAX_RATINGS: Final = 100_000
--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/vms.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/vms.py
@@ -15,8 +15,8 @@
 import cattrs
 import orjson
 from aiohttp import web
-from yuccarouter_common.platform import vms
 
+from yuccarouter_common.platform import vms
 from yuccarouter_testkit.stand_ins import faults, serving
 
 _VM: Final = '/vms/{vm}'
--- a/packages/testkit/src/yuccarouter_testkit/stand_ins/weights.py
+++ b/packages/testkit/src/yuccarouter_testkit/stand_ins/weights.py
@@ -15,8 +15,8 @@
 import cattrs
 import orjson
 from aiohttp import web
-from yuccarouter_common import clocks
 
+from yuccarouter_common import clocks
 from yuccarouter_testkit.stand_ins import faults, serving
 
 
--- a/packages/testkit/tests/conftest.py
+++ b/packages/testkit/tests/conftest.py
@@ -7,6 +7,7 @@
 import aiohttp
 import pytest
 from aiohttp import web
+
 from yuccarouter_testkit.stand_ins import serving
 
 Serve = Callable[[web.Application], Awaitable[str]]
--- a/packages/testkit/tests/test_batch.py
+++ b/packages/testkit/tests/test_batch.py
@@ -5,6 +5,7 @@
 import hypothesis
 import pytest
 from hypothesis import strategies
+
 from yuccarouter_testkit.stand_ins import batch
 
 
--- a/packages/testkit/tests/test_bench_checkpoints.py
+++ b/packages/testkit/tests/test_bench_checkpoints.py
@@ -5,6 +5,7 @@
 import math
 
 import pytest
+
 from yuccarouter_testkit.bench import checkpoints
 
 
--- a/packages/testkit/tests/test_bench_page.py
+++ b/packages/testkit/tests/test_bench_page.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import pytest
+
 from yuccarouter_testkit.bench import _page, _rows, data_centres
 
 
--- a/packages/testkit/tests/test_bench_path.py
+++ b/packages/testkit/tests/test_bench_path.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import pytest
+
 from yuccarouter_testkit.bench import _path_calls as calls
 from yuccarouter_testkit.bench import path
 from yuccarouter_testkit.stand_ins import instant, pass_through, serving
--- a/packages/testkit/tests/test_bench_routing.py
+++ b/packages/testkit/tests/test_bench_routing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+
 from yuccarouter_testkit.bench import routing
 
 
--- a/packages/testkit/tests/test_engine.py
+++ b/packages/testkit/tests/test_engine.py
@@ -10,6 +10,7 @@
 import orjson
 import pytest
 from aiohttp import web
+
 from yuccarouter_testkit.stand_ins import batch, engine, texts
 
 _Serve = Callable[[web.Application], Awaitable[str]]
--- a/packages/testkit/tests/test_failures.py
+++ b/packages/testkit/tests/test_failures.py
@@ -12,6 +12,7 @@
 import aiohttp
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
+
 from yuccarouter_testkit.demo import calls, processes, world
 from yuccarouter_testkit.stand_ins import texts
 
--- a/packages/testkit/tests/test_load.py
+++ b/packages/testkit/tests/test_load.py
@@ -12,6 +12,7 @@
 import orjson
 import pytest
 from aiohttp import web
+
 from yuccarouter_testkit import answers, load, load_report, load_run, mixes
 from yuccarouter_testkit.stand_ins import batch, engine, plain_service, texts
 
--- a/packages/testkit/tests/test_log.py
+++ b/packages/testkit/tests/test_log.py
@@ -12,6 +12,7 @@
 import pytest
 from aiohttp import test_utils, web
 from hypothesis import strategies
+
 from yuccarouter_common.platform import errors
 from yuccarouter_common.platform import log as client
 from yuccarouter_testkit.stand_ins import log, serving
--- a/packages/testkit/tests/test_operators.py
+++ b/packages/testkit/tests/test_operators.py
@@ -15,6 +15,7 @@
 import orjson
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
+
 from yuccarouter_common import history
 from yuccarouter_testkit.demo import calls, world
 
--- a/packages/testkit/tests/test_services.py
+++ b/packages/testkit/tests/test_services.py
@@ -9,6 +9,7 @@
 import aiohttp
 import pytest
 from aiohttp import test_utils, web
+
 from yuccarouter_common.platform import errors, log, ratings, vms, weights
 from yuccarouter_testkit.stand_ins import plain_service
 from yuccarouter_testkit.stand_ins import ratings as rating_double
--- a/packages/yuccactl/src/yuccactl/bill.py
+++ b/packages/yuccactl/src/yuccactl/bill.py
@@ -8,12 +8,12 @@
 from typing import Any, Final
 
 import attrs
+
+from yuccactl import errors, output, sources
 from yuccarouter_common import billing_rows
 from yuccarouter_common.platform import errors as platform_errors
 from yuccarouter_common.platform import log
 
-from yuccactl import errors, output, sources
-
 FIELDS: Final = (
     'request_id',
     'organisation',
--- a/packages/yuccactl/src/yuccactl/capacity.py
+++ b/packages/yuccactl/src/yuccactl/capacity.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 import attrs
-from yuccarouter_common import model
 
 from yuccactl import output
+from yuccarouter_common import model
 
 
 @attrs.frozen
--- a/packages/yuccactl/src/yuccactl/execute.py
+++ b/packages/yuccactl/src/yuccactl/execute.py
@@ -5,7 +5,6 @@
 from typing import Final
 
 import attrs
-from yuccarouter_common import model, publish
 
 from yuccactl import (
     bill,
@@ -23,6 +22,7 @@
     views,
     waiting,
 )
+from yuccarouter_common import model, publish
 
 _QUERIES: Final = (
     statements.Show,
--- a/packages/yuccactl/src/yuccactl/fields.py
+++ b/packages/yuccactl/src/yuccactl/fields.py
@@ -6,9 +6,9 @@
 from typing import Any, Final
 
 import attrs
-from yuccarouter_common import model
 
 from yuccactl import errors, lookup, statements
+from yuccarouter_common import model
 
 # Fields that only other statements or the log itself change.
 _RESERVED_FIELDS: Final = frozenset(
--- a/packages/yuccactl/src/yuccactl/lookup.py
+++ b/packages/yuccactl/src/yuccactl/lookup.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Iterable, Mapping
+from typing import Any, TypeVar
 
 import attrs
-from yuccarouter_common import model, records
 
 from yuccactl import errors
+from yuccarouter_common import model, records
+
+_Object = TypeVar('_Object')
 
 
 @attrs.frozen
@@ -30,26 +32,14 @@
     configuration: model.Configuration,
     name: str,
 ) -> model.Organisation:
-    found = configuration.organisations.get(name)
-    if found is None:
-        known = names_of(configuration.organisations)
-        raise errors.RejectedError(
-            f'there is no organisation {name}; known: {known}'
-        )
-    return found
+    return _found('organisation', configuration.organisations, name)
 
 
 def version(
     configuration: model.Configuration,
     name: str,
 ) -> model.ModelVersion:
-    found = configuration.versions.get(name)
-    if found is None:
-        known = names_of(configuration.versions)
-        raise errors.RejectedError(
-            f'there is no version {name}; known: {known}'
-        )
-    return found
+    return _found('version', configuration.versions, name)
 
 
 def serving(
@@ -63,13 +53,7 @@
 
 
 def rollout(configuration: model.Configuration, name: str) -> model.Rollout:
-    found = configuration.rollouts.get(name)
-    if found is None:
-        known = names_of(configuration.rollouts)
-        raise errors.RejectedError(
-            f'there is no roll-out {name}; known: {known}'
-        )
-    return found
+    return _found('roll-out', configuration.rollouts, name)
 
 
 def version_body(name: str) -> dict[str, Any]:
@@ -79,3 +63,12 @@
 
 def names_of(names: Iterable[str]) -> str:
     return ', '.join(sorted(names)) or 'none'
+
+
+def _found(kind: str, table: Mapping[str, _Object], name: str) -> _Object:
+    found = table.get(name)
+    if found is None:
+        raise errors.RejectedError(
+            f'there is no {kind} {name}; known: {names_of(table)}'
+        )
+    return found
--- a/packages/yuccactl/src/yuccactl/orders.py
+++ b/packages/yuccactl/src/yuccactl/orders.py
@@ -7,9 +7,9 @@
 from typing import Any, Final
 
 import attrs
-from yuccarouter_common import apply, clocks, model, records
 
 from yuccactl import errors, fields, lookup, rollout_orders, statements
+from yuccarouter_common import apply, clocks, model, records
 
 
 @attrs.frozen
--- a/packages/yuccactl/src/yuccactl/publishing.py
+++ b/packages/yuccactl/src/yuccactl/publishing.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from yuccarouter_common import history, model, publish, records
-
 from yuccactl import errors, sources
+from yuccarouter_common import history, model, publish, records
 
 
 async def publish_record(
--- a/packages/yuccactl/src/yuccactl/queries.py
+++ b/packages/yuccactl/src/yuccactl/queries.py
@@ -7,7 +7,6 @@
 
 import attrs
 import orjson
-from yuccarouter_common import alerts, records
 
 from yuccactl import (
     bill,
@@ -19,6 +18,7 @@
     views,
     why,
 )
+from yuccarouter_common import alerts, records
 
 # Attributes of the configuration that ``show`` lists under the same name.
 _TABLES: Final = frozenset(
--- a/packages/yuccactl/src/yuccactl/repair.py
+++ b/packages/yuccactl/src/yuccactl/repair.py
@@ -5,6 +5,8 @@
 from typing import Any, Final
 
 import attrs
+
+from yuccactl import errors, output, publishing, sources, views, waiting
 from yuccarouter_common import (
     apply,
     clocks,
@@ -15,8 +17,6 @@
     snapshots,
 )
 
-from yuccactl import errors, output, publishing, sources, views, waiting
-
 _STATEMENT: Final = 'repair configuration'
 
 
--- a/packages/yuccactl/src/yuccactl/rollout_orders.py
+++ b/packages/yuccactl/src/yuccactl/rollout_orders.py
@@ -4,9 +4,8 @@
 
 from typing import Final
 
-from yuccarouter_common import model, records
-
 from yuccactl import errors, lookup, statements
+from yuccarouter_common import model, records
 
 _ACTIVE_STATES: Final = frozenset(('created', 'rolling', 'held'))
 
@@ -69,16 +68,21 @@
         )
 
 
+def _active(configuration: model.Configuration, name: str) -> model.Rollout:
+    rollout = lookup.rollout(configuration, name)
+    if rollout.state not in _ACTIVE_STATES:
+        raise errors.RejectedError(
+            f'roll-out {rollout.name} is {rollout.state}'
+        )
+    return rollout
+
+
 def hold(
     order: statements.Hold,
     configuration: model.Configuration,
 ) -> lookup.Change:
     """Return the change that keeps a roll-out at its share."""
-    rollout = lookup.rollout(configuration, order.rollout)
-    if rollout.state not in _ACTIVE_STATES:
-        raise errors.RejectedError(
-            f'roll-out {rollout.name} is {rollout.state}'
-        )
+    rollout = _active(configuration, order.rollout)
     if rollout.state == 'held':
         return _rollout_change(rollout, rollout.state, rollout.reason)
     return _rollout_change(rollout, 'held', 'held by an operator')
@@ -89,11 +93,7 @@
     configuration: model.Configuration,
 ) -> lookup.Change:
     """Return the change that lets a held roll-out go on."""
-    rollout = lookup.rollout(configuration, order.rollout)
-    if rollout.state not in _ACTIVE_STATES:
-        raise errors.RejectedError(
-            f'roll-out {rollout.name} is {rollout.state}'
-        )
+    rollout = _active(configuration, order.rollout)
     if rollout.state != 'held':
         return _rollout_change(rollout, rollout.state, rollout.reason)
     # A roll-out at a later step may have share 0 while ratings are missing.
--- a/packages/yuccactl/src/yuccactl/settings.py
+++ b/packages/yuccactl/src/yuccactl/settings.py
@@ -8,9 +8,9 @@
 import attrs
 import cattrs
 import yaml
-from yuccarouter_common import settings as daemon_settings
 
 from yuccactl import errors
+from yuccarouter_common import settings as daemon_settings
 
 
 @attrs.frozen
--- a/packages/yuccactl/src/yuccactl/sources.py
+++ b/packages/yuccactl/src/yuccactl/sources.py
@@ -10,12 +10,12 @@
 import aiohttp
 import attrs
 import orjson
-from yuccarouter_common import apply, history, model, records
-from yuccarouter_common.platform import errors as platform_errors
-from yuccarouter_common.platform import log
 
 from yuccactl import errors
 from yuccactl import settings as settings_module
+from yuccarouter_common import apply, history, model, records
+from yuccarouter_common.platform import errors as platform_errors
+from yuccarouter_common.platform import log
 
 CONFIGURATION_STREAM: Final = 'configuration'
 BILLING_STREAM: Final = 'billing'
--- a/packages/yuccactl/src/yuccactl/suggestions.py
+++ b/packages/yuccactl/src/yuccactl/suggestions.py
@@ -5,9 +5,8 @@
 from collections.abc import Callable
 from typing import Final
 
-from yuccarouter_common import model
-
 from yuccactl import errors, statements
+from yuccarouter_common import model
 
 _Suggest = Callable[
     [tuple[str, ...], model.Configuration], list[statements.Statement]
--- a/packages/yuccactl/src/yuccactl/waiting.py
+++ b/packages/yuccactl/src/yuccactl/waiting.py
@@ -7,9 +7,9 @@
 from typing import Final
 
 import attrs
-from yuccarouter_common import model
 
 from yuccactl import errors, output, sources, views
+from yuccarouter_common import model
 
 # A daemon that does not answer is asked again before it counts as
 # unreachable, because one lost connection says little.
--- a/packages/yuccactl/src/yuccactl/why.py
+++ b/packages/yuccactl/src/yuccactl/why.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterator
 
 import attrs
-from yuccarouter_common import model
 
 from yuccactl import output, statements
+from yuccarouter_common import model
 
 
 @attrs.frozen
--- a/packages/yuccactl/tests/conftest.py
+++ b/packages/yuccactl/tests/conftest.py
@@ -11,6 +11,7 @@
 import pytest_asyncio
 import yaml
 from aiohttp import test_utils, web
+
 from yuccactl import settings, sources
 from yuccarouter_common import records
 
--- a/packages/yuccactl/tests/test_main.py
+++ b/packages/yuccactl/tests/test_main.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+
 from yuccactl import errors, main, settings
 
 
--- a/packages/yuccactl/tests/test_orders.py
+++ b/packages/yuccactl/tests/test_orders.py
@@ -6,6 +6,7 @@
 
 import attrs
 import pytest
+
 from yuccactl import errors, execute, output, parser
 from yuccarouter_common import records
 
--- a/packages/yuccactl/tests/test_parser.py
+++ b/packages/yuccactl/tests/test_parser.py
@@ -8,6 +8,7 @@
 import hypothesis
 import pytest
 from hypothesis import strategies
+
 from yuccactl import errors, parser, statements
 
 _WORDS = strategies.from_regex('[A-Za-z0-9_][A-Za-z0-9_.:/-]*', fullmatch=True)
--- a/packages/yuccactl/tests/test_prompt.py
+++ b/packages/yuccactl/tests/test_prompt.py
@@ -4,6 +4,7 @@
 
 import pytest
 from prompt_toolkit import application, completion, document, input, output
+
 from yuccactl import prompt
 
 
--- a/packages/yuccactl/tests/test_queries.py
+++ b/packages/yuccactl/tests/test_queries.py
@@ -7,6 +7,7 @@
 
 import pytest
 import yaml
+
 from yuccactl import errors, execute, output, parser, sources
 from yuccarouter_common import billing_rows, history, records, snapshots
 
--- a/packages/yuccactl/tests/test_repair.py
+++ b/packages/yuccactl/tests/test_repair.py
@@ -6,6 +6,7 @@
 
 import attrs
 import pytest
+
 from yuccactl import errors, execute, output, parser, sources, waiting
 from yuccarouter_common import apply, history, model
 
