Read stream events in one place, by agent and entry

Cause: agent and entry each parsed an engine's events. The agent's parser raised TypeError, AttributeError or ValueError for choices or usage of another shape and for token counts beyond 64 bits, which ended the call without a code. Change: yuccarouter_common.stream_events serves both; the agent fails such an attempt with its own error. Property tests of events and of whole answers.

--- a/packages/daemon/src/yuccarouter/request_path/events.py
+++ b/packages/common/src/yuccarouter_common/stream_events.py
@@ -1,4 +1,4 @@
-"""Reading the text out of an engine's server-sent events."""
+"""Events of a streamed chat completion, as agents and entries read them."""
 
 from __future__ import annotations
 
@@ -17,13 +17,28 @@
 class StreamEvent:
     """One event of a stream.
 
-    ``document`` is ``None`` for the final ``[DONE]`` and for comments.
+    ``document`` is ``None`` for the final ``[DONE]``, for comments, and where
+    the data is no JSON object; only then is ``is_valid`` false.
     """
 
     raw: bytes
     is_done: bool = False
+    is_valid: bool = True
     document: dict[str, Any] | None = None
 
+    @property
+    def has_choices(self) -> bool:
+        """Whether the event is a part of the answer."""
+        return bool(self._choices())
+
+    @property
+    def finish_reason(self) -> str:
+        """Why the answer has ended, empty before its end."""
+        reasons = [choice.get('finish_reason') for choice in self._choices()]
+        return next(
+            (reason for reason in reasons if isinstance(reason, str)), ''
+        )
+
     @property
     def text(self) -> str:
         """Text that this event adds to the answer."""
@@ -42,9 +57,7 @@
     @property
     def is_closing(self) -> bool:
         """Whether the event only says why the answer has ended."""
-        return not self.text and any(
-            choice.get('finish_reason') for choice in self._choices()
-        )
+        return not self.text and bool(self.finish_reason)
 
     def _choices(self) -> list[dict[str, Any]]:
         if self.document is None:
@@ -62,12 +75,12 @@
 def split(data: bytes) -> Iterator[StreamEvent]:
     """Yield the events in ``data``, which holds whole events only.
 
-    An event that is not JSON is passed on as it is; the agent rejects an
-    engine that sends one.
+    An agent rejects an engine that sends an event that is not valid, so an
+    entry passes on what it gets.
     """
     for raw in data.split(END_OF_EVENT):
         if raw.strip():
-            yield _parse(raw + END_OF_EVENT)
+            yield parse(raw)
 
 
 def with_id(event: StreamEvent, stream_id: str) -> StreamEvent:
@@ -81,8 +94,10 @@
     )
 
 
-def _parse(raw: bytes) -> StreamEvent:
-    for line in raw.split(b'\n'):
+def parse(event: bytes) -> StreamEvent:
+    """Parse one event, given without the empty line that ends it."""
+    raw = event + END_OF_EVENT
+    for line in event.split(b'\n'):
         if not line.startswith(_DATA):
             continue
         text = line[len(_DATA) :].strip()
@@ -91,8 +106,8 @@
         try:
             document = orjson.loads(text)
         except orjson.JSONDecodeError:
-            return StreamEvent(raw)
-        return StreamEvent(
-            raw, document=document if isinstance(document, dict) else None
-        )
+            return StreamEvent(raw, is_valid=False)
+        if not isinstance(document, dict):
+            return StreamEvent(raw, is_valid=False)
+        return StreamEvent(raw, document=document)
     return StreamEvent(raw)
--- a/packages/daemon/src/yuccarouter/admission/relay.py
+++ b/packages/daemon/src/yuccarouter/admission/relay.py
@@ -8,6 +8,7 @@
 import attrs
 
 from yuccarouter.admission import errors, events, slots, stream
+from yuccarouter_common import stream_events
 from yuccarouter_common.proto import router_pb2
 
 _CHUNK_BYTES: Final = 64 * 1024
@@ -86,7 +87,7 @@
     if engine:
         if _is_engine_fault(response.status):
             raise errors.BrokenCallError(f'the engine said {response.status}')
-        _read_usage(bytes(body), done)
+        read_usage(bytes(body), done)
     return Answer(done, bytes(body))
 
 
@@ -107,8 +108,12 @@
     return status == _TOO_MANY_REQUESTS or status >= _SERVER_ERROR
 
 
-def _read_usage(body: bytes, done: router_pb2.Done) -> None:
+def read_usage(body: bytes, done: router_pb2.Done) -> None:
+    """Note what an engine's whole answer states about itself.
+
+    Raises ``BrokenCallError`` when the answer is not of the expected form.
+    """
     document = stream.read_object(body)
     done.usage.CopyFrom(stream.usage_of(document))
-    for choice in document.get('choices') or []:
-        done.finish_reason = choice.get('finish_reason') or ''
+    answer = stream_events.StreamEvent(body, document=document)
+    done.finish_reason = answer.finish_reason
--- a/packages/daemon/src/yuccarouter/admission/stream.py
+++ b/packages/daemon/src/yuccarouter/admission/stream.py
@@ -9,11 +9,9 @@
 import orjson
 
 from yuccarouter.admission import errors
+from yuccarouter_common import stream_events
 from yuccarouter_common.proto import router_pb2
 
-_END_OF_EVENT: Final = b'\n\n'
-_DATA: Final = b'data:'
-_DONE: Final = b'[DONE]'
 # An engine's event is far smaller; this bounds the memory of one stream.
 _MAX_EVENT_BYTES: Final = 1 << 20
 
@@ -45,37 +43,27 @@
 
         Raises ``BrokenCallError`` when an event is too large or not JSON.
         """
-        events = (self._rest + received).split(_END_OF_EVENT)
-        self._rest = events.pop()
+        parts = (self._rest + received).split(stream_events.END_OF_EVENT)
+        self._rest = parts.pop()
         if len(self._rest) > _MAX_EVENT_BYTES:
             raise errors.BrokenCallError('the engine sent an oversized event')
-        kept = [event for event in events if self._keep(event)]
-        return b''.join(event + _END_OF_EVENT for event in kept)
-
-    def _keep(self, event: bytes) -> bool:
-        for line in event.split(b'\n'):
-            if not line.startswith(_DATA):
-                continue
-            text = line[len(_DATA) :].strip()
-            if text == _DONE:
-                self.done = True
-            elif not self._read(text):
-                return False
-        return True
-
-    def _read(self, text: bytes) -> bool:
-        document = read_object(text)
-        choices = document.get('choices') or []
-        for choice in choices:
-            self.finish_reason = (
-                choice.get('finish_reason') or self.finish_reason
-            )
-            if (choice.get('delta') or {}).get('content'):
-                self.has_text = True
-                self.usage.completion_tokens += 1
-        if document.get('usage'):
-            self.usage = usage_of(document)
-            return bool(choices) or not self.hide_usage
+        found = [stream_events.parse(part) for part in parts]
+        return b''.join([event.raw for event in found if self._keep(event)])
+
+    def _keep(self, event: stream_events.StreamEvent) -> bool:
+        if not event.is_valid:
+            raise errors.BrokenCallError('the engine sent no JSON object')
+        if event.is_done:
+            self.done = True
+        if event.document is None:
+            return True
+        self.finish_reason = event.finish_reason or self.finish_reason
+        if event.text:
+            self.has_text = True
+            self.usage.completion_tokens += 1
+        if event.document.get('usage'):
+            self.usage = usage_of(event.document)
+            return event.has_choices or not self.hide_usage
         return True
 
 
@@ -84,14 +72,21 @@
 
     Raises ``BrokenCallError`` when it is not of the expected form.
     """
+    stated = document.get('usage') or {}
     try:
-        usage = cattrs.structure(document.get('usage') or {}, _Usage)
-    except (cattrs.BaseValidationError, ValueError, TypeError) as fault:
+        usage = cattrs.structure(stated, _Usage)
+        return router_pb2.Usage(
+            prompt_tokens=usage.prompt_tokens,
+            completion_tokens=usage.completion_tokens,
+        )
+    except (
+        cattrs.BaseValidationError,
+        AttributeError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as fault:
         raise errors.BrokenCallError('the usage is invalid') from fault
-    return router_pb2.Usage(
-        prompt_tokens=usage.prompt_tokens,
-        completion_tokens=usage.completion_tokens,
-    )
 
 
 def read_object(text: bytes) -> dict[str, Any]:
--- a/packages/daemon/src/yuccarouter/request_path/streaming.py
+++ b/packages/daemon/src/yuccarouter/request_path/streaming.py
@@ -11,11 +11,11 @@
 from yuccarouter.request_path import (
     attempt,
     errors,
-    events,
     plan,
     retries,
     sender,
 )
+from yuccarouter_common import stream_events
 
 if TYPE_CHECKING:
     from yuccarouter.request_path import router
@@ -87,7 +87,7 @@
                 return
             # Events that have come together go on in one write.
             kept = []
-            for part in events.split(event.data):
+            for part in stream_events.split(event.data):
                 if part.is_done:
                     last = part.raw
                 else:
@@ -98,7 +98,7 @@
                 yield data
 
 
-def _pass_on(event: events.StreamEvent, state: StreamState) -> bytes:
+def _pass_on(event: stream_events.StreamEvent, state: StreamState) -> bytes:
     """Return the event as the caller gets it; empty if it is a repetition."""
     if event.document is None:
         return event.raw
@@ -117,7 +117,7 @@
         if state.has_closed:
             return b''
         state.has_closed = True
-    return events.with_id(event, state.stream_id).raw
+    return stream_events.with_id(event, state.stream_id).raw
 
 
 def _finish(
--- a/packages/daemon/tests/request_path/test_chat.py
+++ b/packages/daemon/tests/request_path/test_chat.py
@@ -9,7 +9,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from yuccarouter.request_path import chat, claims, events
+from yuccarouter.admission import errors as admission_errors
+from yuccarouter.admission import relay, stream
+from yuccarouter.request_path import chat, claims
+from yuccarouter_common import stream_events
+from yuccarouter_common.proto import router_pb2
 
 _MESSAGES = [{'role': 'user', 'content': 'hello'}]
 _GOOD = {'model': 'clue', 'messages': _MESSAGES}
@@ -87,25 +91,48 @@
 
 _EVENT = st.fixed_dictionaries(
     {
+        'usage': st.none()
+        | _JSON
+        | st.fixed_dictionaries({'prompt_tokens': st.integers() | _JSON}),
         'choices': _JSON
         | st.lists(
             _JSON
             | st.fixed_dictionaries({'delta': _JSON, 'finish_reason': _JSON}),
             max_size=2,
-        )
+        ),
     }
 )
 
 
+@given(body=st.binary(max_size=80) | (_JSON | _EVENT).map(orjson.dumps))
+def test_any_answer(body: bytes) -> None:
+    """Guards against an engine's whole answer that breaks the agent."""
+    done = router_pb2.Done()
+    try:
+        relay.read_usage(body, done)
+    except admission_errors.BrokenCallError:
+        assert not done.finish_reason
+
+
 @given(data=st.binary(max_size=80) | (_JSON | _EVENT).map(orjson.dumps))
 def test_any_event(data: bytes) -> None:
-    """Guards against an engine's event that breaks the entry."""
-    found = list(events.split(b'data: ' + data + events.END_OF_EVENT))
+    """Guards against an engine's event that breaks the agent or the entry."""
+    reader = stream.EventReader(hide_usage=True)
+    try:
+        passed_on = reader.feed(b'data: ' + data + stream_events.END_OF_EVENT)
+    except admission_errors.BrokenCallError:
+        passed_on = b''
+    assert all(event.is_valid for event in stream_events.split(passed_on))
+    found = list(
+        stream_events.split(b'data: ' + data + stream_events.END_OF_EVENT)
+    )
     for event in found:
         assert isinstance(event.text, str)
         assert not (event.is_opening and event.text)
         assert not (event.is_closing and event.text)
-        assert events.with_id(event, 's').raw.endswith(events.END_OF_EVENT)
+        assert stream_events.with_id(event, 's').raw.endswith(
+            stream_events.END_OF_EVENT
+        )
 
 
 @pytest.mark.parametrize(
