Share targets and tables of benchmarks; check the examples

Cause: two benchmarks had their own targets, table and exit status; a check of the example configuration stood in the launcher and was never called; the load mixes had once named kinds that the examples lack. Change: bench.targets; the check is a test, which also covers the mixes.

--- a/packages/testkit/src/yuccarouter_testkit/bench/path.py
+++ b/packages/testkit/src/yuccarouter_testkit/bench/path.py
@@ -18,9 +18,9 @@
 import attrs
 
 from yuccarouter_testkit.bench import _path_calls as calls
+from yuccarouter_testkit.bench import targets
 from yuccarouter_testkit.demo import deployments, fleet, processes
 
-_SEED: Final = 1
 _DIRECT: Final = 'direct'
 _PASS_THROUGH: Final = 'pass_through'
 _ROUTER: Final = 'router'
@@ -119,7 +119,7 @@
         )
     cpu_s = await _cpu(session, ways, _PACED, size.paced_each, size)
     figures['paced'] = _per_token(cpu_s, size.paced_each * size.rounds)
-    return {**figures, 'missed': missed(figures)}
+    return targets.checked(figures, TARGETS)
 
 
 async def _latency(
@@ -209,51 +209,16 @@
 
 # The page names no percentile; the median is compared, since it is the one
 # that other work on the machine moves least.
-_AT_MOST: Final = (
-    ('latency_json', 'whole_p50_added_ratio'),
-    ('latency_stream', 'first_p50_added_ratio'),
-    ('latency_stream', 'whole_p50_added_ratio'),
+TARGETS: Final = (
+    targets.Target('latency_json', 'whole_p50_added_ratio', MAX_ADDED_RATIO),
+    targets.Target('latency_stream', 'first_p50_added_ratio', MAX_ADDED_RATIO),
+    targets.Target('latency_stream', 'whole_p50_added_ratio', MAX_ADDED_RATIO),
+    targets.Target('per_core_json', 'ratio', MIN_PER_CORE_RATIO, at_least=True),
+    targets.Target(
+        'per_core_stream', 'ratio', MIN_PER_CORE_RATIO, at_least=True
+    ),
 )
-_AT_LEAST: Final = (('per_core_json', 'ratio'), ('per_core_stream', 'ratio'))
-
-
-def missed(figures: dict[str, Any]) -> list[str]:
-    """Return the names of the figures that are not within their bounds."""
-    above = [
-        f'{group}.{name}'
-        for group, name in _AT_MOST
-        if figures[group][name] > MAX_ADDED_RATIO
-    ]
-    below = [
-        f'{group}.{name}'
-        for group, name in _AT_LEAST
-        if figures[group][name] < MIN_PER_CORE_RATIO
-    ]
-    return above + below
-
-
-def table(figures: dict[str, Any]) -> str:
-    """Return the figures with their targets, one a line."""
-    bounds = {
-        **dict.fromkeys(_AT_MOST, f'at most {MAX_ADDED_RATIO:g}'),
-        **dict.fromkeys(_AT_LEAST, f'at least {MIN_PER_CORE_RATIO:g}'),
-    }
-    lines = [
-        f'{group:16} {name:28} {amount:10.3f}  {bounds.get((group, name), "")}'
-        for group, row in figures.items()
-        if group != 'missed'
-        for name, amount in row.items()
-    ]
-    named = ', '.join(figures['missed']) or 'none'
-    return '\n'.join((*lines, f'targets missed: {named}'))
-
-
-def main(arguments: list[str]) -> int:
-    """Print the table; the exit status is 1 when a target is missed."""
-    figures = run(int(arguments[0]) if arguments else _SEED)
-    sys.stdout.write(f'{table(figures)}\n')
-    return 1 if figures['missed'] else 0
 
 
 if __name__ == '__main__':
-    sys.exit(main(sys.argv[1:]))
+    sys.exit(targets.main(run, TARGETS, sys.argv[1:]))
--- a/packages/testkit/src/yuccarouter_testkit/demo/fleet.py
+++ b/packages/testkit/src/yuccarouter_testkit/demo/fleet.py
@@ -12,7 +12,7 @@
 import attrs
 import yaml
 
-from yuccarouter_common import apply, clocks, model, records
+from yuccarouter_common import clocks, records
 from yuccarouter_common.platform import log
 from yuccarouter_testkit.demo import deployments, processes
 
@@ -103,21 +103,6 @@
         """Return the headers that open the admin ports."""
         return {'Authorization': f'Bearer {self.operator_key}'}
 
-    def configuration_faults(self) -> list[str]:
-        """Return the example records that have no effect."""
-        configuration = model.Configuration()
-        faults = []
-        for offset, change in enumerate(self._example('configuration')):
-            record = records.Record(
-                'c', 'a', 0, records.Kind(change['kind']), change['body']
-            )
-            configuration, void = apply.apply_record(
-                configuration, offset, record
-            )
-            if void is not None:
-                faults.append(f'{change}: {void.reason}')
-        return faults
-
     def _example(self, name: str) -> Any:
         path = _EXAMPLES / self.deployment.name / f'{name}.yaml'
         return yaml.safe_load(path.read_text(encoding='utf-8'))
--- a/packages/testkit/src/yuccarouter_testkit/demo/world.py
+++ b/packages/testkit/src/yuccarouter_testkit/demo/world.py
@@ -34,11 +34,9 @@
 
 @attrs.define(eq=False)
 class World:
-    """A running fleet and what its callers have got."""
+    """A running fleet and its processes by what they do."""
 
     running: fleet.Fleet
-    replies: list[calls.Reply] = attrs.field(factory=list)
-    request_ids: list[str] = attrs.field(factory=list)
 
     def caller(self, entry: int = 0) -> calls.Caller:
         """Return a caller at one of the entries."""
--- a/packages/testkit/tests/test_bench_path.py
+++ b/packages/testkit/tests/test_bench_path.py
@@ -8,7 +8,7 @@
 import pytest
 
 from yuccarouter_testkit.bench import _path_calls as calls
-from yuccarouter_testkit.bench import path
+from yuccarouter_testkit.bench import path, targets
 from yuccarouter_testkit.stand_ins import instant, pass_through, serving
 
 
@@ -56,4 +56,4 @@
         'per_core_json': {'ratio': per_core},
         'per_core_stream': {'ratio': per_core},
     }
-    assert len(path.missed(figures)) == missed
+    assert len(targets.checked(figures, path.TARGETS)['missed']) == missed
