Flush bill rows one batch at a time; write them before an agent stops

Cause: a stop flushed the ledger while the regular flush could be on its way: both wrote the same rows and each dropped as many, so that rows which had come meanwhile were dropped unwritten or the second flush raised IndexError. An agent that stopped took the rows with it that it covered for a lost entry. Change: flushes wait for one another; a stopping agent hands over what is not settled and writes it. Lease and pause use one clock since boot, in ms, which the lease's test now passes in ms too. Ruled out: the repeated append itself, which readers drop by request id.

--- a/packages/common/src/yuccarouter_common/clocks.py
+++ b/packages/common/src/yuccarouter_common/clocks.py
@@ -17,3 +17,11 @@
 def wall_ms() -> int:
     """Return the Unix time, which may step when a VM's clock is set."""
     return time.time_ns() // _NS_PER_MS
+
+
+def boot_ms() -> float:
+    """Return the time since boot, with the time that the VM was suspended.
+
+    The monotonic clock stands still while a VM is suspended.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * _MS_PER_S
--- a/packages/daemon/src/yuccarouter/billing/cover.py
+++ b/packages/daemon/src/yuccarouter/billing/cover.py
@@ -80,18 +80,29 @@
     def cover_due(self) -> int:
         """Hand the rows of overdue attempts to the ledger; return how many."""
         now_s = self._clock()
-        due = [
-            attempt_id
-            for attempt_id, held in self._held.items()
-            if held.due_s <= now_s
-        ]
-        for attempt_id in due:
+        return self._cover(
+            [
+                attempt_id
+                for attempt_id, held in self._held.items()
+                if held.due_s <= now_s
+            ]
+        )
+
+    def cover_all(self) -> int:
+        """Hand all rows to the ledger, before a stop; return how many.
+
+        The entry may write some of them as well, which does no harm.
+        """
+        return self._cover(list(self._held))
+
+    def _cover(self, attempt_ids: list[str]) -> int:
+        for covered, attempt_id in enumerate(attempt_ids):
             try:
                 self._rows.add(self._held[attempt_id].row)
             except errors.LedgerFullError:
-                return 0
+                return covered
             self._held.pop(attempt_id)
-        return len(due)
+        return len(attempt_ids)
 
     @mode.Service.task
     async def _cover_regularly(self) -> None:
--- a/packages/daemon/src/yuccarouter/billing/ledger.py
+++ b/packages/daemon/src/yuccarouter/billing/ledger.py
@@ -79,6 +79,7 @@
         self._held: collections.deque[billing_rows.BillRow] = (
             collections.deque()
         )
+        self._flushing = asyncio.Lock()
         self._is_log_down = False
         # Every append of this process is at or after this offset.
         self._search_from: int | None = None
@@ -104,16 +105,14 @@
         _HELD.set(len(self._held))
 
     async def flush(self) -> None:
-        """Write all held rows, as far as the log is up."""
-        while self._held:
-            size = min(len(self._held), _MAX_BATCH_ROWS)
-            batch = [self._held[index] for index in range(size)]
-            await self._write(batch)
-            for _ in batch:
-                self._held.popleft()
-            _ROWS.inc(len(batch))
-            _HELD.set(len(self._held))
-            await self._written(batch)
+        """Write all held rows, as far as the log is up.
+
+        One flush at a time: two would write the same rows and drop twice as
+        many.
+        """
+        async with self._flushing:
+            while self._held:
+                await self._flush_batch()
 
     @mode.Service.task
     async def _flush_regularly(self) -> None:
@@ -121,6 +120,16 @@
             await self.sleep(self._interval_s)
             await self.flush()
 
+    async def _flush_batch(self) -> None:
+        size = min(len(self._held), _MAX_BATCH_ROWS)
+        batch = [self._held[index] for index in range(size)]
+        await self._write(batch)
+        for _ in batch:
+            self._held.popleft()
+        _ROWS.inc(len(batch))
+        _HELD.set(len(self._held))
+        await self._written(batch)
+
     async def _write(self, batch: list[billing_rows.BillRow]) -> None:
         append_id = uuid.uuid4().hex
         payload = billing_rows.payload_of(batch)
--- a/packages/daemon/src/yuccarouter/membership/pause.py
+++ b/packages/daemon/src/yuccarouter/membership/pause.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from typing import Final
 
@@ -10,11 +9,12 @@
 import mode
 import prometheus_client
 
+from yuccarouter_common import clocks
+
 # Half of the silence after which an agent counts as lost, which is the shortest
 # time limit that relies on this process having run.
 MARGIN_MS: Final = 750
 _INTERVAL_S: Final = 0.1
-_MS_PER_S: Final = 1000
 
 _PAUSES: Final = prometheus_client.Counter(
     'yuccarouter_pauses',
@@ -25,16 +25,6 @@
 Listener = Callable[[float], object]
 
 
-def boot_ms() -> float:
-    """Return the time since boot, with the time that the VM was suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) * _MS_PER_S
-
-
-def wall_ms() -> float:
-    """Return the wall clock, which a host sets right after a VM was frozen."""
-    return time.time() * _MS_PER_S
-
-
 class PauseWatch(mode.Service):
     """Tells listeners when the event loop has not run for over ``margin_ms``.
 
@@ -48,12 +38,13 @@
     def __init__(
         self,
         margin_ms: float = MARGIN_MS,
-        clocks: tuple[Clock, ...] = (boot_ms, wall_ms),
+        # The wall clock too: a host sets it right after a VM was frozen.
+        sources: tuple[Clock, ...] = (clocks.boot_ms, clocks.wall_ms),
     ) -> None:
         super().__init__()
         self.count = 0
         self._margin_ms = margin_ms
-        self._clocks = clocks
+        self._clocks = sources
         self._listeners: list[Listener] = []
         self._seen = self._read()
 
--- a/packages/daemon/src/yuccarouter/roles/agent.py
+++ b/packages/daemon/src/yuccarouter/roles/agent.py
@@ -30,6 +30,7 @@
 # Agents only need the list to find peers, so they read it less often.
 _VM_LIST_FACTOR: Final = 5
 _MS_PER_S: Final = 1000
+_FLUSH_LIMIT_S: Final = 5.0
 
 
 class Agent(mode.Service):
@@ -46,6 +47,7 @@
         self._is_draining = False
         self._admission: service.AdmissionService | None = None
         self._rows: ledger.Ledger | None = None
+        self._usage: cover.UsageCover | None = None
         self._daemons: channels.Channels | None = None
 
     async def on_start(self) -> None:
@@ -62,6 +64,7 @@
         usage = cover.UsageCover(
             self._rows, self._store.current, conf.timing.cover_after_ms
         )
+        self._usage = usage
         registry = owner.Owner(
             client,
             window_ms=conf.timing.claim_window_ms,
@@ -126,6 +129,7 @@
         if self._admission is None:
             return
         eliot.log_message('draining')
+        # The delay also lets entries settle what has just ended.
         delay_s = timing.drain_delay_ms / _MS_PER_S
         try:
             await asyncio.wait_for(
@@ -136,6 +140,16 @@
             )
         except asyncio.TimeoutError:
             eliot.log_message('drain_limit_reached')
+        await self._write_bills()
+
+    async def _write_bills(self) -> None:
+        if self._usage is None or self._rows is None:
+            return
+        self._usage.cover_all()
+        try:
+            await asyncio.wait_for(self._rows.flush(), _FLUSH_LIMIT_S)
+        except asyncio.TimeoutError:
+            eliot.log_message('bill_rows_lost', rows=self._rows.held_rows)
 
     async def _catch_up(self, position: model.Position) -> None:
         await self._store.wait_for(position, _CATCH_UP_MS)
--- a/packages/daemon/src/yuccarouter/rollout/lease.py
+++ b/packages/daemon/src/yuccarouter/rollout/lease.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import time
 import uuid
 from collections.abc import Callable
 from typing import Final
@@ -14,7 +13,7 @@
 import mode
 
 from yuccarouter.rollout import leases
-from yuccarouter_common import history
+from yuccarouter_common import clocks, history
 from yuccarouter_common.platform import errors as platform_errors
 from yuccarouter_common.platform import log
 
@@ -31,7 +30,6 @@
 # An append that was not read back by then is taken as lost.
 _ANSWER_MS: Final = 4000
 _BACKOFF_S: Final = 0.5
-_MS: Final = 1000
 
 
 @attrs.frozen
@@ -45,20 +43,12 @@
     wait_ms: int = _WAIT_MS
 
 
-def uptime_s() -> float:
-    """Return seconds since boot, including those while suspended.
-
-    ``time.monotonic`` stands still while a VM is suspended.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class LeaseHolder(mode.Service):
     """Tries to hold a lease while it runs.
 
     The log's order and record times decide who holds the lease. The holder
     counts its term by its own clock from before it sent the record, less a
-    margin, so it stops early. ``clock`` returns seconds.
+    margin, so it stops early. ``clock_ms`` goes on while the VM is suspended.
     """
 
     def __init__(
@@ -66,7 +56,7 @@
         client: history.LogClient,
         lease: str,
         terms: Terms | None = None,
-        clock: Callable[[], float] = uptime_s,
+        clock_ms: Callable[[], float] = clocks.boot_ms,
         seed: int | None = None,
     ) -> None:
         super().__init__()
@@ -75,7 +65,7 @@
         self._client = client
         self._lease = lease
         self._terms = terms or Terms()
-        self._clock = clock
+        self._clock_ms = clock_ms
         self._random = random.Random(seed)
         self._lease_state: leases.LeaseState | None = None
         # Cleared when the stream has lost records that others have seen.
@@ -86,7 +76,7 @@
         self._renewed_at = float('-inf')
         self._try_at = float('-inf')
         self._busy_until = float('-inf')
-        self._ticked_at = clock()
+        self._ticked_ms = clock_ms()
         self._pauses = 0
         self._read_pauses = -1
 
@@ -120,17 +110,17 @@
             return None
         if self._read_pauses != self._pauses:
             return None
-        if self._now_ms() >= self._believed_until:
+        if self._clock_ms() >= self._believed_until:
             return None
         return state.grant.fencing_number
 
     def tick(self) -> None:
         """Note that the event loop runs; a long gap counts as a pause."""
-        now_ms = self._now_ms()
-        if now_ms - self._ticked_at * _MS > self._terms.margin_ms:
+        now_ms = self._clock_ms()
+        if now_ms - self._ticked_ms > self._terms.margin_ms:
             self._pauses += 1
             eliot.log_message('lease_holder_paused', lease=self._lease)
-        self._ticked_at = now_ms / _MS
+        self._ticked_ms = now_ms
 
     async def step(self) -> None:
         """Read the stream once, then renew or acquire if it is time.
@@ -206,10 +196,10 @@
         """Choose when to try; too early a try only costs an append."""
         wait_ms = max(0, state.free_at_ms() - log_time_ms)
         jitter_ms = self._random.uniform(0, self._terms.jitter_ms)
-        self._try_at = self._now_ms() + wait_ms + jitter_ms
+        self._try_at = self._clock_ms() + wait_ms + jitter_ms
 
     async def _act(self) -> None:
-        now_ms = self._now_ms()
+        now_ms = self._clock_ms()
         state = self._lease_state
         if state is None or now_ms < self._busy_until:
             return
@@ -231,7 +221,7 @@
             number,
         )
         append_id = uuid.uuid4().hex
-        now_ms = self._now_ms()
+        now_ms = self._clock_ms()
         # Lost answers need no search: the record is read back by its id.
         self._sent = {
             sent_id: sent_at
@@ -245,16 +235,13 @@
 
     def _wait_ms(self) -> int:
         """Return how long a read may wait until there is something to do."""
-        now_ms = self._now_ms()
+        now_ms = self._clock_ms()
         due = self._try_at
         if self._believed_until > now_ms:
             due = self._renewed_at + self._terms.renew_every_ms
         left_ms = max(due, self._busy_until) - now_ms
         return int(min(self._terms.wait_ms, max(0, left_ms)))
 
-    def _now_ms(self) -> float:
-        return self._clock() * _MS
-
 
 async def start_offset(client: history.LogClient, head: log.Batch) -> int:
     """Return an offset older than the last records of a held lease."""
--- a/packages/daemon/tests/billing/test_ledger.py
+++ b/packages/daemon/tests/billing/test_ledger.py
@@ -106,6 +106,27 @@
     assert len(written.rows) == 1200
 
 
+async def test_flushes_at_once() -> None:
+    """Guards against rows that one of two flushes drops without writing.
+
+    A stop flushes while the regular flush may be on its way.
+    """
+    log = memory_log.MemoryLog()
+    log.delay_s = 0.01
+    written = _Written()
+    rows = _ledger(log, written)
+    rows.add(_row('a'))
+    first = asyncio.create_task(rows.flush())
+    second = asyncio.create_task(rows.flush())
+    await asyncio.sleep(0.005)
+    rows.add(_row('b'))
+    await asyncio.gather(first, second)
+    await rows.flush()
+    counted = billing_rows.first_rows(_payloads(log))
+    assert sorted(counted) == ['a', 'b']
+    assert [row.request_id for row in written.rows] == ['a', 'b']
+
+
 async def test_full() -> None:
     """Guards against unbounded memory while the log is down."""
     log = memory_log.MemoryLog()
@@ -167,6 +188,25 @@
     assert [row.cost_microcents for row in counted.values()] == [230] * covered
 
 
+async def test_cover_at_a_stop() -> None:
+    """Guards against usage that a stopping agent takes with it."""
+    log = memory_log.MemoryLog()
+    rows = _ledger(log, max_held_rows=2)
+    usage = cover.UsageCover(rows, model.Configuration, 10_000)
+    for name in ('a', 'b', 'c'):
+        usage.completed(
+            router_pb2.RunRequest(attempt_id=name, request_id=name),
+            router_pb2.Usage(),
+            whole=True,
+        )
+    assert usage.cover_all() == 2
+    await rows.flush()
+    assert usage.cover_all() == 1
+    await rows.flush()
+    counted = billing_rows.first_rows(_payloads(log))
+    assert sorted(counted) == ['a', 'b', 'c']
+
+
 @pytest.mark.parametrize(
     'payload', [None, [], {}, {'rows': 1}, {'rows': [{'request_id': 1}]}]
 )
--- a/packages/daemon/tests/rollout/test_lease.py
+++ b/packages/daemon/tests/rollout/test_lease.py
@@ -163,7 +163,7 @@
             self.log,
             'controller',
             _TERMS,
-            clock=lambda: 5000 * number + rate * self.clock.now_ms / 1000,
+            clock_ms=lambda: 5_000_000 * number + rate * self.clock.now_ms,
             seed=self.seeds,
         )
 
@@ -318,7 +318,9 @@
 
     async def scenario() -> list[str]:
         terms = lease.Terms(jitter_ms=100)
-        holder = lease.LeaseHolder(log, 'c', terms, loop.time)
+        holder = lease.LeaseHolder(
+            log, 'c', terms, clock_ms=lambda: loop.time() * 1000
+        )
         async with holder:
             await asyncio.sleep(10)
             assert holder.fencing_number() == 0
