--- a/packages/common/src/yuccarouter_common/platform/exchanges.py
+++ b/packages/common/src/yuccarouter_common/platform/exchanges.py
@@ -19,6 +19,7 @@
 _DEFAULT_RETRY_MS: Final = 1000
 
 _Answer = TypeVar('_Answer')
+_ONLY_OK: Final = frozenset((_HTTP_OK,))
 
 
 @attrs.frozen
@@ -38,8 +39,26 @@
     has_effect: bool = False
 
 
+@attrs.frozen
+class Answer:
+    """Status and body of an expected answer."""
+
+    status: int
+    body: bytes
+
+
 async def send(session: aiohttp.ClientSession, exchange: Exchange) -> bytes:
-    """Return the body of a 200.
+    """Return the body of a 200; raises what ``exchange_for`` raises."""
+    answer = await exchange_for(session, exchange, _ONLY_OK)
+    return answer.body
+
+
+async def exchange_for(
+    session: aiohttp.ClientSession,
+    exchange: Exchange,
+    expected: frozenset[int],
+) -> Answer:
+    """Return an answer whose status is an expected one.
 
     Raises ``RateLimitedError`` for 429, ``UnavailableError`` when nothing took
     effect, and ``AnswerLostError`` when that is not known. A call without an
@@ -53,7 +72,7 @@
             params=exchange.query,
             timeout=aiohttp.ClientTimeout(total=exchange.timeout_s),
         ) as response:
-            return await _read(exchange, response)
+            return await _read(exchange, response, expected)
     except aiohttp.ClientConnectorError as fault:
         raise errors.UnavailableError(
             f'{exchange.service} is unreachable'
@@ -81,10 +100,11 @@
 async def _read(
     exchange: Exchange,
     response: aiohttp.ClientResponse,
-) -> bytes:
+    expected: frozenset[int],
+) -> Answer:
     answer = await response.read()
-    if response.status == _HTTP_OK:
-        return answer
+    if response.status in expected:
+        return Answer(response.status, answer)
     if response.status == _HTTP_TOO_MANY:
         raise errors.RateLimitedError(
             f'{exchange.service} limits the rate',
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The entry that forwards calls straight to endpoints, without agents."""
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -0,0 +1,279 @@
+"""One attempt of a call at one endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING, Final
+
+import aiohttp
+import attrs
+import eliot
+import multidict
+import yarl
+
+from yuccarouter.gateway import metrics, model, ports
+from yuccarouter_common import clocks, errors
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from yuccarouter.gateway import choice, endpoints, state
+
+_MS_PER_S: Final = 1000
+# Of the budget for repeats, kept for those that follow a failure.
+_RESERVE_SHARE: Final = 0.3
+
+
+class AttemptError(errors.RouterError):
+    """An attempt brought no answer.
+
+    ``may_have_run`` is false only where it is certain that the endpoint did
+    not run the request and never will.
+    """
+
+    code = 'attempt_failed'
+
+    def __init__(self, message: str, code: str, *, may_have_run: bool) -> None:
+        super().__init__(message, code=code)
+        self.may_have_run = may_have_run
+
+
+@attrs.define
+class Outgoing:
+    """A call as it goes to endpoints."""
+
+    gateway: state.Gateway
+    call: model.Call
+    route: model.Route
+    service: str
+    organisation: str
+    priority: int
+    body: bytes
+    deadline_ms: float
+    sends: int = 0
+    runs: int = 0
+    tried: frozenset[str] = frozenset()
+    has_budget: bool = False
+
+    def left_ms(self) -> float:
+        """Return the time until the call's deadline."""
+        return self.deadline_ms - clocks.monotonic_ms()
+
+    def take_repeat(self, *, is_optional: bool = False) -> bool:
+        """Take one more send from the daemons' budget.
+
+        Optional ones leave part of the budget to repeats after failures.
+        """
+        if self.has_budget:
+            self.has_budget = False
+            return True
+        return self.gateway.repeats.take(
+            self.service,
+            clocks.monotonic_ms(),
+            self.gateway.daemons,
+            _RESERVE_SHARE if is_optional else 0,
+        )
+
+
+@attrs.define
+class Opened:
+    """An answer whose head has arrived."""
+
+    response: aiohttp.ClientResponse
+    head: model.AnswerHead
+    view: endpoints.EndpointView
+    sent_ms: float
+
+
+@contextlib.asynccontextmanager
+async def open_attempt(
+    out: Outgoing,
+    chosen: choice.Choice,
+    model_name: str,
+    last_event_id: str,
+    head_timeout_ms: float,
+) -> AsyncIterator[Opened]:
+    """Send a call to an endpoint and yield its answer.
+
+    Raises ``AttemptError`` when no answer came that belongs to the call. The
+    connection is closed at the end, so that the endpoint stops work that
+    nobody waits for.
+    """
+    view = chosen.endpoint
+    sent_ms = clocks.monotonic_ms()
+    unread = _unread_tokens(out.call, chosen)
+    _note_sent(out, view, sent_ms)
+    view.in_flight += 1
+    view.tokens_unread += unread
+    response: aiohttp.ClientResponse | None = None
+    try:
+        try:
+            response = await _answered(
+                out, view, model_name, last_event_id, head_timeout_ms
+            )
+        finally:
+            view.tokens_unread -= unread
+        yield _opened(out, view, response, sent_ms, model_name)
+    finally:
+        view.in_flight -= 1
+        if response is not None:
+            response.close()
+
+
+async def _answered(
+    out: Outgoing,
+    view: endpoints.EndpointView,
+    model_name: str,
+    last_event_id: str,
+    head_timeout_ms: float,
+) -> aiohttp.ClientResponse:
+    try:
+        async with asyncio.timeout(max(0, head_timeout_ms) / _MS_PER_S):
+            return await _send(out, view, model_name, last_event_id)
+    except (
+        aiohttp.ConnectionTimeoutError,
+        aiohttp.ClientConnectorError,
+    ) as fault:
+        out.runs -= 1
+        _lost(out, view, 'unreachable')
+        raise AttemptError(
+            'endpoint is unreachable', 'unreachable', may_have_run=False
+        ) from fault
+    except TimeoutError as fault:
+        _lost(out, view, 'no_answer')
+        raise AttemptError(
+            'no answer in time', 'no_answer', may_have_run=True
+        ) from fault
+    except (aiohttp.ClientError, OSError, ValueError) as fault:
+        _lost(out, view, 'answer_lost', f'{type(fault).__name__}: {fault}')
+        raise AttemptError(
+            'answer was lost', 'answer_lost', may_have_run=True
+        ) from fault
+
+
+async def _send(
+    out: Outgoing,
+    view: endpoints.EndpointView,
+    model_name: str,
+    last_event_id: str,
+) -> aiohttp.ClientResponse:
+    call = out.call
+    headers = out.gateway.platform.encode_attempt(
+        call,
+        ports.Attempt(
+            endpoint=view.name,
+            deadline_ms=out.left_ms(),
+            organisation=out.organisation,
+            priority=out.priority,
+            model=model_name,
+            last_event_id=last_event_id,
+        ),
+    )
+    return await out.gateway.session.request(
+        call.method,
+        yarl.URL(f'http://{view.announced.address}{call.target}', encoded=True),
+        headers=multidict.CIMultiDict(headers),
+        data=out.body or None,
+        allow_redirects=False,
+    )
+
+
+def _opened(
+    out: Outgoing,
+    view: endpoints.EndpointView,
+    response: aiohttp.ClientResponse,
+    sent_ms: float,
+    model_name: str,
+) -> Opened:
+    """Return the answer, unless its head shows that it is not one."""
+    head = out.gateway.platform.decode_answer(response)
+    now_ms = clocks.monotonic_ms()
+    if head.load is not None:
+        view.note_load(head.load, now_ms)
+    if head.not_run:
+        _ended(out, view, 'refused', status=head.status)
+        out.runs -= 1
+        raise AttemptError(
+            'endpoint refused the request', 'refused', may_have_run=False
+        )
+    is_foreign = head.request_id not in {'', out.call.request_id}
+    if is_foreign or head.is_encoded or not head.is_signed:
+        view.note_failed()
+        _ended(out, view, 'foreign_answer', status=head.status)
+        raise AttemptError(
+            'answer is not one to this request',
+            'foreign_answer',
+            may_have_run=True,
+        )
+    generation = out.call.generation
+    if generation is not None:
+        parts = [part.name for part in generation.parts]
+        view.note_cached(model_name, parts, now_ms)
+    return Opened(response, head, view, sent_ms)
+
+
+def note_good(out: Outgoing, opened: Opened, *, is_slow: bool = False) -> None:
+    """Count an answer that came whole."""
+    opened.view.note_served()
+    out.gateway.control.note_answer(
+        opened.view, out.route.name, good=not is_slow
+    )
+    _ended(out, opened.view, 'slow' if is_slow else 'served')
+
+
+def note_bad(out: Outgoing, opened: Opened, outcome: str) -> None:
+    """Count an answer that failed or broke off."""
+    opened.view.note_failed()
+    out.gateway.control.note_answer(opened.view, out.route.name, good=False)
+    _ended(out, opened.view, outcome, status=opened.head.status)
+
+
+def _note_sent(
+    out: Outgoing, view: endpoints.EndpointView, now_ms: float
+) -> None:
+    view.sent_since_load += 1
+    if view.is_cold(now_ms):
+        view.cold_sends_ms.append(now_ms)
+    out.sends += 1
+    out.runs += 1
+    out.tried |= {view.name}
+
+
+def _unread_tokens(call: model.Call, chosen: choice.Choice) -> float:
+    generation = call.generation
+    if generation is None:
+        return 0
+    shared = sum(part.tokens for part in generation.parts[:-1])
+    return generation.prompt_tokens - shared + chosen.missing_tokens
+
+
+def _lost(
+    out: Outgoing, view: endpoints.EndpointView, outcome: str, reason: str = ''
+) -> None:
+    view.note_lost(clocks.monotonic_ms())
+    if outcome != 'unreachable':
+        out.gateway.control.note_answer(view, out.route.name, good=False)
+    _ended(out, view, outcome, reason=reason)
+
+
+def _ended(
+    out: Outgoing,
+    view: endpoints.EndpointView,
+    outcome: str,
+    *,
+    status: int = 0,
+    reason: str = '',
+) -> None:
+    metrics.ATTEMPTS.labels(out.service, outcome).inc()
+    eliot.log_message(
+        'attempt_ended',
+        request=out.call.request_id,
+        attempt=out.sends,
+        endpoint=view.name,
+        version=view.announced.version,
+        outcome=outcome,
+        status=status,
+        reason=reason,
+        left_ms=round(out.left_ms()),
+    )
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/choice.py
@@ -0,0 +1,197 @@
+"""Which endpoint gets a call: time to its answer, distance and caches."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+import xxhash
+
+from yuccarouter.gateway import cold_limit, endpoints, model
+
+# Costs are shares of a request's worth. An answer within its objective earns
+# all of it, so that expected time costs little until it nears the objective.
+# Bytes between data centres are the dearest of the platform's prices.
+_DISTANT_COST: Final = 0.04
+# Price of 1,000 shared tokens that are read again, against the worth of a
+# long prompt.
+_REREAD_COST_PER_1000: Final = 0.008
+_FAILURE_COST: Final = 1.5
+_COLD_COST: Final = 0.15
+# Prefers one endpoint for a prompt that no endpoint is known to hold.
+_PREFERRED_GAIN: Final = 0.03
+_FULL_COST: Final = 1.0
+# Reading speed of an engine until its answers have shown it.
+READ_MS_PER_TOKEN: Final = 0.04
+# Time of one generated token for each request that runs beside it.
+_STEP_MS_PER_RUNNING: Final = 2.0
+_MIN_OBJECTIVE_MS: Final = 50.0
+_TOKENS_PER_UNIT: Final = 1000
+
+
+@attrs.frozen
+class Need:
+    """What an endpoint must be for a call, and what makes it a good one.
+
+    ``versions`` decides by version; ``tried`` are endpoints that had the call
+    before; ``cold_share_per_s`` is this daemon's bound for a cold endpoint.
+    """
+
+    service: str
+    objective_ms: float
+    versions: frozenset[str] | None
+    tried: frozenset[str]
+    out_of_service: frozenset[str]
+    home: str
+    cold_share_per_s: float
+    cold_bounded: bool
+    connections: int
+    model: str = ''
+    tokens: int = 0
+    shared: tuple[model.PromptPart, ...] = ()
+
+
+@attrs.frozen
+class Choice:
+    """An endpoint, with what decided for it."""
+
+    endpoint: endpoints.EndpointView
+    cost: float
+    candidates: int
+    missing_tokens: int
+
+
+def choose(
+    views: Iterable[endpoints.EndpointView], need: Need, now_ms: float
+) -> Choice | None:
+    """Return the endpoint of least cost, ``None`` where none may be used.
+
+    Endpoints that were lost a moment ago are used only where no other is left.
+    """
+    usable = [view for view in views if is_usable(view, need, now_ms)]
+    trusted = [view for view in usable if view.avoid_until_ms <= now_ms]
+    candidates = trusted or usable
+    if not candidates:
+        return None
+    preferred = _preferred(candidates, need)
+    ranked = [
+        (_cost(view, need, now_ms, is_preferred=view is preferred), view.name)
+        for view in candidates
+    ]
+    cost, name = min(ranked)
+    chosen = next(view for view in candidates if view.name == name)
+    return Choice(
+        endpoint=chosen,
+        cost=cost,
+        candidates=len(candidates),
+        missing_tokens=missing_tokens(chosen, need),
+    )
+
+
+def is_usable(
+    view: endpoints.EndpointView, need: Need, now_ms: float
+) -> bool:
+    """Return whether an endpoint may get the call at all."""
+    announced = view.announced
+    if announced.service != need.service or announced.is_draining:
+        return False
+    if announced.endpoint in need.tried:
+        return False
+    if announced.data_centre in need.out_of_service:
+        return False
+    if need.versions is not None and announced.version not in need.versions:
+        return False
+    if need.connections and view.in_flight >= need.connections:
+        return False
+    if need.cold_bounded and view.is_cold(now_ms):
+        return cold_limit.may_send(
+            view.cold_sends_ms, need.cold_share_per_s, now_ms
+        )
+    return True
+
+
+def missing_tokens(view: endpoints.EndpointView, need: Need) -> int:
+    """Return the shared tokens that the endpoint must read first.
+
+    A part is kept only together with all parts before it.
+    """
+    held = 0
+    total = 0
+    is_held = True
+    for part in need.shared:
+        total += part.tokens
+        is_held = is_held and (need.model, part.name) in view.cached
+        held += part.tokens if is_held else 0
+    return total - held
+
+
+def _preferred(
+    candidates: list[endpoints.EndpointView], need: Need
+) -> endpoints.EndpointView | None:
+    """Return the endpoint that all daemons prefer for the shared prompt."""
+    if not need.shared:
+        return None
+    home = [
+        view for view in candidates if view.announced.data_centre == need.home
+    ]
+    last = need.shared[-1].name
+
+    def weight(view: endpoints.EndpointView) -> int:
+        return xxhash.xxh3_64_intdigest(f'{last}/{view.name}'.encode())
+
+    return max(home or candidates, key=weight)
+
+
+def expected_ms(
+    view: endpoints.EndpointView, need: Need, now_ms: float
+) -> float:
+    """Return the expected time to the first event or to the answer."""
+    unread = need.tokens - (
+        sum(part.tokens for part in need.shared) - missing_tokens(view, need)
+    )
+    occupancy = view.occupancy(now_ms)
+    reading_ms = (view.tokens_unread + unread) * READ_MS_PER_TOKEN
+    if need.tokens:
+        return reading_ms + occupancy * _STEP_MS_PER_RUNNING
+    rounds = (occupancy + 1) / max(1, view.announced.slots)
+    return need.objective_ms * rounds / 2
+
+
+def _cost(
+    view: endpoints.EndpointView,
+    need: Need,
+    now_ms: float,
+    *,
+    is_preferred: bool,
+) -> float:
+    objective_ms = max(_MIN_OBJECTIVE_MS, need.objective_ms)
+    lateness = expected_ms(view, need, now_ms) / objective_ms
+    cost = lateness * lateness
+    cost += _FAILURE_COST * view.failure_share
+    if view.announced.data_centre != need.home:
+        cost += _DISTANT_COST
+    if view.is_cold(now_ms):
+        cost += _COLD_COST
+    if view.occupancy(now_ms) >= view.announced.slots:
+        cost += _FULL_COST
+    missing = missing_tokens(view, need)
+    cost += missing / _TOKENS_PER_UNIT * _REREAD_COST_PER_1000
+    if is_preferred:
+        cost -= _PREFERRED_GAIN
+    return cost
+
+
+def least_wait_ms(
+    views: Iterable[endpoints.EndpointView], need: Need, now_ms: float
+) -> float:
+    """Return the shortest expected time of all usable endpoints."""
+    return min(
+        (
+            expected_ms(view, need, now_ms)
+            for view in views
+            if is_usable(view, need, now_ms)
+        ),
+        default=math.inf,
+    )
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/front.py
@@ -0,0 +1,217 @@
+"""The callers' side of a gateway."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any, Final
+
+import eliot
+from aiohttp import web
+
+from yuccarouter.gateway import (
+    attempts,
+    metrics,
+    model,
+    refusing,
+    routes,
+    state,
+    streaming,
+    whole,
+)
+from yuccarouter_common import clocks, refusals
+
+if TYPE_CHECKING:
+    import aiohttp
+    from aiohttp.http_parser import RawRequestMessage
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+# Bounds while no configuration is known.
+_BODY_BYTES: Final = 4_194_304
+_BODY_TIMEOUT_S: Final = 10.0
+_CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+_MS_PER_S: Final = 1000
+_MAX_PRIORITY: Final = 9
+
+
+def make_handler(gateway: state.Gateway) -> Handler:
+    """Return the handler of callers' requests."""
+
+    async def serve(request: web.BaseRequest) -> web.StreamResponse:
+        call = gateway.platform.decode_call(request)
+        arrived_ms = clocks.monotonic_ms()
+        gateway.in_progress += 1
+        try:
+            return await _answer(gateway, request, call, arrived_ms)
+        finally:
+            gateway.in_progress -= 1
+
+    return serve
+
+
+def make_request_factory(
+    gateway: state.Gateway,
+) -> Callable[..., web.BaseRequest]:
+    """Return the maker of requests, which bounds their bodies."""
+
+    def make(
+        message: RawRequestMessage,
+        payload: aiohttp.StreamReader,
+        protocol: Any,
+        writer: Any,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        table = gateway.table
+        limit = (
+            table.configuration.limits.body_bytes if table else _BODY_BYTES
+        )
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=limit,
+        )
+
+    return make
+
+
+async def _answer(
+    gateway: state.Gateway,
+    request: web.BaseRequest,
+    call: model.Call,
+    arrived_ms: float,
+) -> web.StreamResponse:
+    route: model.Route | None = None
+    code = ''
+    try:
+        route = _route(gateway, call)
+        organisation = _organisation(gateway, call, route)
+        body = await _body(request)
+        out = _outgoing(gateway, call, route, organisation, body, arrived_ms)
+        answer = await _forward(out, request)
+    except refusals.RefusalError as refusal:
+        code = refusal.code
+        answer = refusing.response(refusal)
+    except streaming.StreamBrokenError:
+        code = 'stream_broken'
+        _abort(request)
+        raise asyncio.CancelledError from None
+    except (asyncio.CancelledError, ConnectionError):
+        _log(gateway, call, route, arrived_ms, 0, 'caller_left')
+        raise
+    if gateway.is_draining:
+        answer.force_close()
+    _log(gateway, call, route, arrived_ms, answer.status, code)
+    return answer
+
+
+def _route(gateway: state.Gateway, call: model.Call) -> model.Route:
+    if gateway.table is None:
+        raise refusing.not_configured()
+    route = gateway.table.find(call.host, call.path)
+    if route is not None:
+        return route
+    if gateway.is_view_stale:
+        raise refusing.not_configured()
+    raise refusals.RefusalError('not_found', 'no route leads there')
+
+
+def _organisation(
+    gateway: state.Gateway, call: model.Call, route: model.Route
+) -> model.Organisation | None:
+    table = gateway.table
+    if table is None or not table.has_organisations:
+        return None
+    found = table.organisation(call.key)
+    if found is not None or route.is_anonymous:
+        return found
+    if call.key and gateway.is_view_stale:
+        raise refusing.not_configured()
+    raise refusals.RefusalError('unauthenticated', 'the key is not known')
+
+
+async def _body(request: web.BaseRequest) -> bytes:
+    if not request.can_read_body:
+        return b''
+    if request.headers.get('Expect', '').lower() == '100-continue':
+        await request.writer.write(_CONTINUE)
+    try:
+        async with asyncio.timeout(_BODY_TIMEOUT_S):
+            return await request.read()
+    except TimeoutError as fault:
+        raise refusals.RefusalError(
+            'request_timeout', 'the body did not arrive in time'
+        ) from fault
+    except web.HTTPRequestEntityTooLarge as fault:
+        raise refusals.RefusalError(
+            'body_too_large', 'the body is too large'
+        ) from fault
+
+
+def _outgoing(
+    gateway: state.Gateway,
+    call: model.Call,
+    route: model.Route,
+    organisation: model.Organisation | None,
+    body: bytes,
+    arrived_ms: float,
+) -> attempts.Outgoing:
+    longest_ms = route.timeout_ms
+    if call.caller_deadline_ms is not None:
+        longest_ms = min(longest_ms, call.caller_deadline_ms)
+    priority = route.priority
+    if organisation is not None and organisation.priority is not None:
+        priority = organisation.priority
+    service = routes.service_for(route, random.random())
+    gateway.repeats.note_request(service, arrived_ms)
+    return attempts.Outgoing(
+        gateway=gateway,
+        call=call,
+        route=route,
+        service=service,
+        organisation=organisation.name if organisation else '',
+        priority=min(_MAX_PRIORITY, max(0, priority)),
+        body=body,
+        deadline_ms=arrived_ms + longest_ms,
+    )
+
+
+async def _forward(
+    out: attempts.Outgoing, request: web.BaseRequest
+) -> web.StreamResponse:
+    if out.route.kind is not model.Kind.STREAM:
+        return await whole.forward(out)
+    return await streaming.forward(out, request)
+
+
+def _abort(request: web.BaseRequest) -> None:
+    """Close a caller's connection, so that its answer can't look whole."""
+    if request.transport is not None:
+        request.transport.abort()  # type: ignore[attr-defined]
+
+
+def _log(
+    gateway: state.Gateway,
+    call: model.Call,
+    route: model.Route | None,
+    arrived_ms: float,
+    status: int,
+    code: str,
+) -> None:
+    kind = route.kind.value if route else ''
+    metrics.ANSWERS.labels(kind, str(status), code).inc()
+    table = gateway.table
+    eliot.log_message(
+        'request_ended',
+        request=call.request_id,
+        route=route.name if route else '',
+        status=status,
+        code=code,
+        elapsed_ms=round(clocks.monotonic_ms() - arrived_ms),
+        configuration=table.configuration.version if table else -1,
+    )
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -0,0 +1,42 @@
+"""Counters and histograms of the gateway."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import prometheus_client
+
+_LATENCY_BUCKETS_S: Final = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.15,
+    0.25,
+    0.5,
+    1.0,
+    2.0,
+    4.0,
+    8.0,
+    16.0,
+)
+
+ANSWERS: Final = prometheus_client.Counter(
+    'yuccarouter_gateway_answers',
+    'Final answers to callers',
+    ('route_kind', 'status', 'code'),
+)
+ATTEMPTS: Final = prometheus_client.Counter(
+    'yuccarouter_gateway_attempts',
+    'Attempts at endpoints, by how they ended',
+    ('service', 'outcome'),
+)
+FIRST_BYTE_S: Final = prometheus_client.Histogram(
+    'yuccarouter_gateway_first_byte_seconds',
+    'Time from the arrival of a request to the first byte of its answer',
+    ('route_kind',),
+    buckets=_LATENCY_BUCKETS_S,
+)
+IN_PROGRESS: Final = prometheus_client.Gauge(
+    'yuccarouter_gateway_requests_in_progress', 'Requests without final answer'
+)
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/rollout_control.py
@@ -0,0 +1,344 @@
+"""Roll-outs in progress: which version a call may use, and who decides."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+import eliot
+import orjson
+
+from yuccarouter.gateway import ports, rollouts, routes
+from yuccarouter_common import clocks, records
+from yuccarouter_common.platform import errors
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from yuccarouter.gateway import endpoints, model, topics
+
+_PHASE_PREFIX: Final = 'phase/'
+_TICK_S: Final = 0.25
+# Daemons write a step one after the other, so that most see it written first.
+_TURN_MS: Final = 300.0
+# A version without an order may belong to one that is about to be read.
+_UNORDERED_WAIT_MS: Final = 1500.0
+_MS_PER_S: Final = 1000
+# An answer is slow from this many times the old version's usual time.
+_SLOW_FACTOR: Final = 4.0
+_MIN_SLOW_MS: Final = 250.0
+_USUAL_WEIGHT: Final = 0.1
+
+
+@attrs.define
+class Rollout:
+    """A roll-out order with its phase and the evidence of all daemons."""
+
+    order: model.RolloutOrder
+    seen_ms: float
+    phase: rollouts.Phase = rollouts.Phase.CANARY
+    is_recorded: bool = False
+    own_new: dict[str, rollouts.Tally] = attrs.field(factory=dict)
+    own_old: dict[str, rollouts.Tally] = attrs.field(factory=dict)
+    peers: dict[str, rollouts.Evidence] = attrs.field(factory=dict)
+    wanted: rollouts.Phase | None = None
+    wanted_since_ms: float = 0
+
+    def evidence(self) -> rollouts.Evidence:
+        """Return the answers that all daemons saw."""
+        parts = [
+            rollouts.Evidence(self.own_new, self.own_old),
+            *self.peers.values(),
+        ]
+        return rollouts.Evidence(
+            _merged(part.new for part in parts),
+            _merged(part.old for part in parts),
+        )
+
+
+class RolloutControl:
+    """All roll-outs of a deployment, as this daemon sees them.
+
+    There is no leader. Each step is appended to the topic of shared state on
+    the condition that nothing was written since it was read, so that one
+    daemon's step wins and the others read it.
+    """
+
+    def __init__(
+        self,
+        encode_status: Callable[
+            [model.RolloutOrder, str], tuple[str, bytes]
+        ],
+        exposure_share: float,
+        turn: Callable[[], int],
+    ) -> None:
+        self._encode_status = encode_status
+        self._exposure_share = exposure_share
+        self._turn = turn
+        self._rollouts: dict[str, Rollout] = {}
+        self._phases: dict[str, dict[str, Any]] = {}
+        self._first_seen_ms: dict[tuple[str, str], float] = {}
+        self._usual_ms: dict[str, float] = {}
+        self._started_ms = clocks.monotonic_ms()
+
+    def ordered(self, order: model.RolloutOrder) -> None:
+        """Take in an operator's order."""
+        known = self._rollouts.get(order.service)
+        if known is not None and known.order.number >= order.number:
+            return
+        rollout = Rollout(order, clocks.monotonic_ms())
+        self._rollouts[order.service] = rollout
+        eliot.log_message(
+            'rollout_ordered',
+            service=order.service,
+            target=order.target,
+            order=order.number,
+        )
+        self._apply_phase(rollout)
+
+    def withdrawn(self, service: str) -> None:
+        """Keep the last phase of an order whose record was removed."""
+        eliot.log_message('rollout_order_removed', service=service)
+
+    def state_changed(self, entry: ports.Entry) -> None:
+        """Take in a phase that some daemon wrote."""
+        if not entry.key.startswith(_PHASE_PREFIX) or not entry.value:
+            return
+        service = entry.key.removeprefix(_PHASE_PREFIX)
+        try:
+            written = records.loads(entry.value)
+            self._phases[service] = {
+                'order': int(written['order']),
+                'phase': rollouts.Phase(written['phase']),
+            }
+        except (records.ShapeError, LookupError, TypeError, ValueError) as bad:
+            eliot.log_message('bad_phase', key=entry.key, reason=str(bad))
+            return
+        rollout = self._rollouts.get(service)
+        if rollout is not None:
+            self._apply_phase(rollout)
+
+    def versions(
+        self, service: str, session: str, views: Iterable[endpoints.EndpointView]
+    ) -> frozenset[str]:
+        """Return the versions that a call of ``session`` may use.
+
+        The draw depends on the session alone and the share of the new version
+        only grows, so that a session moves to it once and never back.
+        """
+        present = {
+            view.announced.version
+            for view in views
+            if view.announced.service == service
+        }
+        rollout = self._rollouts.get(service)
+        if rollout is None:
+            return frozenset(
+                version
+                for version in present
+                if self._is_established(service, version, len(present))
+            )
+        target = rollout.order.target
+        share = rollouts.new_share(rollout.phase, self._exposure_share)
+        if rollout.wanted is rollouts.Phase.ROLLED_BACK:
+            share = 0
+        if routes.draw_for(f'{rollout.order.number}/{session}') < share:
+            return frozenset((target,)) & present or self._others(
+                rollout, present
+            )
+        return frozenset(present - {target})
+
+    def _others(self, rollout: Rollout, present: set[str]) -> frozenset[str]:
+        if rollout.phase is rollouts.Phase.COMPLETED:
+            return frozenset()
+        return frozenset(present - {rollout.order.target})
+
+    def fallback_versions(self, service: str, session: str) -> frozenset[str]:
+        """Return versions to use when the drawn ones have no endpoint."""
+        rollout = self._rollouts.get(service)
+        if rollout is None:
+            return frozenset()
+        if rollout.phase in {rollouts.Phase.RAMP, rollouts.Phase.FULL}:
+            if rollout.wanted is not rollouts.Phase.ROLLED_BACK:
+                return frozenset((rollout.order.target,))
+        return frozenset()
+
+    def note_answer(
+        self, view: endpoints.EndpointView, route: str, *, good: bool
+    ) -> None:
+        """Count an answer as evidence in a roll-out of its service."""
+        rollout = self._rollouts.get(view.announced.service)
+        if rollout is None or rollout.phase.is_final:
+            return
+        is_new = view.announced.version == rollout.order.target
+        tallies = rollout.own_new if is_new else rollout.own_old
+        tally = tallies.setdefault(route, rollouts.Tally())
+        if good:
+            tally.good += 1
+        else:
+            tally.bad += 1
+
+    def is_slow(
+        self, view: endpoints.EndpointView, key: str, elapsed_ms: float
+    ) -> bool:
+        """Return whether an answer took far longer than the old version's.
+
+        ``key`` names answers that take alike. Answers of the old version set
+        the usual time.
+        """
+        rollout = self._rollouts.get(view.announced.service)
+        usual_ms = self._usual_ms.get(key)
+        if rollout is not None and (
+            view.announced.version == rollout.order.target
+        ):
+            return usual_ms is not None and elapsed_ms > max(
+                _MIN_SLOW_MS, _SLOW_FACTOR * usual_ms
+            )
+        if usual_ms is None:
+            self._usual_ms[key] = elapsed_ms
+        else:
+            self._usual_ms[key] += _USUAL_WEIGHT * (elapsed_ms - usual_ms)
+        return usual_ms is not None and elapsed_ms > max(
+            _MIN_SLOW_MS, _SLOW_FACTOR * usual_ms
+        )
+
+    def digest(self) -> list[Any]:
+        """Return this daemon's evidence, for peers."""
+        return [
+            [
+                rollout.order.number,
+                service,
+                _counts(rollout.own_new),
+                _counts(rollout.own_old),
+            ]
+            for service, rollout in self._rollouts.items()
+            if not rollout.phase.is_final
+        ]
+
+    def receive(self, peer: str, digest: list[Any]) -> None:
+        """Take in a peer's evidence, which replaces its earlier one."""
+        for number, service, new, old in digest:
+            rollout = self._rollouts.get(service)
+            if rollout is not None and rollout.order.number == number:
+                rollout.peers[peer] = rollouts.Evidence(
+                    _tallies(new), _tallies(old)
+                )
+
+    async def run(self, store: ports.Store, state: topics.Topic) -> None:
+        """Take the steps that are due until cancelled."""
+        while True:
+            await asyncio.sleep(_TICK_S)
+            for rollout in list(self._rollouts.values()):
+                if self._is_due(rollout, clocks.monotonic_ms()):
+                    await self._write(store, state, rollout)
+
+    def _is_due(self, rollout: Rollout, now_ms: float) -> bool:
+        if rollout.phase.is_final:
+            return False
+        wanted = rollouts.next_phase(
+            rollout.phase,
+            rollout.order,
+            now_ms - rollout.seen_ms,
+            rollout.evidence(),
+        )
+        if wanted is rollout.phase and rollout.is_recorded:
+            rollout.wanted = None
+            return False
+        if wanted is not rollout.wanted:
+            rollout.wanted = wanted
+            rollout.wanted_since_ms = now_ms
+        return now_ms - rollout.wanted_since_ms >= self._turn() * _TURN_MS
+
+    async def _write(
+        self, store: ports.Store, state: topics.Topic, rollout: Rollout
+    ) -> None:
+        if rollout.wanted is None or state.is_failing or not state.is_loaded:
+            return
+        order = rollout.order
+        value = orjson.dumps(
+            {
+                'order': order.number,
+                'phase': rollout.wanted,
+                'target': order.target,
+            }
+        )
+        try:
+            await store.append(
+                state.name,
+                [
+                    (f'{_PHASE_PREFIX}{order.service}', value),
+                    self._encode_status(order, rollout.wanted.status),
+                ],
+                state.table.next_offset,
+            )
+        except ports.MovedError as moved:
+            # Another daemon wrote first; its step is read before the next try.
+            eliot.log_message(
+                'rollout_step_overtaken',
+                service=order.service,
+                phase=rollout.wanted,
+                reason=str(moved),
+            )
+            await asyncio.sleep(_TICK_S * random.random())
+            return
+        except errors.PlatformError as fault:
+            eliot.log_message(
+                'rollout_step_lost',
+                service=order.service,
+                phase=rollout.wanted,
+                code=fault.code,
+            )
+            return
+        evidence = rollout.evidence()
+        eliot.log_message(
+            'rollout_step',
+            service=order.service,
+            target=order.target,
+            phase=rollout.wanted,
+            new=_counts(evidence.new),
+            old=_counts(evidence.old),
+        )
+
+    def _apply_phase(self, rollout: Rollout) -> None:
+        written = self._phases.get(rollout.order.service)
+        if written is None or written['order'] != rollout.order.number:
+            return
+        rollout.is_recorded = True
+        if written['phase'] is not rollout.phase:
+            rollout.phase = written['phase']
+            eliot.log_message(
+                'rollout_phase',
+                service=rollout.order.service,
+                target=rollout.order.target,
+                phase=rollout.phase,
+            )
+
+    def _is_established(self, service: str, version: str, present: int) -> bool:
+        now_ms = clocks.monotonic_ms()
+        first_ms = self._first_seen_ms.setdefault((service, version), now_ms)
+        if present == 1 or first_ms - self._started_ms < _UNORDERED_WAIT_MS:
+            return True
+        return now_ms - first_ms >= _UNORDERED_WAIT_MS
+
+
+def _counts(tallies: Any) -> dict[str, list[int]]:
+    return {
+        route: [tally.good, tally.bad] for route, tally in tallies.items()
+    }
+
+
+def _tallies(counts: dict[str, list[int]]) -> dict[str, rollouts.Tally]:
+    return {
+        route: rollouts.Tally(int(good), int(bad))
+        for route, (good, bad) in counts.items()
+    }
+
+
+def _merged(parts: Iterable[Any]) -> dict[str, rollouts.Tally]:
+    merged: dict[str, rollouts.Tally] = {}
+    for tallies in parts:
+        for route, tally in tallies.items():
+            merged.setdefault(route, rollouts.Tally()).add(tally)
+    return merged
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/rollouts.py
@@ -0,0 +1,151 @@
+"""Moving a service to a new version: its phases and the test of harm."""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+import attrs
+
+from yuccarouter.gateway import model
+
+RUNNING: Final = 'running'
+COMPLETED: Final = 'completed'
+ROLLED_BACK: Final = 'rolled_back'
+
+# Parts of the ordered time at which phases end.
+_CANARY_END: Final = 0.45
+_RAMP_END: Final = 0.7
+_FULL_END: Final = 0.85
+# Parts of the agreed exposure that the canary and the ramp use.
+_CANARY_OF_BOUND: Final = 0.5
+_RAMP_SHARE: Final = 0.3
+# Answers of the new version without harm before it gets more.
+_MIN_ANSWERS: Final = 12
+_MIN_BAD: Final = 4
+# Chance of a false alarm at one look, for each tested route.
+_FALSE_ALARM: Final = 0.0005
+# Added to the share of bad answers that the old version shows.
+_TOLERATED_SHARE: Final = 0.06
+_PRIOR_ANSWERS: Final = 20.0
+
+
+class Phase(enum.StrEnum):
+    """How far a roll-out is; the last two are final."""
+
+    CANARY = 'canary'
+    RAMP = 'ramp'
+    FULL = 'full'
+    COMPLETED = 'completed'
+    ROLLED_BACK = 'rolled_back'
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the roll-out is over."""
+        return self in {Phase.COMPLETED, Phase.ROLLED_BACK}
+
+    @property
+    def status(self) -> str:
+        """The state that operators see."""
+        if self is Phase.COMPLETED:
+            return COMPLETED
+        return ROLLED_BACK if self is Phase.ROLLED_BACK else RUNNING
+
+
+@attrs.define
+class Tally:
+    """Answers of one version on one route."""
+
+    good: int = 0
+    bad: int = 0
+
+    @property
+    def total(self) -> int:
+        """All answers."""
+        return self.good + self.bad
+
+    def add(self, other: Tally) -> None:
+        """Add the counts of another daemon."""
+        self.good += other.good
+        self.bad += other.bad
+
+
+@attrs.frozen
+class Evidence:
+    """Answers of the new and the old version, by route."""
+
+    new: Mapping[str, Tally]
+    old: Mapping[str, Tally]
+
+
+def new_share(phase: Phase, exposure_share: float) -> float:
+    """Return the share of the service's requests for the new version."""
+    if phase is Phase.CANARY:
+        return exposure_share * _CANARY_OF_BOUND
+    if phase is Phase.RAMP:
+        return _RAMP_SHARE
+    return 0 if phase is Phase.ROLLED_BACK else 1
+
+
+def next_phase(
+    phase: Phase,
+    order: model.RolloutOrder,
+    elapsed_ms: float,
+    evidence: Evidence,
+) -> Phase:
+    """Return the phase that a roll-out should be in.
+
+    ``elapsed_ms`` counts from when this daemon saw the order. A daemon that
+    started meanwhile is late, which only delays a step.
+    """
+    if phase.is_final:
+        return phase
+    if is_harmful(evidence):
+        return Phase.ROLLED_BACK
+    answers = sum(tally.total for tally in evidence.new.values())
+    if answers < _MIN_ANSWERS:
+        return phase
+    done = elapsed_ms / max(1.0, order.ramp_ms)
+    if phase is Phase.CANARY and done >= _CANARY_END:
+        return Phase.RAMP
+    if phase is Phase.RAMP and done >= _RAMP_END:
+        return Phase.FULL
+    if phase is Phase.FULL and done >= _FULL_END:
+        return Phase.COMPLETED
+    return phase
+
+
+def is_harmful(evidence: Evidence) -> bool:
+    """Return whether the new version answers worse, on all routes or on one."""
+    if _is_worse(_sum(evidence.new.values()), _sum(evidence.old.values())):
+        return True
+    return any(
+        _is_worse(tally, evidence.old.get(route, Tally()))
+        for route, tally in evidence.new.items()
+    )
+
+
+def _is_worse(new: Tally, old: Tally) -> bool:
+    if new.bad < _MIN_BAD:
+        return False
+    expected = old.bad / (old.total + _PRIOR_ANSWERS) + _TOLERATED_SHARE
+    return _tail(new.bad, new.total, min(1.0, expected)) < _FALSE_ALARM
+
+
+def _tail(bad: int, total: int, share: float) -> float:
+    """Return the chance of ``bad`` or more bad answers of ``total``."""
+    return sum(
+        math.comb(total, count)
+        * share**count
+        * (1 - share) ** (total - count)
+        for count in range(bad, total + 1)
+    )
+
+
+def _sum(tallies: Iterable[Tally]) -> Tally:
+    total = Tally()
+    for tally in tallies:
+        total.add(tally)
+    return total
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -0,0 +1,232 @@
+"""Everything that the request path of a gateway looks up."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Final
+
+import attrs
+import eliot
+import orjson
+
+from yuccarouter.gateway import (
+    choice,
+    cold_limit,
+    endpoints,
+    model,
+    ports,
+    repeat_budget,
+    rollout_control,
+    routes,
+)
+from yuccarouter_common import clocks, records
+
+if TYPE_CHECKING:
+    import aiohttp
+
+    from yuccarouter.gateway import peers, settings, topics
+
+MEMBER_PREFIX: Final = 'member/'
+# Daemons that are assumed while none is known.
+_ASSUMED_DAEMONS: Final = 8
+# A key or route that is unknown here may stand in a configuration that could
+# not be read since; this old a view no longer says that it does not exist.
+_STALE_VIEW_MS: Final = 1500.0
+
+
+@attrs.define
+class Gateway:
+    """Shared state of a daemon's request path."""
+
+    conf: settings.GatewaySettings
+    platform: ports.Platform
+    session: aiohttp.ClientSession
+    control: rollout_control.RolloutControl
+    directory: endpoints.Directory = attrs.field(factory=endpoints.Directory)
+    table: routes.RouteTable | None = None
+    evacuated: frozenset[str] = frozenset()
+    repeats: repeat_budget.RepeatBudget = attrs.field(init=False)
+    exchange: peers.Exchange | None = None
+    orders_topic: topics.Topic | None = None
+    is_draining: bool = False
+    in_progress: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Build what depends on the settings."""
+        bounds = self.conf.bounds
+        self.repeats = repeat_budget.RepeatBudget(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
+        )
+
+    @property
+    def daemons(self) -> int:
+        """Number of daemons that share the bounds, this one included."""
+        if self.exchange is None or not self.exchange.members:
+            return _ASSUMED_DAEMONS
+        return 1 + len(self.exchange.members)
+
+    def view_age_ms(self) -> float:
+        """Return how old the newest sight of the orders is."""
+        if self.orders_topic is None:
+            return math.inf
+        return self.orders_topic.age_ms()
+
+    @property
+    def is_view_stale(self) -> bool:
+        """Whether unknown names may exist in a configuration not yet read."""
+        topic = self.orders_topic
+        return topic is None or (
+            topic.is_failing and topic.age_ms() > _STALE_VIEW_MS
+        )
+
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return self.table is not None and not self.is_draining
+
+    def order_changed(self, entry: ports.Entry) -> None:
+        """Take in a record of the operators."""
+        platform = self.platform
+        try:
+            configuration = platform.decode_configuration(entry)
+            order = platform.decode_order(entry)
+            evacuated = platform.decode_evacuation(entry)
+        except records.ShapeError as fault:
+            eliot.log_message(
+                'bad_order', key=entry.key, reason=fault.message
+            )
+            return
+        if configuration is not None:
+            self._configure(configuration)
+        if order is not None:
+            self.control.ordered(order)
+        if evacuated is not None:
+            self._evacuate(self.evacuated | {evacuated})
+        elif not entry.value:
+            self._order_removed(entry)
+
+    def endpoint_changed(self, entry: ports.Entry) -> None:
+        """Take in an announcement or its removal."""
+        try:
+            announced = self.platform.decode_announcement(entry)
+        except records.ShapeError as fault:
+            eliot.log_message(
+                'bad_announcement', key=entry.key, reason=fault.message
+            )
+            return
+        if announced is None:
+            self.directory.remove(entry.key)
+        else:
+            self.directory.announce(announced)
+
+    def state_changed(self, entry: ports.Entry) -> None:
+        """Take in a record of the daemons' shared state."""
+        if entry.key.startswith(MEMBER_PREFIX):
+            self._member_changed(entry)
+        else:
+            self.control.state_changed(entry)
+
+    def need(
+        self,
+        call: model.Call,
+        route: model.Route,
+        service: str,
+        tried: frozenset[str],
+        model_name: str,
+    ) -> choice.Need:
+        """Return what an endpoint must be for the next attempt of a call."""
+        table = self.table
+        kind = table.configuration.services.get(service) if table else None
+        bounds = self.conf.bounds
+        generation = call.generation
+        cold_per_s = kind.cold_requests_per_s if kind else 0
+        return choice.Need(
+            service=service,
+            objective_ms=route.objective_ms,
+            versions=self.control.versions(
+                service, call.session or call.request_id, self.directory
+            ),
+            tried=tried,
+            out_of_service=self.evacuated,
+            home=self.conf.data_centre,
+            cold_share_per_s=cold_limit.own_share_per_s(
+                cold_per_s,
+                bounds.cold_overshoot,
+                bounds.cold_slack,
+                self.daemons,
+            ),
+            cold_bounded=cold_per_s > 0,
+            connections=(
+                max(1, kind.max_connections // self.daemons)
+                if kind and kind.max_connections
+                else 0
+            ),
+            model=model_name,
+            tokens=model.prompt_tokens(call),
+            shared=generation.parts[:-1] if generation else (),
+        )
+
+    def choose(
+        self,
+        call: model.Call,
+        route: model.Route,
+        service: str,
+        tried: frozenset[str],
+        model_name: str,
+    ) -> choice.Choice | None:
+        """Return the endpoint for the next attempt of a call."""
+        now_ms = clocks.monotonic_ms()
+        self.directory.expire()
+        need = self.need(call, route, service, tried, model_name)
+        chosen = choice.choose(self.directory, need, now_ms)
+        if chosen is None:
+            versions = self.control.fallback_versions(service, call.request_id)
+            if versions:
+                need = attrs.evolve(need, versions=versions)
+                chosen = choice.choose(self.directory, need, now_ms)
+        return chosen
+
+    def _configure(self, configuration: model.Configuration) -> None:
+        known = self.table.configuration.version if self.table else -1
+        if configuration.version <= known:
+            return
+        self.table = routes.RouteTable(configuration)
+        eliot.log_message(
+            'configuration_applied',
+            version=configuration.version,
+            before=known,
+            routes=len(configuration.routes),
+            organisations=len(configuration.organisations),
+        )
+
+    def _order_removed(self, entry: ports.Entry) -> None:
+        probe = ports.Entry(entry.key, b'{}', entry.offset)
+        data_centre = self.platform.decode_evacuation(probe)
+        if data_centre is not None:
+            self._evacuate(self.evacuated - {data_centre})
+
+    def _evacuate(self, evacuated: frozenset[str]) -> None:
+        if evacuated != self.evacuated:
+            self.evacuated = evacuated
+            eliot.log_message(
+                'data_centres_out_of_service', names=sorted(evacuated)
+            )
+
+    def _member_changed(self, entry: ports.Entry) -> None:
+        if self.exchange is None:
+            return
+        name = entry.key.removeprefix(MEMBER_PREFIX)
+        if name == self.conf.name:
+            return
+        try:
+            host, port = records.loads(entry.value)
+            address = model.Address(str(host), int(port))
+        except (records.ShapeError, TypeError, ValueError):
+            self.exchange.members.pop(name, None)
+            return
+        self.exchange.members[name] = address
+
+
+def member_record(conf: settings.GatewaySettings) -> tuple[str, bytes]:
+    """Return the record that tells peers where this daemon is."""
+    value = orjson.dumps([conf.peer.host, conf.peer.port])
+    return f'{MEMBER_PREFIX}{conf.name}', value
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -0,0 +1,154 @@
+"""Following a keyed topic of the store, through its outages."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from typing import TYPE_CHECKING, Final
+
+import attrs
+import eliot
+
+from yuccarouter.gateway import ports
+from yuccarouter_common import clocks
+from yuccarouter_common.platform import errors
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_MS_PER_S: Final = 1000
+# Pause after a failed call; several daemons spread theirs around it.
+_RETRY_MS: Final = 300.0
+# The newest records are read again this long after they were read last while
+# the store is away, since a long poll would not show that it has forgotten.
+_LOST_CONTACT_MS: Final = 1000.0
+
+
+@attrs.define
+class Table:
+    """The newest record of each key, by offset.
+
+    A record that is older than the known one of its key changes nothing, so
+    that pages and peers may repeat what is known.
+    """
+
+    entries: dict[str, ports.Entry] = attrs.field(factory=dict)
+    next_offset: int = 0
+
+    def apply(self, entry: ports.Entry) -> bool:
+        """Keep a record unless a newer one of its key is known."""
+        known = self.entries.get(entry.key)
+        if known is not None and known.offset >= entry.offset:
+            return False
+        self.entries[entry.key] = entry
+        return True
+
+    def missing(self, present: frozenset[str]) -> list[ports.Entry]:
+        """Return removals of the keys that a full reading no longer has."""
+        # One offset lower, so that the same record counts as new when it is
+        # read again: the reading that lacks it may have been a stale one.
+        return [
+            ports.Entry(key, b'', entry.offset - 1)
+            for key, entry in self.entries.items()
+            if entry.value and key not in present
+        ]
+
+
+@attrs.define
+class Topic:
+    """A topic that is followed, with what is known of it.
+
+    ``interval_ms`` is the time between calls; with 0 each call waits for the
+    next record. ``changed`` gets each record that is new, in order, and
+    ``regained`` is called after contact to the store was lost.
+    """
+
+    name: str
+    store: ports.Store
+    changed: Callable[[ports.Entry], None]
+    regained: Callable[[float], None]
+    interval_ms: float = 0
+    wait_ms: int = 8000
+    table: Table = attrs.field(factory=Table)
+    contact_ms: float = -math.inf
+    is_loaded: bool = False
+    is_failing: bool = False
+
+    def age_ms(self) -> float:
+        """Return the time since the store last answered for this topic."""
+        if not self.is_failing and self.is_loaded and not self.interval_ms:
+            # A long poll that is waiting is an answer yet to come.
+            return min(clocks.monotonic_ms() - self.contact_ms, self.wait_ms)
+        return clocks.monotonic_ms() - self.contact_ms
+
+    async def follow(self) -> None:
+        """Read the topic until the task is cancelled."""
+        while True:
+            try:
+                await self._read_once()
+            except ports.CompactedError:
+                eliot.log_message('topic_compacted', topic=self.name)
+                self.is_loaded = False
+            except errors.PlatformError as fault:
+                self._failed(fault)
+                await asyncio.sleep(
+                    _RETRY_MS * (0.5 + random.random()) / _MS_PER_S
+                )
+            else:
+                await asyncio.sleep(self.interval_ms / _MS_PER_S)
+
+    def merge(self, entries: list[ports.Entry]) -> None:
+        """Apply records that a peer knows; older ones change nothing."""
+        for entry in entries:
+            self._apply(entry)
+
+    async def _read_once(self) -> None:
+        if not self.is_loaded:
+            await self._load()
+            return
+        wait_ms = 0 if self.interval_ms else self.wait_ms
+        page = await self.store.read(self.name, self.table.next_offset, wait_ms)
+        self._reached()
+        for entry in page.entries:
+            self._apply(entry)
+        self.table.next_offset = max(self.table.next_offset, page.next_offset)
+
+    async def _load(self) -> None:
+        page = await self.store.newest(self.name)
+        self._reached()
+        present = frozenset(entry.key for entry in page.entries)
+        for removed in self.table.missing(present):
+            self.table.entries[removed.key] = removed
+            self.changed(removed)
+        for entry in sorted(page.entries, key=lambda item: item.offset):
+            self._apply(entry)
+        self.table.next_offset = page.next_offset
+        self.is_loaded = True
+
+    def _apply(self, entry: ports.Entry) -> None:
+        if self.table.apply(entry):
+            self.changed(entry)
+
+    def _reached(self) -> None:
+        now_ms = clocks.monotonic_ms()
+        if self.is_failing:
+            self.is_failing = False
+            away_ms = now_ms - self.contact_ms
+            eliot.log_message(
+                'store_regained', topic=self.name, away_ms=round(away_ms)
+            )
+            self.regained(away_ms)
+        self.contact_ms = now_ms
+
+    def _failed(self, fault: errors.PlatformError) -> None:
+        if not self.is_failing:
+            self.is_failing = True
+            eliot.log_message(
+                'store_lost',
+                topic=self.name,
+                code=fault.code,
+                reason=fault.message,
+            )
+        if clocks.monotonic_ms() - self.contact_ms > _LOST_CONTACT_MS:
+            self.is_loaded = False
