--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -60,6 +60,12 @@
         """Return the time until the call's deadline."""
         return self.deadline_ms - clocks.monotonic_ms()
 
+    def may_run_again(self, *, after: int) -> bool:
+        """Return whether ``after`` more runs leave another one."""
+        return self.route.is_idempotent and (
+            self.runs + after < self.route.max_attempts
+        )
+
     def take_repeat(self, *, is_optional: bool = False) -> bool:
         """Take one more send from the daemons' budget.
 
@@ -102,7 +108,7 @@
     """
     view = chosen.endpoint
     sent_ms = clocks.monotonic_ms()
-    unread = _unread_tokens(out.call, chosen)
+    unread = unread_tokens(out.call, chosen)
     _note_sent(out, view, sent_ms)
     view.in_flight += 1
     view.tokens_unread += unread
@@ -240,7 +246,8 @@
     out.tried |= {view.name}
 
 
-def _unread_tokens(call: model.Call, chosen: choice.Choice) -> float:
+def unread_tokens(call: model.Call, chosen: choice.Choice) -> float:
+    """Return the prompt tokens that the endpoint has to read."""
     generation = call.generation
     if generation is None:
         return 0
--- a/packages/daemon/src/yuccarouter/gateway/front.py
+++ b/packages/daemon/src/yuccarouter/gateway/front.py
@@ -43,10 +43,12 @@
         call = gateway.platform.decode_call(request)
         arrived_ms = clocks.monotonic_ms()
         gateway.in_progress += 1
+        gateway.busy_connections.add(request.protocol)
         try:
             return await _answer(gateway, request, call, arrived_ms)
         finally:
             gateway.in_progress -= 1
+            gateway.busy_connections.discard(request.protocol)
 
     return serve
 
--- a/packages/daemon/src/yuccarouter/gateway/program.py
+++ b/packages/daemon/src/yuccarouter/gateway/program.py
@@ -303,14 +303,29 @@
     eliot.log_message('draining', in_progress=gateway.in_progress)
     started_ms = clocks.monotonic_ms()
     grace_ms = gateway.conf.bounds.grace_ms * _DRAIN_PART
+    _close_connections(gateway, servers)
     await asyncio.sleep(_BALANCER_S)
     await servers.callers_site.stop()
+    _close_connections(gateway, servers)
     while (
         gateway.in_progress and clocks.monotonic_ms() - started_ms < grace_ms
     ):
         await asyncio.sleep(_DRAIN_CHECK_S)
 
 
+def _close_connections(gateway: state.Gateway, servers: _Servers) -> None:
+    """Close idle connections now and the others after their answer.
+
+    A request on a kept connection could reach this daemon long after the
+    balancer has turned away.
+    """
+    for connection in servers.callers.connections:
+        if connection in gateway.busy_connections:
+            connection.close()
+        else:
+            connection.force_close()
+
+
 @attrs.define
 class _Reload:
     """Takes in settings that changed, told by a signal or by the file."""
--- a/packages/daemon/src/yuccarouter/gateway/rollout_control.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollout_control.py
@@ -38,6 +38,7 @@
 
     order: model.RolloutOrder
     seen_ms: float
+    phase_ms: float
     phase: rollouts.Phase = rollouts.Phase.CANARY
     is_recorded: bool = False
     own_new: dict[str, rollouts.Tally] = attrs.field(factory=dict)
@@ -88,7 +89,8 @@
         known = self._rollouts.get(order.service)
         if known is not None and known.order.number >= order.number:
             return
-        rollout = Rollout(order, clocks.monotonic_ms())
+        now_ms = clocks.monotonic_ms()
+        rollout = Rollout(order, seen_ms=now_ms, phase_ms=now_ms)
         self._rollouts[order.service] = rollout
         eliot.log_message(
             'rollout_ordered',
@@ -241,6 +243,7 @@
             rollout.phase,
             rollout.order,
             now_ms - rollout.seen_ms,
+            now_ms - rollout.phase_ms,
             rollout.evidence(),
         )
         if wanted is rollout.phase and rollout.is_recorded:
@@ -308,6 +311,7 @@
         rollout.is_recorded = True
         if written['phase'] is not rollout.phase:
             rollout.phase = written['phase']
+            rollout.phase_ms = clocks.monotonic_ms()
             eliot.log_message(
                 'rollout_phase',
                 service=rollout.order.service,
--- a/packages/daemon/src/yuccarouter/gateway/rollouts.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollouts.py
@@ -15,15 +15,17 @@
 COMPLETED: Final = 'completed'
 ROLLED_BACK: Final = 'rolled_back'
 
-# Parts of the ordered time at which phases end.
-_CANARY_END: Final = 0.45
-_RAMP_END: Final = 0.7
-_FULL_END: Final = 0.85
-# Parts of the agreed exposure that the canary and the ramp use.
-_CANARY_OF_BOUND: Final = 0.5
+# Part of the ordered time at which the canary may end, and the least parts
+# that the next phases last.
+_CANARY_END: Final = 0.4
+_RAMP_PART: Final = 0.25
+_FULL_PART: Final = 0.12
+# Part of the agreed exposure that the canary uses; the rest is for the ramp.
+_CANARY_OF_BOUND: Final = 0.67
 _RAMP_SHARE: Final = 0.3
-# Answers of the new version without harm before it gets more.
-_MIN_ANSWERS: Final = 12
+# Answers of the new version without harm before the ramp and after it.
+_MIN_CANARY_ANSWERS: Final = 8
+_MIN_RAMP_ANSWERS: Final = 20
 _MIN_BAD: Final = 4
 # Chance of a false alarm at one look, for each tested route.
 _FALSE_ALARM: Final = 0.0005
@@ -93,28 +95,29 @@
     phase: Phase,
     order: model.RolloutOrder,
     elapsed_ms: float,
+    phase_ms: float,
     evidence: Evidence,
 ) -> Phase:
     """Return the phase that a roll-out should be in.
 
-    ``elapsed_ms`` counts from when this daemon saw the order. A daemon that
-    started meanwhile is late, which only delays a step.
+    ``elapsed_ms`` counts from when this daemon saw the order and ``phase_ms``
+    from when it saw the phase. A daemon that started meanwhile is late, which
+    only delays a step.
     """
     if phase.is_final:
         return phase
     if is_harmful(evidence):
         return Phase.ROLLED_BACK
     answers = sum(tally.total for tally in evidence.new.values())
-    if answers < _MIN_ANSWERS:
-        return phase
     done = elapsed_ms / max(1.0, order.ramp_ms)
-    if phase is Phase.CANARY and done >= _CANARY_END:
-        return Phase.RAMP
-    if phase is Phase.RAMP and done >= _RAMP_END:
-        return Phase.FULL
-    if phase is Phase.FULL and done >= _FULL_END:
-        return Phase.COMPLETED
-    return phase
+    done_in_phase = phase_ms / max(1.0, order.ramp_ms)
+    if phase is Phase.CANARY:
+        is_due = done >= _CANARY_END and answers >= _MIN_CANARY_ANSWERS
+        return Phase.RAMP if is_due else phase
+    if phase is Phase.RAMP:
+        is_due = done_in_phase >= _RAMP_PART and answers >= _MIN_RAMP_ANSWERS
+        return Phase.FULL if is_due else phase
+    return Phase.COMPLETED if done_in_phase >= _FULL_PART else phase
 
 
 def is_harmful(evidence: Evidence) -> bool:
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -14,6 +14,7 @@
     cold_limit,
     endpoints,
     model,
+    patience,
     ports,
     repeat_budget,
     rollout_control,
@@ -50,6 +51,10 @@
     orders_topic: topics.Topic | None = None
     is_draining: bool = False
     in_progress: int = 0
+    patiences: dict[tuple[str, str], patience.Patience] = attrs.field(
+        factory=dict
+    )
+    busy_connections: set[object] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         """Build what depends on the settings."""
@@ -125,6 +130,14 @@
         else:
             self.control.state_changed(entry)
 
+    def patience_for(
+        self, route: model.Route, model_name: str
+    ) -> patience.Patience:
+        """Return the usual times of a route's answers by a model."""
+        return self.patiences.setdefault(
+            (route.name, model_name), patience.Patience()
+        )
+
     def need(
         self,
         call: model.Call,
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -11,8 +11,8 @@
 import multidict
 from aiohttp import web
 
-from yuccarouter.gateway import attempts, events, refusing, sizes
-from yuccarouter_common import clocks, refusals
+from yuccarouter.gateway import attempts, events, patience, refusing, sizes
+from yuccarouter_common import clocks
 
 if TYPE_CHECKING:
     from yuccarouter.gateway import choice
@@ -21,10 +21,7 @@
 _SERVER_ERROR: Final = 500
 _OK: Final = 200
 _MAX_SENDS: Final = 8
-# Shares of the objectives for the first event and for pauses after which a
-# silent stream is taken elsewhere, while there is time to be on time there.
-_FIRST_PATIENCE: Final = 1.5
-_PAUSE_PATIENCE: Final = 1.5
+# Longest pause that is on time where the route names none.
 _DEFAULT_PAUSE_MS: Final = 2000.0
 
 
@@ -143,13 +140,18 @@
     """
     out = relay.out
     relay.buffer.restart()
+    unread = attempts.unread_tokens(out.call, chosen)
+    usual = out.gateway.patience_for(out.route, relay.model)
+    may_move = out.may_run_again(after=1)
+    wait_ms = out.left_ms()
+    if may_move:
+        wait_ms = min(
+            wait_ms, usual.first_ms(unread, out.route.objective_ms)
+        )
     async with attempts.open_attempt(
-        out,
-        chosen,
-        relay.model,
-        relay.resume_id,
-        _patience_ms(relay, _FIRST_PATIENCE * out.route.objective_ms),
+        out, chosen, relay.model, relay.resume_id, wait_ms
     ) as opened:
+        usual.note(clocks.monotonic_ms() - opened.sent_ms, unread)
         if opened.head.status != _OK:
             return await _failure(out, opened)
         confidence = opened.head.confidence
@@ -193,12 +195,16 @@
     relay: Relay, opened: attempts.Opened
 ) -> web.StreamResponse:
     out = relay.out
-    pause_ms = out.route.gap_objective_ms or _DEFAULT_PAUSE_MS
+    pause_ms = out.left_ms()
+    if out.may_run_again(after=0):
+        pause_ms = patience.pause_ms(
+            out.route.gap_objective_ms or _DEFAULT_PAUSE_MS
+        )
     first_ms: float | None = None
     try:
         while True:
             async with asyncio.timeout(
-                _patience_ms(relay, _PAUSE_PATIENCE * pause_ms) / _MS_PER_S
+                max(0, min(pause_ms, out.left_ms())) / _MS_PER_S
             ):
                 chunk = await opened.response.content.readany()
             if not chunk:
@@ -242,27 +248,9 @@
     await relay.response.write(whole)
 
 
-def _patience_ms(relay: Relay, usual_ms: float) -> float:
-    """Return how long silence is borne: to the end if nobody could do better.
-    """
-    out = relay.out
-    left_ms = max(0, out.left_ms())
-    can_move = out.route.is_idempotent and (
-        out.runs + 1 < out.route.max_attempts
-    )
-    return min(left_ms, usual_ms) if can_move else left_ms
-
-
 def _is_slow(
     relay: Relay, opened: attempts.Opened, first_ms: float
 ) -> bool:
     return relay.out.gateway.control.is_slow(
         opened.view, f'{relay.out.route.name}/{relay.model}', first_ms
     )
-
-
-def too_late() -> refusals.RefusalError:
-    """The caller's time is over before the request was sent."""
-    return refusals.RefusalError(
-        'deadline_exceeded', 'the deadline has passed', retry_after_ms=0
-    )
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -71,6 +71,7 @@
     interval_ms: float = 0
     wait_ms: int = 8000
     table: Table = attrs.field(factory=Table)
+    started_ms: float = attrs.field(factory=clocks.monotonic_ms)
     contact_ms: float = -math.inf
     is_loaded: bool = False
     is_failing: bool = False
@@ -134,7 +135,7 @@
         now_ms = clocks.monotonic_ms()
         if self.is_failing:
             self.is_failing = False
-            away_ms = now_ms - self.contact_ms
+            away_ms = min(now_ms - self.contact_ms, now_ms - self.started_ms)
             eliot.log_message(
                 'store_regained', topic=self.name, away_ms=round(away_ms)
             )
