Keep timeouts of the call itself apart from endpoints' failures

Test routes whose calls outlast their timeout made endpoints look lost and the old version look bad, which hid a bad roll-out. Slow answers are counted apart and compared with the old version's slow ones.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -147,7 +147,7 @@
             'endpoint is unreachable', 'unreachable', may_have_run=False
         ) from fault
     except TimeoutError as fault:
-        _lost(out, view, 'no_answer')
+        _silent(out, view)
         raise AttemptError(
             'no answer in time', 'no_answer', may_have_run=True
         ) from fault
@@ -222,12 +222,19 @@
 def note_good(out: Outgoing, opened: Opened, *, is_slow: bool = False) -> None:
     """Count an answer that came whole."""
     opened.view.note_served()
-    out.gateway.control.note_answer(
-        opened.view, out.route.name, good=not is_slow
-    )
+    control = out.gateway.control
+    if is_slow:
+        control.note_slow(opened.view, out.route.name)
+    else:
+        control.note_answer(opened.view, out.route.name, good=True)
     _ended(out, opened.view, 'slow' if is_slow else 'served')
 
 
+def note_silent(out: Outgoing, opened: Opened) -> None:
+    """Count a stream that went silent."""
+    _silent(out, opened.view)
+
+
 def note_bad(out: Outgoing, opened: Opened, outcome: str) -> None:
     """Count an answer that failed or broke off."""
     opened.view.note_failed()
@@ -255,6 +262,18 @@
     return generation.prompt_tokens - shared + chosen.missing_tokens
 
 
+def _silent(out: Outgoing, view: endpoints.EndpointView) -> None:
+    """Count an attempt that was given up before an answer.
+
+    Where the call's own time is over, the endpoint need not be at fault: some
+    calls take longer than their route allows.
+    """
+    if out.left_ms() > 0:
+        view.note_lost(clocks.monotonic_ms())
+        out.gateway.control.note_slow(view, out.route.name)
+    _ended(out, view, 'no_answer')
+
+
 def _lost(
     out: Outgoing, view: endpoints.EndpointView, outcome: str, reason: str = ''
 ) -> None:
--- a/packages/daemon/src/yuccarouter/gateway/patience.py
+++ b/packages/daemon/src/yuccarouter/gateway/patience.py
@@ -22,8 +22,8 @@
 # left must do for another endpoint.
 _MAX_OF_OBJECTIVE: Final = 0.8
 # Part of the longest pause on time that a stream may be silent.
-_PAUSE_OF_OBJECTIVE: Final = 0.45
-_MIN_MS: Final = 350.0
+_PAUSE_OF_OBJECTIVE: Final = 0.6
+_MIN_MS: Final = 1200.0
 _BASE_MS: Final = 30.0
 _READ_MS_PER_TOKEN: Final = 0.04
 
--- a/packages/daemon/src/yuccarouter/gateway/rollout_control.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollout_control.py
@@ -171,17 +171,26 @@
         self, view: endpoints.EndpointView, route: str, *, good: bool
     ) -> None:
         """Count an answer as evidence in a roll-out of its service."""
-        rollout = self._rollouts.get(view.announced.service)
-        if rollout is None or rollout.phase.is_final:
-            return
-        is_new = view.announced.version == rollout.order.target
-        tallies = rollout.own_new if is_new else rollout.own_old
-        tally = tallies.setdefault(route, rollouts.Tally())
+        tally = self._tally(view, route)
         if good:
             tally.good += 1
         else:
             tally.bad += 1
 
+    def note_slow(self, view: endpoints.EndpointView, route: str) -> None:
+        """Count an answer that was slow or did not come in time."""
+        self._tally(view, route).slow += 1
+
+    def _tally(
+        self, view: endpoints.EndpointView, route: str
+    ) -> rollouts.Tally:
+        rollout = self._rollouts.get(view.announced.service)
+        if rollout is None or rollout.phase.is_final:
+            return rollouts.Tally()
+        is_new = view.announced.version == rollout.order.target
+        tallies = rollout.own_new if is_new else rollout.own_old
+        return tallies.setdefault(route, rollouts.Tally())
+
     def is_slow(
         self, view: endpoints.EndpointView, key: str, elapsed_ms: float
     ) -> bool:
@@ -329,14 +338,15 @@
 
 def _counts(tallies: Any) -> dict[str, list[int]]:
     return {
-        route: [tally.good, tally.bad] for route, tally in tallies.items()
+        route: [tally.good, tally.bad, tally.slow]
+        for route, tally in tallies.items()
     }
 
 
 def _tallies(counts: dict[str, list[int]]) -> dict[str, rollouts.Tally]:
     return {
-        route: rollouts.Tally(int(good), int(bad))
-        for route, (good, bad) in counts.items()
+        route: rollouts.Tally(int(good), int(bad), int(slow))
+        for route, (good, bad, slow) in counts.items()
     }
 
 
--- a/packages/daemon/src/yuccarouter/gateway/rollouts.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollouts.py
@@ -58,20 +58,26 @@
 
 @attrs.define
 class Tally:
-    """Answers of one version on one route."""
+    """Answers of one version on one route.
+
+    ``slow`` ones are neither good nor bad; load makes the old version slow
+    too, so that they are compared with its slow ones only.
+    """
 
     good: int = 0
     bad: int = 0
+    slow: int = 0
 
     @property
     def total(self) -> int:
         """All answers."""
-        return self.good + self.bad
+        return self.good + self.bad + self.slow
 
     def add(self, other: Tally) -> None:
         """Add the counts of another daemon."""
         self.good += other.good
         self.bad += other.bad
+        self.slow += other.slow
 
 
 @attrs.frozen
@@ -131,10 +137,17 @@
 
 
 def _is_worse(new: Tally, old: Tally) -> bool:
-    if new.bad < _MIN_BAD:
+    """Return whether failures or slow answers are too many for chance."""
+    return _is_more(new.bad, new.total, old.bad, old.total) or _is_more(
+        new.slow, new.total, old.slow, old.total
+    )
+
+
+def _is_more(new: int, new_total: int, old: int, old_total: int) -> bool:
+    if new < _MIN_BAD:
         return False
-    expected = old.bad / (old.total + _PRIOR_ANSWERS) + _TOLERATED_SHARE
-    return _tail(new.bad, new.total, min(1.0, expected)) < _FALSE_ALARM
+    expected = old / (old_total + _PRIOR_ANSWERS) + _TOLERATED_SHARE
+    return _tail(new, new_total, min(1.0, expected)) < _FALSE_ALARM
 
 
 def _tail(bad: int, total: int, share: float) -> float:
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -216,12 +216,12 @@
                 await _write(relay, opened, whole)
         if not relay.buffer.is_clean or relay.response is None:
             raise events.OrderError('stream ended within an event')
-    except (
-        aiohttp.ClientError,
-        TimeoutError,
-        OSError,
-        events.OrderError,
-    ) as fault:
+    except TimeoutError as fault:
+        attempts.note_silent(out, opened)
+        raise attempts.AttemptError(
+            'stream went silent', 'silent_stream', may_have_run=True
+        ) from fault
+    except (aiohttp.ClientError, OSError, events.OrderError) as fault:
         attempts.note_bad(out, opened, f'broken_stream {fault}')
         raise attempts.AttemptError(
             'stream broke off', 'broken_stream', may_have_run=True
--- a/packages/daemon/src/yuccarouter/gateway/whole.py
+++ b/packages/daemon/src/yuccarouter/gateway/whole.py
@@ -94,7 +94,12 @@
                 (until_ms - clocks.monotonic_ms()) / _MS_PER_S
             ):
                 body = await opened.response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as fault:
+        except TimeoutError as fault:
+            attempts.note_silent(out, opened)
+            raise attempts.AttemptError(
+                'answer did not end in time', 'no_answer', may_have_run=True
+            ) from fault
+        except (aiohttp.ClientError, OSError) as fault:
             attempts.note_bad(out, opened, 'broken_answer')
             raise attempts.AttemptError(
                 'answer broke off', 'broken_answer', may_have_run=True
