Wait up to one and a half objectives for a silent answer

Cause: attempts given up early read their prompts again elsewhere, which slows all others; endpoints were also marked as lost.

--- a/packages/daemon/src/yuccarouter/gateway/patience.py
+++ b/packages/daemon/src/yuccarouter/gateway/patience.py
@@ -20,10 +20,10 @@
 _PRIOR_DEVIATION: Final = 2.0
 # Part of the objective after which an answer is at most waited for: what is
 # left must do for another endpoint.
-_MAX_OF_OBJECTIVE: Final = 0.8
+_MAX_OF_OBJECTIVE: Final = 1.5
 # Part of the longest pause on time that a stream may be silent.
-_PAUSE_OF_OBJECTIVE: Final = 0.6
-_MIN_MS: Final = 1200.0
+_PAUSE_OF_OBJECTIVE: Final = 1.5
+_MIN_MS: Final = 1500.0
 _BASE_MS: Final = 30.0
 _READ_MS_PER_TOKEN: Final = 0.04
 
