--- a/packages/daemon/src/yuccarouter/gateway/rollout_control.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollout_control.py
@@ -25,7 +25,8 @@
 _TURN_MS: Final = 300.0
 # A version without an order may belong to one that is about to be read.
 _UNORDERED_WAIT_MS: Final = 1500.0
-_MS_PER_S: Final = 1000
+# Pause after another daemon wrote first; reads may lag behind by seconds.
+_OVERTAKEN_MS: Final = 1000.0
 # An answer is slow from this many times the old version's usual time.
 _SLOW_FACTOR: Final = 4.0
 _MIN_SLOW_MS: Final = 250.0
@@ -46,6 +47,7 @@
     peers: dict[str, rollouts.Evidence] = attrs.field(factory=dict)
     wanted: rollouts.Phase | None = None
     wanted_since_ms: float = 0
+    retry_at_ms: float = 0
 
     def evidence(self) -> rollouts.Evidence:
         """Return the answers that all daemons saw."""
@@ -261,7 +263,8 @@
         if wanted is not rollout.wanted:
             rollout.wanted = wanted
             rollout.wanted_since_ms = now_ms
-        return now_ms - rollout.wanted_since_ms >= self._turn() * _TURN_MS
+        due_ms = rollout.wanted_since_ms + self._turn() * _TURN_MS
+        return now_ms >= max(due_ms, rollout.retry_at_ms)
 
     async def _write(
         self, store: ports.Store, state: topics.Topic, rollout: Rollout
@@ -293,7 +296,9 @@
                 phase=rollout.wanted,
                 reason=str(moved),
             )
-            await asyncio.sleep(_TICK_S * random.random())
+            rollout.retry_at_ms = clocks.monotonic_ms() + _OVERTAKEN_MS * (
+                0.5 + random.random()
+            )
             return
         except errors.PlatformError as fault:
             eliot.log_message(
