--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,9 @@
 SOAK_S ?= 900
 PYTHON ?= python3.11
 PY := $(VENV)/bin/python
-SRC := packages/common/src packages/daemon/src packages/yuccactl/src packages/testkit/src
+SRC := packages/common/src packages/daemon/src packages/yuccactl/src packages/testkit/src platform/yuccarouter_platform
 ROOT := $(CURDIR)
-export PYTHONPATH := $(ROOT)/packages/common/src:$(ROOT)/packages/daemon/src:$(ROOT)/packages/yuccactl/src:$(ROOT)/packages/testkit/src
+export PYTHONPATH := $(ROOT)/packages/common/src:$(ROOT)/packages/daemon/src:$(ROOT)/packages/yuccactl/src:$(ROOT)/packages/testkit/src:$(ROOT)/platform
 PROTO := packages/common/src/yuccarouter_common/proto
 
 .PHONY: setup test lint format demo demo-serve bench load soak proto
@@ -23,13 +23,13 @@
 	$(PY) -m pytest -n 4
 
 lint: setup
-	$(VENV)/bin/ruff format --check packages conftest.py
-	$(VENV)/bin/flake8 packages conftest.py
+	$(VENV)/bin/ruff format --check packages platform conftest.py
+	$(VENV)/bin/flake8 packages platform conftest.py
 	$(VENV)/bin/mypy $(SRC)
 	$(VENV)/bin/lint-imports
 
 format: setup
-	$(VENV)/bin/ruff format packages conftest.py
+	$(VENV)/bin/ruff format packages platform conftest.py
 
 demo: setup
 	$(PY) -m yuccarouter_testkit.demo
--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -11,8 +11,9 @@
 import eliot
 import multidict
 import yarl
+from aiohttp import web
 
-from yuccarouter.gateway import metrics, model, ports
+from yuccarouter.gateway import metrics, model, ports, rollouts
 from yuccarouter_common import clocks, errors
 
 if TYPE_CHECKING:
@@ -60,6 +61,16 @@
         """Return the time until the call's deadline."""
         return self.deadline_ms - clocks.monotonic_ms()
 
+    def next_endpoint(self, model_name: str) -> choice.Choice | None:
+        """Return where to send the call next, if it may be sent."""
+        if self.runs >= self.route.max_attempts:
+            return None
+        if self.sends and not self.take_repeat():
+            return None
+        return self.gateway.choose(
+            self.call, self.route, self.service, self.tried, model_name
+        )
+
     def may_run_again(self, *, after: int) -> bool:
         """Return whether ``after`` more runs leave another one."""
         return self.route.is_idempotent and (
@@ -112,19 +123,20 @@
     _note_sent(out, view, sent_ms)
     view.in_flight += 1
     view.tokens_unread += unread
-    response: aiohttp.ClientResponse | None = None
     try:
-        try:
-            response = await _answered(
-                out, view, model_name, last_event_id, head_timeout_ms
-            )
-        finally:
-            view.tokens_unread -= unread
+        response = await _answered(
+            out, view, model_name, last_event_id, head_timeout_ms
+        )
+    except BaseException:
+        view.in_flight -= 1
+        raise
+    finally:
+        view.tokens_unread -= unread
+    try:
         yield _opened(out, view, response, sent_ms, model_name)
     finally:
         view.in_flight -= 1
-        if response is not None:
-            response.close()
+        response.close()
 
 
 async def _answered(
@@ -219,14 +231,38 @@
     return Opened(response, head, view, sent_ms)
 
 
+async def read_whole(out: Outgoing, opened: Opened, until_ms: float) -> bytes:
+    """Return an answer's body; raises ``AttemptError`` if it breaks off."""
+    left_ms = until_ms - clocks.monotonic_ms()
+    try:
+        async with asyncio.timeout(max(0, left_ms) / _MS_PER_S):
+            return await opened.response.read()
+    except TimeoutError as fault:
+        note_silent(out, opened)
+        raise AttemptError(
+            'answer did not end in time', 'no_answer', may_have_run=True
+        ) from fault
+    except (aiohttp.ClientError, OSError) as fault:
+        note_bad(out, opened, 'broken_answer')
+        raise AttemptError(
+            'answer broke off', 'broken_answer', may_have_run=True
+        ) from fault
+
+
+def response_with(opened: Opened, body: bytes) -> web.Response:
+    """Return an endpoint's answer for the caller."""
+    return web.Response(
+        status=opened.head.status,
+        body=body,
+        headers=multidict.CIMultiDict(opened.head.headers),
+    )
+
+
 def note_good(out: Outgoing, opened: Opened, *, is_slow: bool = False) -> None:
     """Count an answer that came whole."""
     opened.view.note_served()
-    control = out.gateway.control
-    if is_slow:
-        control.note_slow(opened.view, out.route.name)
-    else:
-        control.note_answer(opened.view, out.route.name, good=True)
+    answers = rollouts.Tally(slow=1) if is_slow else rollouts.Tally(good=1)
+    out.gateway.control.count(opened.view, out.route.name, answers)
     _ended(out, opened.view, 'slow' if is_slow else 'served')
 
 
@@ -238,7 +274,9 @@
 def note_bad(out: Outgoing, opened: Opened, outcome: str) -> None:
     """Count an answer that failed or broke off."""
     opened.view.note_failed()
-    out.gateway.control.note_answer(opened.view, out.route.name, good=False)
+    out.gateway.control.count(
+        opened.view, out.route.name, rollouts.Tally(bad=1)
+    )
     _ended(out, opened.view, outcome, status=opened.head.status)
 
 
@@ -270,7 +308,7 @@
     """
     if out.left_ms() > 0:
         view.note_lost(clocks.monotonic_ms())
-        out.gateway.control.note_slow(view, out.route.name)
+        out.gateway.control.count(view, out.route.name, rollouts.Tally(slow=1))
     _ended(out, view, 'no_answer')
 
 
@@ -279,7 +317,7 @@
 ) -> None:
     view.note_lost(clocks.monotonic_ms())
     if outcome != 'unreachable':
-        out.gateway.control.note_answer(view, out.route.name, good=False)
+        out.gateway.control.count(view, out.route.name, rollouts.Tally(bad=1))
     _ended(out, view, outcome, reason=reason)
 
 
--- a/packages/daemon/src/yuccarouter/gateway/choice.py
+++ b/packages/daemon/src/yuccarouter/gateway/choice.py
@@ -16,8 +16,8 @@
 # Bytes between data centres are the dearest of the platform's prices.
 _DISTANT_COST: Final = 0.04
 # Price of 1,000 shared tokens that are read again, against the worth of a
-# long prompt.
-_REREAD_COST_PER_1000: Final = 0.008
+# request with a long prompt.
+_REREAD_COST: Final = 0.008
 _FAILURE_COST: Final = 1.5
 _COLD_COST: Final = 0.15
 # Prefers one endpoint for a prompt that no endpoint is known to hold.
@@ -48,7 +48,7 @@
     cold_share_per_s: float
     cold_bounded: bool
     connections: int
-    model: str = ''
+    model_name: str = ''
     tokens: int = 0
     shared: tuple[model.PromptPart, ...] = ()
 
@@ -90,9 +90,7 @@
     )
 
 
-def is_usable(
-    view: endpoints.EndpointView, need: Need, now_ms: float
-) -> bool:
+def is_usable(view: endpoints.EndpointView, need: Need, now_ms: float) -> bool:
     """Return whether an endpoint may get the call at all."""
     announced = view.announced
     if announced.service != need.service or announced.is_draining:
@@ -122,7 +120,7 @@
     is_held = True
     for part in need.shared:
         total += part.tokens
-        is_held = is_held and (need.model, part.name) in view.cached
+        is_held = is_held and (need.model_name, part.name) in view.cached
         held += part.tokens if is_held else 0
     return total - held
 
@@ -168,7 +166,7 @@
 ) -> float:
     objective_ms = max(_MIN_OBJECTIVE_MS, need.objective_ms)
     lateness = expected_ms(view, need, now_ms) / objective_ms
-    cost = lateness * lateness
+    cost: float = lateness * lateness
     cost += _FAILURE_COST * view.failure_share
     if view.announced.data_centre != need.home:
         cost += _DISTANT_COST
@@ -177,7 +175,7 @@
     if view.occupancy(now_ms) >= view.announced.slots:
         cost += _FULL_COST
     missing = missing_tokens(view, need)
-    cost += missing / _TOKENS_PER_UNIT * _REREAD_COST_PER_1000
+    cost += missing / _TOKENS_PER_UNIT * _REREAD_COST
     if is_preferred:
         cost -= _PREFERRED_GAIN
     return cost
--- a/packages/daemon/src/yuccarouter/gateway/cold_limit.py
+++ b/packages/daemon/src/yuccarouter/gateway/cold_limit.py
@@ -22,9 +22,7 @@
     return _MARGIN * (cold_per_s * overshoot + slack) / max(1, daemons)
 
 
-def may_send(
-    sends_ms: deque[float], share_per_s: float, now_ms: float
-) -> bool:
+def may_send(sends_ms: deque[float], share_per_s: float, now_ms: float) -> bool:
     """Return whether one more request keeps to the share.
 
     A share below one request a second stretches the window instead.
--- a/packages/daemon/src/yuccarouter/gateway/connections.py
+++ b/packages/daemon/src/yuccarouter/gateway/connections.py
@@ -4,14 +4,19 @@
 
 import asyncio
 import functools
-from typing import Final
+import socket
+from typing import TYPE_CHECKING, Final
 
 import aiohttp
 from aiohttp import client_proto
 
+if TYPE_CHECKING:
+    from aiohappyeyeballs import AddrInfoType
+
 # Endpoints are a few milliseconds away; a lost opening packet is sent again
 # only after a second.
 CONNECT_TIMEOUT_S: Final = 0.4
+_STORE_IDLE_S: Final = 30.0
 _SKIPPED_HEADERS: Final = (
     'Accept',
     'Accept-Encoding',
@@ -19,6 +24,15 @@
     'User-Agent',
 )
 _MAX_LINE: Final = 65536
+# A peer that lost power or is cut off answers nothing, so that only probes
+# show it: after two seconds of silence, the least that whole seconds allow.
+_SOCKET_OPTIONS: Final = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2000),
+)
 
 
 class _Connection(client_proto.ResponseHandler):
@@ -37,6 +51,31 @@
         super().connection_lost(exc)
 
 
+def make_socket(address: AddrInfoType) -> socket.socket:
+    """Return a socket on which the silence of a lost peer is noticed."""
+    family, kind, protocol, *_ = address
+    made = socket.socket(family=family, type=kind, proto=protocol)
+    for level, option, setting in _SOCKET_OPTIONS:
+        made.setsockopt(level, option, setting)
+    return made
+
+
+def make_store_session() -> aiohttp.ClientSession:
+    """Return a session that keeps its connections, for calls to the store."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0,
+            happy_eyeballs_delay=None,
+            keepalive_timeout=_STORE_IDLE_S,
+            socket_factory=make_socket,
+        ),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        ),
+    )
+
+
 def make_session() -> aiohttp.ClientSession:
     """Return a session that opens a connection for each attempt.
 
@@ -51,10 +90,11 @@
         limit_per_host=0,
         use_dns_cache=False,
         happy_eyeballs_delay=None,
+        socket_factory=make_socket,
     )
-    connector._factory = functools.partial(  # noqa: SLF001
-        _Connection, loop=asyncio.get_running_loop()
-    )
+    factory = functools.partial(_Connection, loop=asyncio.get_running_loop())
+    # The library has no public way to give its connections a subclass.
+    connector._factory = factory  # type: ignore[assignment]  # noqa: WPS437
     return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/packages/daemon/src/yuccarouter/gateway/endpoints.py
+++ b/packages/daemon/src/yuccarouter/gateway/endpoints.py
@@ -161,9 +161,7 @@
             return
         now_ms = clocks.monotonic_ms()
         if now_ms < self._lapse_grace_until_ms:
-            view.gone_at_ms = min(
-                view.gone_at_ms, self._lapse_grace_until_ms
-            )
+            view.gone_at_ms = min(view.gone_at_ms, self._lapse_grace_until_ms)
             return
         self._drop(view)
 
--- a/packages/daemon/src/yuccarouter/gateway/front.py
+++ b/packages/daemon/src/yuccarouter/gateway/front.py
@@ -66,9 +66,7 @@
         task: asyncio.Task[None],
     ) -> web.BaseRequest:
         table = gateway.table
-        limit = (
-            table.configuration.limits.body_bytes if table else _BODY_BYTES
-        )
+        limit = table.configuration.limits.body_bytes if table else _BODY_BYTES
         return web.BaseRequest(
             message,
             payload,
@@ -194,7 +192,7 @@
 def _abort(request: web.BaseRequest) -> None:
     """Close a caller's connection, so that its answer can't look whole."""
     if request.transport is not None:
-        request.transport.abort()  # type: ignore[attr-defined]
+        request.transport.abort()
 
 
 def _log(
--- a/packages/daemon/src/yuccarouter/gateway/logs.py
+++ b/packages/daemon/src/yuccarouter/gateway/logs.py
@@ -48,7 +48,9 @@
         self._left -= 1
         for field in _LIBRARY_FIELDS:
             message.pop(field, None)
-        line = orjson.dumps(message, default=str) + b'\n'
+        line = orjson.dumps(
+            message, default=str, option=orjson.OPT_APPEND_NEWLINE
+        )
         self._waiting.append(line)
         self._waiting_bytes += len(line)
 
@@ -56,12 +58,10 @@
         """Write what waits, until cancelled."""
         while True:
             await asyncio.sleep(_FLUSH_S)
-            self._left = min(
-                _BURST_LINES, self._left + _LINES_PER_S * _FLUSH_S
-            )
+            self._left = min(_BURST_LINES, self._left + _LINES_PER_S * _FLUSH_S)
             if self._dropped and self._left >= 1:
-                dropped, self._dropped = self._dropped, 0
-                eliot.log_message('log_lines_dropped', count=dropped)
+                eliot.log_message('log_lines_dropped', count=self._dropped)
+                self._dropped = 0
             self.flush()
 
     def flush(self) -> None:
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -27,10 +27,8 @@
 _MAX_DATAGRAM: Final = 8000
 _RECORDS_PATH: Final = '/records'
 _RECORDS_TIMEOUT_S: Final = 0.8
-# Records are asked of peers once the store has not answered for this long.
-_STORE_AGE_MS: Final = 700.0
-# A peer whose own contact to the store is older has nothing newer to tell.
-_PEER_STORE_AGE_MS: Final = 1500.0
+# Records reach all daemons within a few hundred milliseconds.
+_OVERDUE_MS: Final = 600.0
 
 
 @attrs.define
@@ -39,7 +37,7 @@
 
     address: model.Address
     heard_ms: float
-    store_age_ms: float
+    newest: dict[str, int]
 
 
 class Exchange(asyncio.DatagramProtocol):
@@ -75,7 +73,7 @@
             self.heard[name] = Peer(
                 address=model.Address(sender[0], sender[1]),
                 heard_ms=clocks.monotonic_ms(),
-                store_age_ms=float(digest['store_age_ms']),
+                newest=dict(digest['newest']),
             )
             self._receive(name, digest)
         except (records.ShapeError, LookupError, TypeError, ValueError) as bad:
@@ -141,34 +139,66 @@
     exchange: Exchange,
     followed: list[topics.Topic],
 ) -> None:
-    """Fetch records from peers while the store does not answer."""
-    turn = 0
+    """Fetch the records that peers have and this daemon lacks.
+
+    The store may answer others only, and a call that waits for a record may
+    have lost its connection.
+    """
+    lacks = {topic.name: Lack() for topic in followed}
     while True:
         await asyncio.sleep(_INTERVAL_S)
-        fresh = [
-            peer
-            for peer in exchange.live_peers()
-            if peer.store_age_ms < _PEER_STORE_AGE_MS
-        ]
-        if not fresh:
-            continue
-        turn += 1
-        peer = fresh[turn % len(fresh)]
         for topic in followed:
-            if topic.is_failing and topic.age_ms() > _STORE_AGE_MS:
+            peer = _ahead(exchange, topic)
+            newest = -1 if peer is None else peer.newest[topic.name]
+            is_overdue = lacks[topic.name].is_overdue(
+                topic, newest, clocks.monotonic_ms()
+            )
+            if peer is not None and is_overdue:
                 await _fetch(session, peer, topic)
 
 
+@attrs.define
+class Lack:
+    """A record that peers had first, and since when they are known to."""
+
+    offset: int = -1
+    since_ms: float = 0
+
+    def is_overdue(
+        self, topic: topics.Topic, newest: int, now_ms: float
+    ) -> bool:
+        """Return whether a record should have been read from the store.
+
+        ``newest`` is the newest record of peers, -1 where none is ahead.
+        """
+        if topic.table.newest_offset >= self.offset:
+            self.offset = newest
+            self.since_ms = now_ms
+        usual_ms = topic.interval_ms + _OVERDUE_MS
+        return self.offset >= 0 and now_ms - self.since_ms >= usual_ms
+
+
+def _ahead(exchange: Exchange, topic: topics.Topic) -> Peer | None:
+    """Return the live peer that knows most, if it knows more."""
+    best = max(
+        exchange.live_peers(),
+        key=lambda peer: peer.newest.get(topic.name, -1),
+        default=None,
+    )
+    if best is None:
+        return None
+    newest = best.newest.get(topic.name, -1)
+    return best if newest > topic.table.newest_offset else None
+
+
 async def _fetch(
     session: aiohttp.ClientSession, peer: Peer, topic: topics.Topic
 ) -> None:
-    newest = max(
-        (entry.offset + 1 for entry in topic.table.entries.values()), default=0
-    )
+    since = topic.table.newest_offset + 1
     try:
         async with session.get(
             f'http://{peer.address}{_RECORDS_PATH}',
-            params={'topic': topic.name, 'from': str(newest)},
+            params={'topic': topic.name, 'from': str(since)},
             timeout=aiohttp.ClientTimeout(total=_RECORDS_TIMEOUT_S),
         ) as answer:
             rows = records.loads(await answer.read())
--- a/packages/daemon/src/yuccarouter/gateway/ports.py
+++ b/packages/daemon/src/yuccarouter/gateway/ports.py
@@ -98,9 +98,7 @@
 
     topics: Topics
     decode_call: Callable[[web.BaseRequest], model.Call]
-    encode_attempt: Callable[
-        [model.Call, Attempt], tuple[tuple[str, str], ...]
-    ]
+    encode_attempt: Callable[[model.Call, Attempt], tuple[tuple[str, str], ...]]
     decode_answer: Callable[[aiohttp.ClientResponse], model.AnswerHead]
     decode_configuration: Callable[[Entry], model.Configuration | None]
     decode_order: Callable[[Entry], model.RolloutOrder | None]
--- a/packages/daemon/src/yuccarouter/gateway/program.py
+++ b/packages/daemon/src/yuccarouter/gateway/program.py
@@ -56,10 +56,24 @@
 
 
 @attrs.define
-class _Servers:
-    callers: web.Server[web.BaseRequest]
+class _Running:
+    """The servers and tasks of a process."""
+
+    callers: web.Server
     callers_site: web.TCPSite
     runners: list[Any]
+    tasks: list[asyncio.Task[Any]] = attrs.field(factory=list)
+
+    def add(self, part: Coroutine[Any, Any, None]) -> None:
+        """Run a part until the process stops."""
+        self.tasks.append(asyncio.create_task(_supervised(part)))
+
+    async def stop(self) -> None:
+        """End the tasks, and the servers that were started last first."""
+        for task in self.tasks:
+            task.cancel()
+        for runner in reversed(self.runners):
+            await runner.cleanup()
 
 
 async def serve(
@@ -76,41 +90,25 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     eliot.log_message('started', name=conf.name, data_centre=conf.data_centre)
-    async with connections.make_session() as session:
-        async with _store_session() as store_session:
-            store = make_store(store_session, conf)
-            gateway = _make_gateway(conf, platform, session)
-            followed = _follow(gateway, store)
-            servers = await _listen(gateway, followed)
-            tasks = _start_tasks(
-                gateway, store, followed, store_session, log
-            )
-            reloading = _Reload(gateway, reload, settings_path)
-            loop.add_signal_handler(signal.SIGHUP, reloading.apply)
-            tasks.append(asyncio.create_task(reloading.run()))
-            await stop.wait()
-            await _drain(gateway, servers)
-            for task in tasks:
-                task.cancel()
-            for runner in reversed(servers.runners):
-                await runner.cleanup()
+    async with (
+        connections.make_session() as session,
+        connections.make_store_session() as store_session,
+    ):
+        gateway = _make_gateway(conf, platform, session)
+        reloading = _Reload(gateway, reload, settings_path)
+        loop.add_signal_handler(signal.SIGHUP, reloading.apply)
+        store = make_store(store_session, conf)
+        running = await _start(gateway, store, store_session)
+        running.add(reloading.run())
+        running.add(log.run())
+        await stop.wait()
+        await _drain(gateway, running)
+        await running.stop()
     eliot.log_message('stopped', name=conf.name)
     log.flush()
     return 0
 
 
-def _store_session() -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=0, happy_eyeballs_delay=None, keepalive_timeout=30
-        ),
-        cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(
-            total=None, sock_connect=connections.CONNECT_TIMEOUT_S
-        ),
-    )
-
-
 def _make_gateway(
     conf: settings.GatewaySettings,
     platform: ports.Platform,
@@ -136,13 +134,9 @@
     return sorted({*live, gateway.conf.name}).index(gateway.conf.name)
 
 
-def _follow(
-    gateway: state.Gateway, store: ports.Store
-) -> list[topics.Topic]:
+def _follow(gateway: state.Gateway, store: ports.Store) -> list[topics.Topic]:
     names = gateway.platform.topics
-    orders = topics.Topic(
-        names.orders, store, gateway.order_changed, _ignore
-    )
+    orders = topics.Topic(names.orders, store, gateway.order_changed, _ignore)
     gateway.orders_topic = orders
     interval_ms = gateway.conf.bounds.drain_ms / _DIRECTORY_READS_PER_BOUND
     return [
@@ -162,20 +156,25 @@
     """Do nothing when contact to the store is back."""
 
 
-async def _listen(
+async def _open_exchange(
     gateway: state.Gateway, followed: list[topics.Topic]
-) -> _Servers:
-    conf = gateway.conf
+) -> peers.Exchange:
     exchange = peers.Exchange(
         functools.partial(_digest, gateway, followed),
-        lambda name, digest: gateway.control.receive(
-            name, digest['rollouts']
-        ),
+        lambda name, digest: gateway.control.receive(name, digest['rollouts']),
     )
     gateway.exchange = exchange
+    address = gateway.conf.peer
     await asyncio.get_running_loop().create_datagram_endpoint(
-        lambda: exchange, local_addr=(conf.peer.host, conf.peer.port)
+        lambda: exchange, local_addr=(address.host, address.port)
     )
+    return exchange
+
+
+async def _listen(
+    gateway: state.Gateway, followed: list[topics.Topic]
+) -> _Running:
+    conf = gateway.conf
     callers = web.Server(
         front.make_handler(gateway),
         request_factory=front.make_request_factory(gateway),
@@ -199,7 +198,7 @@
         await _serve_app(_metrics_app(), conf.host, conf.metrics_port),
     ]
     await site.start()
-    return _Servers(callers, site, runners)
+    return _Running(callers, site, runners)
 
 
 def _digest(
@@ -207,9 +206,7 @@
 ) -> dict[str, Any]:
     return {
         'name': gateway.conf.name,
-        'store_age_ms': min(
-            1e9, max(topic.age_ms() for topic in followed)
-        ),
+        'newest': {topic.name: topic.table.newest_offset for topic in followed},
         'rollouts': gateway.control.digest(),
     }
 
@@ -227,9 +224,7 @@
 
 def _ready_app(gateway: state.Gateway) -> web.Application:
     async def ready(request: web.Request) -> web.Response:
-        return web.Response(
-            status=_READY if gateway.is_ready() else _NOT_READY
-        )
+        return web.Response(status=_READY if gateway.is_ready() else _NOT_READY)
 
     app = web.Application()
     app.router.add_get('/{path:.*}', ready)
@@ -245,26 +240,22 @@
     return app
 
 
-def _start_tasks(
+async def _start(
     gateway: state.Gateway,
     store: ports.Store,
-    followed: list[topics.Topic],
     session: aiohttp.ClientSession,
-    log: logs.LineLog,
-) -> list[asyncio.Task[Any]]:
-    exchange = gateway.exchange
-    if exchange is None:
-        return []
+) -> _Running:
+    followed = _follow(gateway, store)
+    exchange = await _open_exchange(gateway, followed)
+    running = await _listen(gateway, followed)
     state_topic = followed[-1]
-    work = [
-        *(topic.follow() for topic in followed),
-        exchange.run(),
-        peers.fetch_missed(session, exchange, followed),
-        gateway.control.run(store, state_topic),
-        _announce(gateway, store, state_topic),
-        log.run(),
-    ]
-    return [asyncio.create_task(_supervised(part)) for part in work]
+    for topic in followed:
+        running.add(topic.follow())
+    running.add(exchange.run())
+    running.add(peers.fetch_missed(session, exchange, followed))
+    running.add(gateway.control.run(store, state_topic))
+    running.add(_announce(gateway, store, state_topic))
+    return running
 
 
 async def _supervised(part: Coroutine[Any, Any, None]) -> None:
@@ -297,29 +288,27 @@
         await asyncio.sleep(_MEMBER_RETRY_S)
 
 
-async def _drain(gateway: state.Gateway, servers: _Servers) -> None:
+async def _drain(gateway: state.Gateway, running: _Running) -> None:
     """Let requests in progress finish and the balancer turn away."""
     gateway.is_draining = True
     eliot.log_message('draining', in_progress=gateway.in_progress)
     started_ms = clocks.monotonic_ms()
     grace_ms = gateway.conf.bounds.grace_ms * _DRAIN_PART
-    _close_connections(gateway, servers)
+    _close_connections(gateway, running)
     await asyncio.sleep(_BALANCER_S)
-    await servers.callers_site.stop()
-    _close_connections(gateway, servers)
-    while (
-        gateway.in_progress and clocks.monotonic_ms() - started_ms < grace_ms
-    ):
+    await running.callers_site.stop()
+    _close_connections(gateway, running)
+    while gateway.in_progress and clocks.monotonic_ms() - started_ms < grace_ms:
         await asyncio.sleep(_DRAIN_CHECK_S)
 
 
-def _close_connections(gateway: state.Gateway, servers: _Servers) -> None:
+def _close_connections(gateway: state.Gateway, running: _Running) -> None:
     """Close idle connections now and the others after their answer.
 
     A request on a kept connection could reach this daemon long after the
     balancer has turned away.
     """
-    for connection in servers.callers.connections:
+    for connection in running.callers.connections:
         if connection in gateway.busy_connections:
             connection.close()
         else:
--- a/packages/daemon/src/yuccarouter/gateway/rollout_control.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollout_control.py
@@ -10,7 +10,7 @@
 import eliot
 import orjson
 
-from yuccarouter.gateway import ports, rollouts, routes
+from yuccarouter.gateway import ports, rollouts, routes, usual_times
 from yuccarouter_common import clocks, records
 from yuccarouter_common.platform import errors
 
@@ -27,10 +27,6 @@
 _UNORDERED_WAIT_MS: Final = 1500.0
 # Pause after another daemon wrote first; reads may lag behind by seconds.
 _OVERTAKEN_MS: Final = 1000.0
-# An answer is slow from this many times the old version's usual time.
-_SLOW_FACTOR: Final = 4.0
-_MIN_SLOW_MS: Final = 250.0
-_USUAL_WEIGHT: Final = 0.1
 
 
 @attrs.define
@@ -71,9 +67,7 @@
 
     def __init__(
         self,
-        encode_status: Callable[
-            [model.RolloutOrder, str], tuple[str, bytes]
-        ],
+        encode_status: Callable[[model.RolloutOrder, str], tuple[str, bytes]],
         exposure_share: float,
         turn: Callable[[], int],
     ) -> None:
@@ -83,7 +77,7 @@
         self._rollouts: dict[str, Rollout] = {}
         self._phases: dict[str, dict[str, Any]] = {}
         self._first_seen_ms: dict[tuple[str, str], float] = {}
-        self._usual_ms: dict[str, float] = {}
+        self._usual = usual_times.UsualTimes()
         self._started_ms = clocks.monotonic_ms()
 
     def ordered(self, order: model.RolloutOrder) -> None:
@@ -102,10 +96,6 @@
         )
         self._apply_phase(rollout)
 
-    def withdrawn(self, service: str) -> None:
-        """Keep the last phase of an order whose record was removed."""
-        eliot.log_message('rollout_order_removed', service=service)
-
     def state_changed(self, entry: ports.Entry) -> None:
         """Take in a phase that some daemon wrote."""
         if not entry.key.startswith(_PHASE_PREFIX) or not entry.value:
@@ -125,7 +115,10 @@
             self._apply_phase(rollout)
 
     def versions(
-        self, service: str, session: str, views: Iterable[endpoints.EndpointView]
+        self,
+        service: str,
+        session: str,
+        views: Iterable[endpoints.EndpointView],
     ) -> frozenset[str]:
         """Return the versions that a call of ``session`` may use.
 
@@ -149,16 +142,9 @@
         if rollout.wanted is rollouts.Phase.ROLLED_BACK:
             share = 0
         if routes.draw_for(f'{rollout.order.number}/{session}') < share:
-            return frozenset((target,)) & present or self._others(
-                rollout, present
-            )
+            return frozenset((target,)) & present or _others(rollout, present)
         return frozenset(present - {target})
 
-    def _others(self, rollout: Rollout, present: set[str]) -> frozenset[str]:
-        if rollout.phase is rollouts.Phase.COMPLETED:
-            return frozenset()
-        return frozenset(present - {rollout.order.target})
-
     def fallback_versions(self, service: str, session: str) -> frozenset[str]:
         """Return versions to use when the drawn ones have no endpoint."""
         rollout = self._rollouts.get(service)
@@ -169,19 +155,11 @@
                 return frozenset((rollout.order.target,))
         return frozenset()
 
-    def note_answer(
-        self, view: endpoints.EndpointView, route: str, *, good: bool
+    def count(
+        self, view: endpoints.EndpointView, route: str, answers: rollouts.Tally
     ) -> None:
-        """Count an answer as evidence in a roll-out of its service."""
-        tally = self._tally(view, route)
-        if good:
-            tally.good += 1
-        else:
-            tally.bad += 1
-
-    def note_slow(self, view: endpoints.EndpointView, route: str) -> None:
-        """Count an answer that was slow or did not come in time."""
-        self._tally(view, route).slow += 1
+        """Count answers as evidence in a roll-out of their service."""
+        self._tally(view, route).add(answers)
 
     def _tally(
         self, view: endpoints.EndpointView, route: str
@@ -201,21 +179,12 @@
         ``key`` names answers that take alike. Answers of the old version set
         the usual time.
         """
+        is_slow = self._usual.is_slow(key, elapsed_ms)
         rollout = self._rollouts.get(view.announced.service)
-        usual_ms = self._usual_ms.get(key)
-        if rollout is not None and (
-            view.announced.version == rollout.order.target
-        ):
-            return usual_ms is not None and elapsed_ms > max(
-                _MIN_SLOW_MS, _SLOW_FACTOR * usual_ms
-            )
-        if usual_ms is None:
-            self._usual_ms[key] = elapsed_ms
-        else:
-            self._usual_ms[key] += _USUAL_WEIGHT * (elapsed_ms - usual_ms)
-        return usual_ms is not None and elapsed_ms > max(
-            _MIN_SLOW_MS, _SLOW_FACTOR * usual_ms
-        )
+        target = None if rollout is None else rollout.order.target
+        if view.announced.version != target:
+            self._usual.note(key, elapsed_ms)
+        return is_slow
 
     def digest(self) -> list[Any]:
         """Return this daemon's evidence, for peers."""
@@ -243,9 +212,15 @@
         """Take the steps that are due until cancelled."""
         while True:
             await asyncio.sleep(_TICK_S)
-            for rollout in list(self._rollouts.values()):
-                if self._is_due(rollout, clocks.monotonic_ms()):
-                    await self._write(store, state, rollout)
+            await self.take_due_steps(store, state)
+
+    async def take_due_steps(
+        self, store: ports.Store, state: topics.Topic
+    ) -> None:
+        """Write the steps that are due by now."""
+        for rollout in list(self._rollouts.values()):
+            if self._is_due(rollout, clocks.monotonic_ms()):
+                await self._write(store, state, rollout)
 
     def _is_due(self, rollout: Rollout, now_ms: float) -> bool:
         if rollout.phase.is_final:
@@ -341,6 +316,13 @@
         return now_ms - first_ms >= _UNORDERED_WAIT_MS
 
 
+def _others(rollout: Rollout, present: set[str]) -> frozenset[str]:
+    """Return what serves while the new version has no endpoint."""
+    if rollout.phase is rollouts.Phase.COMPLETED:
+        return frozenset()
+    return frozenset(present - {rollout.order.target})
+
+
 def _counts(tallies: Any) -> dict[str, list[int]]:
     return {
         route: [tally.good, tally.bad, tally.slow]
--- a/packages/daemon/src/yuccarouter/gateway/rollouts.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollouts.py
@@ -153,9 +153,7 @@
 def _tail(bad: int, total: int, share: float) -> float:
     """Return the chance of ``bad`` or more bad answers of ``total``."""
     return sum(
-        math.comb(total, count)
-        * share**count
-        * (1 - share) ** (total - count)
+        math.comb(total, count) * share**count * (1 - share) ** (total - count)
         for count in range(bad, total + 1)
     )
 
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -96,9 +96,7 @@
             order = platform.decode_order(entry)
             evacuated = platform.decode_evacuation(entry)
         except records.ShapeError as fault:
-            eliot.log_message(
-                'bad_order', key=entry.key, reason=fault.message
-            )
+            eliot.log_message('bad_order', key=entry.key, reason=fault.message)
             return
         if configuration is not None:
             self._configure(configuration)
@@ -173,7 +171,7 @@
                 if kind and kind.max_connections
                 else 0
             ),
-            model=model_name,
+            model_name=model_name,
             tokens=model.prompt_tokens(call),
             shared=generation.parts[:-1] if generation else (),
         )
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -11,23 +11,29 @@
 import multidict
 from aiohttp import web
 
-from yuccarouter.gateway import attempts, events, patience, refusing, sizes
-from yuccarouter_common import clocks
+from yuccarouter.gateway import attempts, events, patience, repeating, sizes
+from yuccarouter_common import clocks, errors, refusals
 
 if TYPE_CHECKING:
     from yuccarouter.gateway import choice
 
 _MS_PER_S: Final = 1000
-_SERVER_ERROR: Final = 500
 _OK: Final = 200
-_MAX_SENDS: Final = 8
 # Longest pause that is on time where the route names none.
 _DEFAULT_PAUSE_MS: Final = 2000.0
 
 
-class StreamBrokenError(Exception):
+class StreamBrokenError(errors.RouterError):
     """The caller's stream ended before its last event."""
 
+    code = 'stream_broken'
+
+
+class EndpointGoneError(errors.RouterError):
+    """The connection to the endpoint failed; the caller's one is whole."""
+
+    code = 'endpoint_gone'
+
 
 @attrs.define
 class Relay:
@@ -66,28 +72,18 @@
     ``StreamBrokenError`` after that.
     """
     relay = Relay(out, request, _plan(out), _buffer(out))
-    lost: attempts.AttemptError | None = None
-    failure: web.Response | None = None
-    while out.left_ms() > 0 and out.sends < _MAX_SENDS:
-        chosen = _next_endpoint(relay)
-        if chosen is None:
-            break
-        try:
-            answer = await _attempt(relay, chosen)
-        except attempts.AttemptError as fault:
-            lost = fault if lost is None or fault.may_have_run else lost
-            if fault.may_have_run and not out.route.is_idempotent:
-                break
-            continue
-        if answer is None:
-            continue
-        if isinstance(answer, web.Response):
-            if answer.status < _SERVER_ERROR or not out.route.is_idempotent:
-                return answer
-            failure = answer
-            continue
-        return answer
-    if relay.response is not None:
+
+    async def attempt(chosen: choice.Choice) -> web.StreamResponse | None:
+        return await _attempt(relay, chosen)
+
+    def choose() -> choice.Choice | None:
+        return _next_endpoint(relay)
+
+    try:
+        return await repeating.until_answered(out, choose, attempt)
+    except refusals.RefusalError as refusal:
+        if relay.response is None:
+            raise
         eliot.log_message(
             'stream_broken',
             request=out.call.request_id,
@@ -95,10 +91,7 @@
             attempts=out.sends,
             left_ms=round(out.left_ms()),
         )
-        raise StreamBrokenError
-    if failure is not None:
-        return failure
-    raise refusing.after_attempts(out, lost)
+        raise StreamBrokenError('stream ended early') from refusal
 
 
 def _plan(out: attempts.Outgoing) -> sizes.Plan:
@@ -115,18 +108,11 @@
 
 def _next_endpoint(relay: Relay) -> choice.Choice | None:
     out = relay.out
-    if out.runs >= out.route.max_attempts:
-        return None
-    if out.sends and not out.take_repeat():
-        return None
-    chosen = out.gateway.choose(
-        out.call, out.route, out.service, out.tried, relay.model
-    )
+    chosen = out.next_endpoint(relay.model)
     if chosen is None and relay.response is not None:
         # A stream that was begun may go on where it broke before.
-        chosen = out.gateway.choose(
-            out.call, out.route, out.service, frozenset(), relay.model
-        )
+        out.tried = frozenset()
+        chosen = out.next_endpoint(relay.model)
     return chosen
 
 
@@ -142,100 +128,107 @@
     relay.buffer.restart()
     unread = attempts.unread_tokens(out.call, chosen)
     usual = out.gateway.patience_for(out.route, relay.model)
-    may_move = out.may_run_again(after=1)
     wait_ms = out.left_ms()
-    if may_move:
-        wait_ms = min(
-            wait_ms, usual.first_ms(unread, out.route.objective_ms)
-        )
+    if out.may_run_again(after=1):
+        usual_ms = usual.first_ms(unread, out.route.objective_ms)
+        wait_ms = min(wait_ms, usual_ms)
     async with attempts.open_attempt(
         out, chosen, relay.model, relay.resume_id, wait_ms
     ) as opened:
         usual.note(clocks.monotonic_ms() - opened.sent_ms, unread)
         if opened.head.status != _OK:
-            return await _failure(out, opened)
-        confidence = opened.head.confidence
-        if relay.response is None and not relay.plan.accepts(
-            relay.step, confidence
-        ):
-            if out.take_repeat(is_optional=True):
-                eliot.log_message(
-                    'answer_escalated',
-                    request=out.call.request_id,
-                    model=relay.model,
-                    confidence=confidence,
-                )
-                relay.step += 1
-                out.tried = frozenset()
-                out.has_budget = True
-                return None
-        return await _relay(relay, opened)
-
-
-async def _failure(
-    out: attempts.Outgoing, opened: attempts.Opened
-) -> web.Response:
-    try:
-        async with asyncio.timeout(max(0, out.left_ms()) / _MS_PER_S):
-            body = await opened.response.read()
-    except (aiohttp.ClientError, TimeoutError, OSError) as fault:
-        attempts.note_bad(out, opened, 'broken_answer')
-        raise attempts.AttemptError(
-            'answer broke off', 'broken_answer', may_have_run=True
-        ) from fault
-    attempts.note_bad(out, opened, 'failed')
-    return web.Response(
-        status=opened.head.status,
-        body=body,
-        headers=multidict.CIMultiDict(opened.head.headers),
+            return await _failure(relay, opened)
+        if _must_escalate(relay, opened.head.confidence):
+            return None
+        await _relay(relay, opened)
+        return relay.response
+
+
+def _must_escalate(relay: Relay, confidence: float | None) -> bool:
+    """Turn to a larger model if this one's answer may be wrong."""
+    out = relay.out
+    if relay.response is not None:
+        return False
+    if relay.plan.accepts(relay.step, confidence):
+        return False
+    if not out.may_run_again(after=0) or not out.take_repeat(is_optional=True):
+        return False
+    eliot.log_message(
+        'answer_escalated',
+        request=out.call.request_id,
+        model=relay.model,
+        confidence=confidence,
     )
+    relay.step += 1
+    out.tried = frozenset()
+    out.has_budget = True
+    return True
 
 
-async def _relay(
-    relay: Relay, opened: attempts.Opened
-) -> web.StreamResponse:
+async def _failure(relay: Relay, opened: attempts.Opened) -> web.StreamResponse:
     out = relay.out
-    pause_ms = out.left_ms()
-    if out.may_run_again(after=0):
-        pause_ms = patience.pause_ms(
-            out.route.gap_objective_ms or _DEFAULT_PAUSE_MS
+    until_ms = clocks.monotonic_ms() + out.left_ms()
+    body = await attempts.read_whole(out, opened, until_ms)
+    attempts.note_bad(out, opened, 'failed')
+    if relay.response is not None:
+        raise attempts.AttemptError(
+            'stream was not resumed', 'failed', may_have_run=True
         )
-    first_ms: float | None = None
+    return attempts.response_with(opened, body)
+
+
+async def _relay(relay: Relay, opened: attempts.Opened) -> None:
+    """Pass on all events; raises ``AttemptError`` if the stream breaks."""
+    out = relay.out
     try:
-        while True:
-            async with asyncio.timeout(
-                max(0, min(pause_ms, out.left_ms())) / _MS_PER_S
-            ):
-                chunk = await opened.response.content.readany()
-            if not chunk:
-                break
-            if first_ms is None:
-                first_ms = clocks.monotonic_ms() - opened.sent_ms
-            whole = relay.buffer.feed(chunk)
-            if whole:
-                await _write(relay, opened, whole)
-        if not relay.buffer.is_clean or relay.response is None:
-            raise events.OrderError('stream ended within an event')
+        first_ms = await _pass_events(relay, opened)
     except TimeoutError as fault:
         attempts.note_silent(out, opened)
         raise attempts.AttemptError(
             'stream went silent', 'silent_stream', may_have_run=True
         ) from fault
-    except (aiohttp.ClientError, OSError, events.OrderError) as fault:
+    except (aiohttp.ClientError, events.OrderError, EndpointGoneError) as fault:
         attempts.note_bad(out, opened, f'broken_stream {fault}')
         raise attempts.AttemptError(
             'stream broke off', 'broken_stream', may_have_run=True
         ) from fault
-    attempts.note_good(
-        out, opened, is_slow=_is_slow(relay, opened, first_ms or 0)
-    )
-    await relay.response.write_eof()
-    return relay.response
+    attempts.note_good(out, opened, is_slow=_is_slow(relay, opened, first_ms))
+    if relay.response is not None:
+        await relay.response.write_eof()
+
+
+async def _pass_events(relay: Relay, opened: attempts.Opened) -> float:
+    """Return the time to the first event, once the stream has ended."""
+    out = relay.out
+    gap_ms = out.route.gap_objective_ms or _DEFAULT_PAUSE_MS
+    pause_ms = out.left_ms()
+    if out.may_run_again(after=0):
+        pause_ms = patience.pause_ms(gap_ms)
+    first_ms: float = 0
+    while True:
+        chunk = await _next_chunk(opened, min(pause_ms, out.left_ms()))
+        if not chunk:
+            break
+        first_ms = first_ms or clocks.monotonic_ms() - opened.sent_ms
+        whole = relay.buffer.feed(chunk)
+        if whole:
+            await _write(relay, opened, whole)
+    if not relay.buffer.is_clean or relay.response is None:
+        raise events.OrderError('stream ended within an event')
+    return first_ms
+
+
+async def _next_chunk(opened: attempts.Opened, pause_ms: float) -> bytes:
+    try:
+        async with asyncio.timeout(max(0, pause_ms) / _MS_PER_S):
+            return await opened.response.content.readany()
+    except OSError as fault:
+        if isinstance(fault, TimeoutError):
+            raise
+        raise EndpointGoneError(str(fault)) from fault
 
 
-async def _write(
-    relay: Relay, opened: attempts.Opened, whole: bytes
-) -> None:
+async def _write(relay: Relay, opened: attempts.Opened, whole: bytes) -> None:
     if relay.response is None:
         relay.response = web.StreamResponse(
             status=opened.head.status,
@@ -244,13 +237,11 @@
         if relay.out.gateway.is_draining:
             relay.response.force_close()
         relay.response.enable_chunked_encoding()
-        await relay.response.prepare(relay.request)  # type: ignore[arg-type]
+        await relay.response.prepare(relay.request)
     await relay.response.write(whole)
 
 
-def _is_slow(
-    relay: Relay, opened: attempts.Opened, first_ms: float
-) -> bool:
+def _is_slow(relay: Relay, opened: attempts.Opened, first_ms: float) -> bool:
     return relay.out.gateway.control.is_slow(
         opened.view, f'{relay.out.route.name}/{relay.model}', first_ms
     )
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -35,6 +35,7 @@
 
     entries: dict[str, ports.Entry] = attrs.field(factory=dict)
     next_offset: int = 0
+    newest_offset: int = -1
 
     def apply(self, entry: ports.Entry) -> bool:
         """Keep a record unless a newer one of its key is known."""
@@ -42,6 +43,7 @@
         if known is not None and known.offset >= entry.offset:
             return False
         self.entries[entry.key] = entry
+        self.newest_offset = max(self.newest_offset, entry.offset)
         return True
 
     def missing(self, present: frozenset[str]) -> list[ports.Entry]:
--- /dev/null
+++ b/packages/daemon/tests/gateway/gateway_makers.py
@@ -0,0 +1,68 @@
+"""Makers of what the gateway's modules take."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from yuccarouter.gateway import choice, endpoints, model, ports
+
+
+def announcement(name: str = 'e1', **fields: Any) -> model.Announcement:
+    shown = {
+        'service': 'engine',
+        'address': model.Address('10.0.0.1', 80),
+        'data_centre': 'a',
+        'version': 'v1',
+        'slots': 64,
+        'is_draining': False,
+        'cold_left_ms': 0,
+        'incarnation': model.Incarnation(1, 1),
+        **fields,
+    }
+    return model.Announcement(endpoint=name, **shown)
+
+
+def view(name: str = 'e1', **fields: Any) -> endpoints.EndpointView:
+    shown = {
+        key: fields.pop(key)
+        for key in list(fields)
+        if hasattr(attrs.fields(model.Announcement), key)
+    }
+    return endpoints.EndpointView(announcement(name, **shown), **fields)
+
+
+def need(**fields: Any) -> choice.Need:
+    shown = {
+        'service': 'engine',
+        'objective_ms': 2000,
+        'versions': None,
+        'tried': frozenset(),
+        'out_of_service': frozenset(),
+        'home': 'a',
+        'cold_share_per_s': 4.0,
+        'cold_bounded': True,
+        'connections': 0,
+        **fields,
+    }
+    return choice.Need(**shown)
+
+
+def order(number: int = 1, **fields: Any) -> model.RolloutOrder:
+    shown = {'service': 'engine', 'target': 'v2', 'ramp_ms': 24_000, **fields}
+    return model.RolloutOrder(number=number, **shown)
+
+
+def entry(key: str, value: bytes = b'x', offset: int = 0) -> ports.Entry:
+    return ports.Entry(key, value, offset)
+
+
+class Clock:
+    """A clock that only tests move."""
+
+    def __init__(self) -> None:
+        self.now_ms = 1_000_000.0
+
+    def __call__(self) -> float:
+        return self.now_ms
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_limits.py
@@ -0,0 +1,76 @@
+"""Tests of limits that hold for all daemons together."""
+
+from __future__ import annotations
+
+import collections
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from yuccarouter.gateway import cold_limit, repeat_budget
+
+RATIO = 0.9
+SLACK = 56.0
+WINDOW_MS = 10_000.0
+
+
+@hypothesis.given(
+    daemons=st.integers(1, 40),
+    events=st.lists(
+        st.tuples(st.integers(0, 39), st.integers(0, 300), st.integers(0, 3)),
+        max_size=400,
+    ),
+)
+def test_sum_of_repeats_keeps_the_bound(
+    daemons: int, events: list[tuple[int, int, int]]
+) -> None:
+    """Guards against daemons that each keep a bound which their sum breaks."""
+    budgets = [
+        repeat_budget.RepeatBudget(RATIO, SLACK, WINDOW_MS)
+        for _ in range(daemons)
+    ]
+    now_ms = 0.0
+    requests: list[float] = []
+    repeats: list[float] = []
+    for daemon, pause_ms, wanted in events:
+        now_ms += pause_ms
+        budget = budgets[daemon % daemons]
+        budget.note_request('s', now_ms)
+        requests.append(now_ms)
+        for _ in range(wanted):
+            if budget.take('s', now_ms, daemons):
+                repeats.append(now_ms)
+        since_ms = now_ms - WINDOW_MS
+        recent = sum(1 for time_ms in requests if time_ms > since_ms)
+        repeated = sum(1 for time_ms in repeats if time_ms > since_ms)
+        assert repeated <= RATIO * recent + SLACK
+
+
+def test_optional_repeats_leave_a_reserve() -> None:
+    """Guards against escalations that use up what failures need."""
+    budget = repeat_budget.RepeatBudget(RATIO, SLACK, WINDOW_MS)
+    while budget.take('s', 0, 1, reserve_share=0.3):
+        continue
+    assert budget.take('s', 0, 1)
+
+
+@pytest.mark.parametrize('daemons', [1, 4, 17, 30])
+def test_sum_of_cold_shares_keeps_the_bound(daemons: int) -> None:
+    """Guards against a cold endpoint that all daemons find at once."""
+    bound = 7.8 * 1.5 + 5
+    share = cold_limit.own_share_per_s(7.8, 1.5, 5, daemons)
+    sends: list[collections.deque[float]] = [
+        collections.deque() for _ in range(daemons)
+    ]
+    arrivals: list[float] = []
+    for now_ms in range(0, 5000, 20):
+        for own in sends:
+            if cold_limit.may_send(own, share, now_ms):
+                own.append(now_ms)
+                arrivals.append(now_ms)
+    # A share below one a second lets each daemon send one at first.
+    limit = max(bound, daemons)
+    for start_ms in range(0, 4000, 100):
+        within = [at for at in arrivals if start_ms <= at < start_ms + 1000]
+        assert len(within) <= limit
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_rollout_control.py
@@ -0,0 +1,259 @@
+"""Tests of daemons that move a roll-out on together."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any
+
+import gateway_makers as make
+import gateway_store
+import hypothesis
+import orjson
+import pytest
+from hypothesis import strategies as st
+
+from yuccarouter.gateway import model, rollout_control, rollouts, topics
+from yuccarouter_common import clocks
+
+STATE = 'state'
+STATUS = 'status/engine'
+
+
+def encode_status(order: model.RolloutOrder, state: str) -> tuple[str, bytes]:
+    return STATUS, orjson.dumps({'state': state, 'target': order.target})
+
+
+class Daemon:
+    """A daemon's part of a roll-out, driven step by step."""
+
+    def __init__(self, store: gateway_store.MemoryStore, turn: int = 0) -> None:
+        self.store = store
+        self.control = rollout_control.RolloutControl(
+            encode_status, 0.15, lambda: turn
+        )
+        self.topic = topics.Topic(
+            STATE, store, self.control.state_changed, lambda away_ms: None
+        )
+
+    async def read(self) -> None:
+        """Read the shared state once."""
+        task = asyncio.create_task(self.topic.follow())
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+    async def step(self) -> None:
+        """Take the steps that are due."""
+        await self.control.take_due_steps(self.store, self.topic)
+
+    def answers(self, version: str, good: int, bad: int = 0) -> None:
+        """Count answers of a version."""
+        view = make.view(version, version=version)
+        self.control.count(view, 'r', rollouts.Tally(good, bad))
+
+    def share(self, views: list[Any]) -> float:
+        """Return the share of sessions that use the new version."""
+        drawn = [
+            self.control.versions('engine', f's{number}', views)
+            for number in range(400)
+        ]
+        return sum('v2' in versions for versions in drawn) / len(drawn)
+
+
+def state_of(store: gateway_store.MemoryStore) -> str:
+    return str(orjson.loads(store.latest(STATE)[STATUS])['state'])
+
+
+def both_versions() -> list[Any]:
+    return [make.view('e1', version='v1'), make.view('e2', version='v2')]
+
+
+async def advance(
+    clock: make.Clock, daemons: list[Daemon], by_ms: float
+) -> None:
+    clock.now_ms += by_ms
+    for daemon in daemons:
+        await daemon.step()
+        for other in daemons:
+            await other.read()
+
+
+async def start(clock: make.Clock, count: int = 2) -> list[Daemon]:
+    store = gateway_store.MemoryStore()
+    daemons = [Daemon(store, turn) for turn in range(count)]
+    for daemon in daemons:
+        daemon.control.ordered(make.order())
+        await daemon.read()
+    await advance(clock, daemons, 10)
+    return daemons
+
+
+async def test_good_version_completes(clock: make.Clock) -> None:
+    """Guards against a roll-out that stops halfway."""
+    daemons = await start(clock)
+    shares = [daemons[1].share(both_versions())]
+    assert state_of(daemons[0].store) == 'running'
+    for _ in range(60):
+        daemons[0].answers('v2', 3)
+        daemons[0].answers('v1', 10)
+        await advance(clock, daemons, 400)
+        shares.append(daemons[1].share(both_versions()))
+    assert state_of(daemons[0].store) == 'completed'
+    assert shares == sorted(shares)
+    assert shares[0] < 0.15
+    assert shares[-1] == 1
+
+
+async def test_bad_version_is_withdrawn(clock: make.Clock) -> None:
+    """Guards against a bad version that a daemon goes on using."""
+    daemons = await start(clock)
+    daemons[0].answers('v1', 100)
+    daemons[0].answers('v2', 3, bad=8)
+    await advance(clock, daemons, 300)
+    assert state_of(daemons[0].store) == 'rolled_back'
+    for daemon in daemons:
+        assert daemon.share(both_versions()) == 0
+        assert daemon.control.versions('engine', 's', both_versions()) == {'v1'}
+
+
+async def test_evidence_of_peers_counts(clock: make.Clock) -> None:
+    """Guards against daemons that each see too little to tell."""
+    daemons = await start(clock)
+    for number, daemon in enumerate(daemons):
+        daemon.answers('v1', 100)
+        daemon.answers('v2', 2, bad=4)
+        other = daemons[1 - number]
+        other.control.receive(f'd{number}', daemon.control.digest())
+    await advance(clock, daemons, 300)
+    assert state_of(daemons[0].store) == 'rolled_back'
+
+
+async def test_store_away_while_harm_is_found(clock: make.Clock) -> None:
+    """Guards against going on with a bad version until the store is back."""
+    daemons = await start(clock)
+    daemons[0].answers('v1', 100)
+    daemons[0].answers('v2', 2, bad=9)
+    daemons[0].store.faults = ['away'] * 4
+    await advance(clock, daemons, 300)
+    assert state_of(daemons[0].store) == 'running'
+    assert daemons[0].share(both_versions()) == 0
+    daemons[0].store.faults = []
+    await advance(clock, daemons, 2000)
+    await advance(clock, daemons, 2000)
+    assert state_of(daemons[0].store) == 'rolled_back'
+
+
+async def test_restarted_daemon_goes_on(clock: make.Clock) -> None:
+    """Guards against starting a withdrawn version once more."""
+    daemons = await start(clock)
+    daemons[0].answers('v1', 100)
+    daemons[0].answers('v2', 2, bad=9)
+    await advance(clock, daemons, 300)
+    fresh = Daemon(daemons[0].store)
+    fresh.control.ordered(make.order())
+    await fresh.read()
+    assert fresh.share(both_versions()) == 0
+
+
+async def test_second_order(clock: make.Clock) -> None:
+    """Guards against the phase of an earlier order holding for the next."""
+    daemons = await start(clock)
+    daemons[0].answers('v1', 100)
+    daemons[0].answers('v2', 2, bad=9)
+    await advance(clock, daemons, 300)
+    for daemon in daemons:
+        daemon.control.ordered(make.order(number=9, target='v3'))
+    await advance(clock, daemons, 300)
+    assert state_of(daemons[0].store) == 'running'
+    views = [*both_versions(), make.view('e3', version='v3')]
+    drawn = {
+        version
+        for number in range(300)
+        for version in daemons[0].control.versions(
+            'engine', f's{number}', views
+        )
+    }
+    assert 'v3' in drawn
+
+
+def test_version_without_an_order_waits(clock: make.Clock) -> None:
+    """Guards against full traffic for a version whose order is not read yet."""
+    control = rollout_control.RolloutControl(encode_status, 0.15, lambda: 0)
+    assert control.versions('engine', 's', both_versions()[:1]) == {'v1'}
+    clock.now_ms += 5000
+    assert control.versions('engine', 's', both_versions()) == {'v1'}
+    clock.now_ms += 2000
+    assert control.versions('engine', 's', both_versions()) == {'v1', 'v2'}
+
+
+FINAL = (rollouts.Phase.COMPLETED, rollouts.Phase.ROLLED_BACK)
+
+
+@hypothesis.given(
+    events=st.lists(
+        st.sampled_from(
+            ['step0', 'step1', 'read0', 'read1', 'lost', 'away', 'restart']
+        ),
+        max_size=40,
+    ),
+    bad=st.booleans(),
+)
+@hypothesis.settings(max_examples=150)
+def test_only_one_end(events: list[str], bad: bool) -> None:
+    """Guards against two ends of one roll-out, in any order of events.
+
+    Answers of the store are lost, it is away, and a daemon is started anew.
+    """
+    asyncio.run(_play(events, bad))
+
+
+async def _play(events: list[str], bad: bool) -> None:
+    clock = make.Clock()
+    kept = clocks.monotonic_ms
+    clocks.monotonic_ms = clock
+    try:
+        store = gateway_store.MemoryStore()
+        daemons = [Daemon(store), Daemon(store, 1)]
+        for daemon in daemons:
+            daemon.control.ordered(make.order())
+        for event in events:
+            clock.now_ms += 2500
+            if event in {'lost', 'away'}:
+                store.faults.append(event)
+            elif event == 'restart':
+                daemons[1] = Daemon(store, 1)
+                daemons[1].control.ordered(make.order())
+            elif event.startswith('read'):
+                await daemons[int(event[-1])].read()
+            else:
+                daemon = daemons[int(event[-1])]
+                daemon.answers('v1', 20)
+                daemon.answers('v2', 4, bad=6 if bad else 0)
+                await daemon.step()
+    finally:
+        clocks.monotonic_ms = kept
+    ends = [
+        orjson.loads(row.value)['phase']
+        for row in store.records[STATE]
+        if row.key.startswith('phase/')
+    ]
+    final = [phase for phase in ends if phase in FINAL]
+    assert len(set(final)) <= 1
+    if final:
+        assert ends[-1] == final[0]
+    if bad:
+        assert rollouts.Phase.COMPLETED not in final
+
+
+@pytest.mark.parametrize('factor', [1.0, 3.0, 8.0])
+def test_slow_answers(clock: make.Clock, factor: float) -> None:
+    """Guards against a slow version that answers all requests well."""
+    control = rollout_control.RolloutControl(encode_status, 0.15, lambda: 0)
+    control.ordered(make.order())
+    for _ in range(20):
+        control.is_slow(make.view(version='v1'), 'r/m', 200)
+    slow = control.is_slow(make.view(version='v2'), 'r/m', 200 * factor)
+    assert slow is (factor > 4)
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_rollouts.py
@@ -0,0 +1,148 @@
+"""Tests of phases of roll-outs and of the test of harm."""
+
+from __future__ import annotations
+
+import random
+
+import gateway_makers as make
+import pytest
+
+from yuccarouter.gateway import rollouts
+
+RAMP_MS = 24_000
+
+
+def tally(good: int, bad: int = 0, slow: int = 0) -> rollouts.Tally:
+    return rollouts.Tally(good, bad, slow)
+
+
+def evidence(
+    new: dict[str, rollouts.Tally], old: dict[str, rollouts.Tally]
+) -> rollouts.Evidence:
+    return rollouts.Evidence(new, old)
+
+
+@pytest.mark.parametrize(
+    ('pattern', 'new', 'old', 'harmful'),
+    [
+        ('nothing known', {}, {}, False),
+        ('half fail', {'r': tally(5, 5)}, {'r': tally(100)}, True),
+        ('few answers', {'r': tally(1, 2)}, {'r': tally(100)}, False),
+        ('both fail alike', {'r': tally(30, 5)}, {'r': tally(90, 15)}, False),
+        (
+            'one route of three fails',
+            {'a': tally(30), 'b': tally(30), 'c': tally(1, 5)},
+            {'a': tally(90), 'b': tally(90), 'c': tally(60)},
+            True,
+        ),
+        ('slow', {'r': tally(4, 0, 8)}, {'r': tally(90, 0, 4)}, True),
+        (
+            'load makes both slow',
+            {'r': tally(10, 0, 8)},
+            {'r': tally(60, 0, 45)},
+            False,
+        ),
+    ],
+)
+def test_harm(
+    pattern: str,
+    new: dict[str, rollouts.Tally],
+    old: dict[str, rollouts.Tally],
+    harmful: bool,
+) -> None:
+    """Guards against missed bad versions and against false alarms."""
+    assert rollouts.is_harmful(evidence(new, old)) is harmful, pattern
+
+
+@pytest.mark.parametrize(
+    ('phase', 'elapsed', 'in_phase', 'answers', 'expected'),
+    [
+        (rollouts.Phase.CANARY, 0.3, 0.3, 50, rollouts.Phase.CANARY),
+        (rollouts.Phase.CANARY, 0.5, 0.5, 3, rollouts.Phase.CANARY),
+        (rollouts.Phase.CANARY, 0.5, 0.5, 50, rollouts.Phase.RAMP),
+        (rollouts.Phase.RAMP, 0.6, 0.1, 50, rollouts.Phase.RAMP),
+        (rollouts.Phase.RAMP, 0.9, 0.3, 10, rollouts.Phase.RAMP),
+        (rollouts.Phase.RAMP, 0.9, 0.3, 50, rollouts.Phase.FULL),
+        (rollouts.Phase.FULL, 0.9, 0.05, 50, rollouts.Phase.FULL),
+        (rollouts.Phase.FULL, 0.9, 0.2, 50, rollouts.Phase.COMPLETED),
+        (rollouts.Phase.COMPLETED, 9, 9, 50, rollouts.Phase.COMPLETED),
+        (rollouts.Phase.ROLLED_BACK, 9, 9, 50, rollouts.Phase.ROLLED_BACK),
+    ],
+)
+def test_phases(
+    phase: rollouts.Phase,
+    elapsed: float,
+    in_phase: float,
+    answers: int,
+    expected: rollouts.Phase,
+) -> None:
+    """Guards against steps without time or evidence, and against way back."""
+    found = rollouts.next_phase(
+        phase,
+        make.order(ramp_ms=RAMP_MS),
+        elapsed * RAMP_MS,
+        in_phase * RAMP_MS,
+        evidence({'r': tally(answers)}, {'r': tally(100)}),
+    )
+    assert found is expected
+
+
+@pytest.mark.parametrize('phase', list(rollouts.Phase)[:3])
+def test_harm_ends_any_phase(phase: rollouts.Phase) -> None:
+    """Guards against going on with a version that turned bad late."""
+    found = rollouts.next_phase(
+        phase,
+        make.order(),
+        0,
+        0,
+        evidence({'r': tally(30, 12)}, {'r': tally(100)}),
+    )
+    assert found is rollouts.Phase.ROLLED_BACK
+
+
+def play(
+    seed: int, bad_share: float, base_share: float = 0.02
+) -> tuple[rollouts.Phase, int]:
+    """Return the last phase and the requests that the new version got."""
+    rng = random.Random(seed)
+    order = make.order(ramp_ms=RAMP_MS)
+    new, old = tally(0), tally(0)
+    phase, since_ms, exposed = rollouts.Phase.CANARY, 0.0, 0
+    for step in range(300):
+        now_ms = step * RAMP_MS / 300
+        is_new = rng.random() < rollouts.new_share(phase, 0.15)
+        exposed += is_new
+        share = bad_share if is_new else base_share
+        counts = new if is_new else old
+        if rng.random() < share:
+            counts.bad += 1
+        else:
+            counts.good += 1
+        step_to = rollouts.next_phase(
+            phase,
+            order,
+            now_ms,
+            now_ms - since_ms,
+            evidence({'r': new}, {'r': old}),
+        )
+        if step_to is not phase:
+            phase, since_ms = step_to, now_ms
+        if phase.is_final:
+            break
+    return phase, exposed
+
+
+def test_bad_versions_are_withdrawn() -> None:
+    """Guards against a bad version that spreads beyond its agreed exposure."""
+    plays = [play(seed, bad_share=0.5) for seed in range(200)]
+    assert all(phase is rollouts.Phase.ROLLED_BACK for phase, _ in plays)
+    assert max(exposed for _, exposed in plays) <= 0.15 * 300 + 30
+
+
+def test_good_versions_complete() -> None:
+    """Guards against false alarms: at most one in a hundred is withdrawn."""
+    plays = [play(seed, bad_share=0.02) for seed in range(400)]
+    withdrawn = [
+        phase for phase, _ in plays if phase is rollouts.Phase.ROLLED_BACK
+    ]
+    assert len(withdrawn) <= 4
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_state.py
@@ -0,0 +1,136 @@
+"""Tests of routes, keys and what records change."""
+
+from __future__ import annotations
+
+import collections
+import os
+from typing import Any
+
+import eliot
+import orjson
+import pytest
+
+from yuccarouter.gateway import logs, model, routes
+
+
+def route(prefix: str, **fields: Any) -> model.Route:
+    shown = {
+        'name': prefix,
+        'host': 'desk.example',
+        'kind': model.Kind.SAFE,
+        'timeout_ms': 1000,
+        'objective_ms': 100,
+        'gap_objective_ms': 0,
+        'priority': 0,
+        'max_attempts': 2,
+        'shares': (model.ServiceShare('app', 1),),
+        **fields,
+    }
+    return model.Route(path_prefix=prefix, **shown)
+
+
+def table(*found: model.Route) -> routes.RouteTable:
+    return routes.RouteTable(
+        model.Configuration(
+            version=1,
+            routes=found,
+            services={},
+            organisations=(model.Organisation('o', ('k1', 'k2'), None),),
+            limits=model.Limits(1, 1, 1, 1),
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    ('host', 'path', 'expected'),
+    [
+        ('desk.example', '/a/b/c', '/a/b/'),
+        ('desk.example', '/a/b/', '/a/b/'),
+        ('desk.example', '/a/b', '/a/'),
+        ('DESK.example', '/a/x', '/a/'),
+        ('desk.example', '/ab/x', None),
+        ('other.example', '/a/x', None),
+        ('desk.example', '/', None),
+    ],
+)
+def test_longest_prefix(host: str, path: str, expected: str | None) -> None:
+    """Guards against calls that reach the service of another route."""
+    found = table(route('/a/'), route('/a/b/')).find(host, path)
+    assert (found.path_prefix if found else None) == expected
+
+
+def test_keys_of_organisations() -> None:
+    """Guards against a key that counts for nobody or for another."""
+    found = table(route('/a/'))
+    for key, name in (('k1', 'o'), ('k2', 'o'), ('k3', None), ('', None)):
+        organisation = found.organisation(key)
+        assert (organisation.name if organisation else None) == name
+
+
+def test_shares_of_a_split_route() -> None:
+    """Guards against weights that do not hold."""
+    split = route(
+        '/a/',
+        shares=(model.ServiceShare('x', 90), model.ServiceShare('y', 10)),
+    )
+    counts = collections.Counter(
+        routes.service_for(split, number / 1000) for number in range(1000)
+    )
+    assert counts == {'x': 900, 'y': 100}
+
+
+@pytest.mark.parametrize(
+    ('kind', 'resumable', 'expected'),
+    [
+        (model.Kind.SAFE, False, True),
+        (model.Kind.UNSAFE, False, False),
+        (model.Kind.UNSAFE, True, False),
+        (model.Kind.STREAM, False, False),
+        (model.Kind.STREAM, True, True),
+    ],
+)
+def test_what_may_be_repeated(
+    kind: model.Kind, resumable: bool, expected: bool
+) -> None:
+    """Guards against a handover that is logged twice."""
+    assert (
+        route('/a/', kind=kind, is_resumable=resumable).is_idempotent
+        is expected
+    )
+
+
+def test_log_is_bounded_and_never_blocks() -> None:
+    """Guards against a reader of the log that stops the process."""
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    log = logs.LineLog('d', writing)
+    for number in range(5000):
+        log.write({'message_type': 'm', 'number': number, 'pad': 'x' * 200})
+        log.flush()
+    os.close(writing)
+    with os.fdopen(reading, 'rb') as pipe:
+        lines = pipe.read().splitlines()
+    assert 0 < len(lines) <= 1200
+    assert orjson.loads(lines[0])['number'] == 0
+
+
+def test_log_line_is_one_object() -> None:
+    """Guards against lines that tools can't read."""
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    log = logs.LineLog('d', writing)
+    eliot.add_destinations(log.write)
+    try:
+        # Empties what the library kept before there was a destination.
+        log.flush()
+        os.read(reading, 1_048_576)
+        eliot.log_message('endpoint_added', endpoint='e1')
+    finally:
+        eliot.remove_destination(log.write)
+    log.flush()
+    os.close(writing)
+    with os.fdopen(reading, 'rb') as pipe:
+        line = orjson.loads(pipe.read().splitlines()[-1])
+    assert line['message_type'] == 'endpoint_added'
+    assert line['endpoint'] == 'e1'
+    assert 'task_uuid' not in line
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_topics.py
@@ -0,0 +1,115 @@
+"""Tests of following a topic of the store."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import gateway_makers as make
+import gateway_store
+import pytest
+
+from yuccarouter.gateway import ports, topics
+
+TOPIC = 't'
+
+
+def follow(
+    store: gateway_store.MemoryStore,
+) -> tuple[topics.Topic, list[tuple[str, bytes]]]:
+    seen: list[tuple[str, bytes]] = []
+    topic = topics.Topic(
+        TOPIC,
+        store,
+        lambda entry: seen.append((entry.key, entry.value)),
+        lambda away_ms: seen.append(('regained', b'')),
+    )
+    return topic, seen
+
+
+async def read(topic: topics.Topic, times: int = 1) -> None:
+    """Read as often as told, with the failures that ``follow`` bears."""
+    for _ in range(times):
+        task = asyncio.create_task(topic.follow())
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+
+async def test_reads_newest_then_what_follows() -> None:
+    """Guards against records that are missed between both readings."""
+    store = gateway_store.MemoryStore()
+    store.write(TOPIC, 'a', b'1')
+    topic, seen = follow(store)
+    await read(topic)
+    store.write(TOPIC, 'a', b'2')
+    store.write(TOPIC, 'b', b'1')
+    await read(topic)
+    assert seen == [('a', b'1'), ('a', b'2'), ('b', b'1')]
+
+
+async def test_forgotten_history() -> None:
+    """Guards against keeping what was removed while records were missed."""
+    store = gateway_store.MemoryStore()
+    store.write(TOPIC, 'a', b'1')
+    store.write(TOPIC, 'b', b'1')
+    topic, seen = follow(store)
+    await read(topic)
+    store.write(TOPIC, 'a', b'')
+    store.write(TOPIC, 'b', b'2')
+    store.first_offset = 4
+    await read(topic, 2)
+    assert seen[2:] == [('a', b''), ('b', b'2')]
+
+
+async def test_stale_newest_records() -> None:
+    """Guards against a stale reading that hides a record for good."""
+    store = gateway_store.MemoryStore()
+    store.write(TOPIC, 'a', b'1')
+    store.write(TOPIC, 'b', b'1')
+    topic, seen = follow(store)
+    await read(topic)
+    store.hidden = 1
+    topic.is_loaded = False
+    await read(topic)
+    store.hidden = 0
+    await read(topic)
+    assert seen[2:] == [('b', b''), ('b', b'1')]
+
+
+async def test_older_records_of_peers_change_nothing() -> None:
+    """Guards against going back to an older configuration."""
+    store = gateway_store.MemoryStore()
+    store.write(TOPIC, 'a', b'1')
+    store.write(TOPIC, 'a', b'2')
+    topic, seen = follow(store)
+    await read(topic)
+    topic.merge([ports.Entry('a', b'1', 0), ports.Entry('a', b'2', 1)])
+    assert seen == [('a', b'2')]
+    topic.merge([ports.Entry('a', b'3', 2)])
+    assert seen[-1] == ('a', b'3')
+
+
+@pytest.mark.parametrize('started_before', [True, False])
+async def test_contact_lost_and_regained(
+    clock: make.Clock, started_before: bool
+) -> None:
+    """Guards against a start while the store is away, which ended the process.
+
+    The time of the loss is not known then.
+    """
+    store = gateway_store.MemoryStore()
+    store.write(TOPIC, 'a', b'1')
+    topic, seen = follow(store)
+    if started_before:
+        await read(topic)
+    store.faults = ['away']
+    await read(topic)
+    assert topic.is_failing
+    clock.now_ms += 4000
+    await read(topic, 2)
+    assert not topic.is_failing
+    assert ('regained', b'') in seen
+    assert ('a', b'1') in seen
