--- a/packages/daemon/src/yuccarouter/gateway/choice.py
+++ b/packages/daemon/src/yuccarouter/gateway/choice.py
@@ -11,22 +11,30 @@
 
 from yuccarouter.gateway import cold_limit, endpoints, model
 
-# Costs are shares of a request's worth. An answer within its objective earns
-# all of it, so that expected time costs little until it nears the objective.
-# Bytes between data centres are the dearest of the platform's prices.
-_DISTANT_COST: Final = 0.04
-# Price of 1,000 shared tokens that are read again, against the worth of a
-# request with a long prompt.
-_REREAD_COST: Final = 0.008
+# Costs are in units of one plain request's worth. An answer within its
+# objective earns all of it, so that expected time costs little until it nears
+# the objective.
+# Price of a byte between data centres; deployments differ by a factor of five.
+_DISTANT_COST_PER_BYTE: Final = 6e-6
+# Bytes of an answer and of the headers around both bodies.
+_ANSWER_BYTES: Final = 2000
+# Share of the price of generated tokens that a token costs that is read.
+_READ_PRICE: Final = 0.25
+# Price of 1,000 shared tokens that are read again, whatever the model.
+_REREAD_COST: Final = 0.02
+# Part of what a kept prompt saves that an endpoint is worth where it is kept
+# for all daemons, and where only this data centre's ones look.
+_SHARED_PLACE: Final = 0.3
+_LOCAL_PLACE: Final = 0.1
+# Long prompts are asked by requests that are worth more.
+_TOKENS_PER_WORTH: Final = 4000
 _FAILURE_COST: Final = 1.5
 _COLD_COST: Final = 0.15
-# Prefers one endpoint for a prompt that no endpoint is known to hold.
-_PREFERRED_GAIN: Final = 0.03
 _FULL_COST: Final = 1.0
 # Reading speed of an engine until its answers have shown it.
-READ_MS_PER_TOKEN: Final = 0.04
+READ_MS_PER_TOKEN: Final = 0.06
 # Time of one generated token for each request that runs beside it.
-_STEP_MS_PER_RUNNING: Final = 2.0
+_STEP_MS_PER_RUNNING: Final = 10.0
 _MIN_OBJECTIVE_MS: Final = 50.0
 _TOKENS_PER_UNIT: Final = 1000
 
@@ -51,6 +59,8 @@
     model_name: str = ''
     tokens: int = 0
     shared: tuple[model.PromptPart, ...] = ()
+    model_cost: float = 0
+    body_bytes: int = 0
 
 
 @attrs.frozen
@@ -75,9 +85,9 @@
     candidates = trusted or usable
     if not candidates:
         return None
-    preferred = _preferred(candidates, need)
+    places = _places(candidates, need)
     ranked = [
-        (_cost(view, need, now_ms, is_preferred=view is preferred), view.name)
+        (_cost(view, need, now_ms) - places.get(view.name, 0), view.name)
         for view in candidates
     ]
     cost, name = min(ranked)
@@ -125,21 +135,36 @@
     return total - held
 
 
-def _preferred(
+def _kept_value(need: Need, tokens: int) -> float:
+    """Return what it saves that an endpoint need not read shared tokens."""
+    price = _REREAD_COST + _READ_PRICE * need.model_cost
+    return tokens / _TOKENS_PER_UNIT * price
+
+
+def _places(
     candidates: list[endpoints.EndpointView], need: Need
-) -> endpoints.EndpointView | None:
-    """Return the endpoint that all daemons prefer for the shared prompt."""
+) -> dict[str, float]:
+    """Return the endpoints where a shared prompt should be kept, with gains.
+
+    All daemons rank alike, so that a prompt is kept in one place for all, or
+    in one for each data centre where distance is dearer.
+    """
     if not need.shared:
-        return None
-    home = [
-        view for view in candidates if view.announced.data_centre == need.home
-    ]
+        return {}
     last = need.shared[-1].name
 
     def weight(view: endpoints.EndpointView) -> int:
         return xxhash.xxh3_64_intdigest(f'{last}/{view.name}'.encode())
 
-    return max(home or candidates, key=weight)
+    value = _kept_value(need, sum(part.tokens for part in need.shared))
+    places = {max(candidates, key=weight).name: _SHARED_PLACE * value}
+    home = [
+        view for view in candidates if view.announced.data_centre == need.home
+    ]
+    if home:
+        name = max(home, key=weight).name
+        places.setdefault(name, _LOCAL_PLACE * value)
+    return places
 
 
 def expected_ms(
@@ -157,28 +182,19 @@
     return need.objective_ms * rounds / 2
 
 
-def _cost(
-    view: endpoints.EndpointView,
-    need: Need,
-    now_ms: float,
-    *,
-    is_preferred: bool,
-) -> float:
+def _cost(view: endpoints.EndpointView, need: Need, now_ms: float) -> float:
     objective_ms = max(_MIN_OBJECTIVE_MS, need.objective_ms)
     lateness = expected_ms(view, need, now_ms) / objective_ms
-    cost: float = lateness * lateness
+    worth = 1 + need.tokens / _TOKENS_PER_WORTH
+    cost: float = worth * lateness * lateness
     cost += _FAILURE_COST * view.failure_share
     if view.announced.data_centre != need.home:
-        cost += _DISTANT_COST
+        cost += _DISTANT_COST_PER_BYTE * (need.body_bytes + _ANSWER_BYTES)
     if view.is_cold(now_ms):
         cost += _COLD_COST
     if view.occupancy(now_ms) >= view.announced.slots:
         cost += _FULL_COST
-    missing = missing_tokens(view, need)
-    cost += missing / _TOKENS_PER_UNIT * _REREAD_COST
-    if is_preferred:
-        cost -= _PREFERRED_GAIN
-    return cost
+    return cost + _kept_value(need, missing_tokens(view, need))
 
 
 def least_wait_ms(
--- a/packages/daemon/src/yuccarouter/gateway/model.py
+++ b/packages/daemon/src/yuccarouter/gateway/model.py
@@ -192,6 +192,7 @@
     generation: Generation | None
     last_event_id: str
     session: str
+    body_bytes: int = 0
 
 
 @attrs.frozen
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -172,6 +172,8 @@
                 else 0
             ),
             model_name=model_name,
+            model_cost=kind.model_costs.get(model_name, 0) if kind else 0,
+            body_bytes=call.body_bytes,
             tokens=model.prompt_tokens(call),
             shared=generation.parts[:-1] if generation else (),
         )
