--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -77,6 +77,16 @@
             self.runs + after < self.route.max_attempts
         )
 
+    def has_alternative(self, chosen: choice.Choice, model_name: str) -> bool:
+        """Return whether the call may run elsewhere if ``chosen`` is silent."""
+        if not self.may_run_again(after=1):
+            return False
+        tried = self.tried | {chosen.endpoint.name}
+        other = self.gateway.choose(
+            self.call, self.route, self.service, tried, model_name
+        )
+        return other is not None
+
     def take_repeat(self, *, is_optional: bool = False) -> bool:
         """Take one more send from the daemons' budget.
 
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -129,7 +129,7 @@
     unread = attempts.unread_tokens(out.call, chosen)
     usual = out.gateway.patience_for(out.route, relay.model)
     wait_ms = out.left_ms()
-    if out.may_run_again(after=1):
+    if out.has_alternative(chosen, relay.model):
         usual_ms = usual.first_ms(unread, out.route.objective_ms)
         wait_ms = min(wait_ms, usual_ms)
     async with attempts.open_attempt(
--- a/packages/daemon/src/yuccarouter/gateway/whole.py
+++ b/packages/daemon/src/yuccarouter/gateway/whole.py
@@ -30,10 +30,10 @@
     return await repeating.until_answered(out, choose, attempt)
 
 
-def _patience_ms(out: attempts.Outgoing) -> float:
+def _patience_ms(out: attempts.Outgoing, chosen: choice.Choice) -> float:
     """Return how long to wait for an answer of the next attempt."""
     left_ms = out.left_ms()
-    if not out.may_run_again(after=1):
+    if not out.has_alternative(chosen, ''):
         return left_ms
     patience_ms = max(_MIN_PATIENCE_MS, _PATIENCE * out.route.objective_ms)
     return min(left_ms, patience_ms)
@@ -42,7 +42,7 @@
 async def _attempt(
     out: attempts.Outgoing, chosen: choice.Choice
 ) -> web.Response:
-    patience_ms = _patience_ms(out)
+    patience_ms = _patience_ms(out, chosen)
     until_ms = clocks.monotonic_ms() + patience_ms
     async with attempts.open_attempt(
         out, chosen, '', out.call.last_event_id, patience_ms
