--- a/packages/daemon/src/yuccarouter/gateway/choice.py
+++ b/packages/daemon/src/yuccarouter/gateway/choice.py
@@ -33,8 +33,8 @@
 _FULL_COST: Final = 1.0
 # Reading speed of an engine until its answers have shown it.
 READ_MS_PER_TOKEN: Final = 0.06
-# Time of one generated token for each request that runs beside it.
-_STEP_MS_PER_RUNNING: Final = 10.0
+# Time that each request beside it adds to one generated token.
+_STEP_MS_PER_RUNNING: Final = 0.2
 _MIN_OBJECTIVE_MS: Final = 50.0
 _TOKENS_PER_UNIT: Final = 1000
 
@@ -58,6 +58,7 @@
     connections: int
     model_name: str = ''
     tokens: int = 0
+    output_tokens: int = 0
     shared: tuple[model.PromptPart, ...] = ()
     model_cost: float = 0
     body_bytes: int = 0
@@ -170,14 +171,20 @@
 def expected_ms(
     view: endpoints.EndpointView, need: Need, now_ms: float
 ) -> float:
-    """Return the expected time to the first event or to the answer."""
+    """Return the expected time to the answer.
+
+    For a stream it is the time to the first event, and what the requests that
+    run beside it add to the others.
+    """
     unread = need.tokens - (
         sum(part.tokens for part in need.shared) - missing_tokens(view, need)
     )
     occupancy = view.occupancy(now_ms)
-    reading_ms = (view.tokens_unread + unread) * READ_MS_PER_TOKEN
+    backlog = view.tokens_unread + view.peers_unread(now_ms)
+    reading_ms = (backlog + unread) * READ_MS_PER_TOKEN
     if need.tokens:
-        return reading_ms + occupancy * _STEP_MS_PER_RUNNING
+        step_ms = occupancy * _STEP_MS_PER_RUNNING
+        return reading_ms + need.output_tokens * step_ms
     rounds = (occupancy + 1) / max(1, view.announced.slots)
     return need.objective_ms * rounds / 2
 
--- a/packages/daemon/src/yuccarouter/gateway/endpoints.py
+++ b/packages/daemon/src/yuccarouter/gateway/endpoints.py
@@ -33,6 +33,15 @@
 _CACHED_PARTS: Final = 4000
 
 
+@attrs.frozen
+class PeerWork:
+    """Requests and unread tokens of another daemon at an endpoint."""
+
+    in_flight: int
+    unread: float
+    seen_ms: float
+
+
 @attrs.define
 class EndpointView:
     """One endpoint: what it announced and how it served this daemon.
@@ -53,6 +62,7 @@
     losses_in_row: int = 0
     avoid_until_ms: float = -math.inf
     gone_at_ms: float = math.inf
+    peer_work: dict[str, PeerWork] = attrs.field(factory=dict)
     cold_sends_ms: collections.deque[float] = attrs.field(
         factory=collections.deque
     )
@@ -71,10 +81,23 @@
 
     def occupancy(self, now_ms: float) -> int:
         """Return the requests that run or wait, as far as known."""
+        known = self.in_flight + sum(
+            work.in_flight for work in self._recent_work(now_ms)
+        )
         if self.load is None or now_ms - self.load_ms > _LOAD_AGE_MS:
-            return self.in_flight
+            return known
         reported = self.load.running + self.load.waiting
-        return max(self.in_flight, reported + self.sent_since_load)
+        return max(known, reported + self.sent_since_load)
+
+    def peers_unread(self, now_ms: float) -> float:
+        """Return the prompt tokens that peers sent and that are unread."""
+        return sum(work.unread for work in self._recent_work(now_ms))
+
+    def _recent_work(self, now_ms: float) -> list[PeerWork]:
+        since_ms = now_ms - _LOAD_AGE_MS
+        return [
+            work for work in self.peer_work.values() if work.seen_ms >= since_ms
+        ]
 
     def note_load(self, load: model.Load, now_ms: float) -> None:
         """Keep a load that came with an answer."""
@@ -127,6 +150,21 @@
         """Return an endpoint by id."""
         return self._views.get(endpoint)
 
+    def work(self) -> dict[str, list[int]]:
+        """Return this daemon's requests and unread tokens, for peers."""
+        return {
+            view.name: [view.in_flight, round(view.tokens_unread)]
+            for view in self._views.values()
+            if view.in_flight
+        }
+
+    def note_peer_work(self, peer: str, work: dict[str, list[int]]) -> None:
+        """Take in what a peer has at endpoints, which replaces the earlier."""
+        now_ms = clocks.monotonic_ms()
+        for view in self._views.values():
+            in_flight, unread = work.get(view.name, (0, 0))
+            view.peer_work[peer] = PeerWork(in_flight, unread, now_ms)
+
     def store_regained(self, away_ms: float) -> None:
         """Expect announcements to come back that lapsed meanwhile."""
         if away_ms >= _OUTAGE_MS:
--- a/packages/daemon/src/yuccarouter/gateway/program.py
+++ b/packages/daemon/src/yuccarouter/gateway/program.py
@@ -157,7 +157,7 @@
 ) -> peers.Exchange:
     exchange = peers.Exchange(
         functools.partial(_digest, gateway, followed),
-        lambda name, digest: gateway.control.receive(name, digest['rollouts']),
+        functools.partial(_receive, gateway),
     )
     gateway.exchange = exchange
     address = gateway.conf.peer
@@ -197,6 +197,11 @@
     return _Running(callers, site, runners)
 
 
+def _receive(gateway: state.Gateway, name: str, digest: dict[str, Any]) -> None:
+    gateway.control.receive(name, digest['rollouts'])
+    gateway.directory.note_peer_work(name, digest['work'])
+
+
 def _digest(
     gateway: state.Gateway, followed: list[topics.Topic]
 ) -> dict[str, Any]:
@@ -206,6 +211,7 @@
         'reads': [topic.name for topic in followed if topic.is_read_from_store],
         'newest': {topic.name: topic.table.newest_offset for topic in followed},
         'rollouts': gateway.control.digest(),
+        'work': gateway.directory.work(),
     }
 
 
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -175,6 +175,9 @@
             model_cost=kind.model_costs.get(model_name, 0) if kind else 0,
             body_bytes=call.body_bytes,
             tokens=model.prompt_tokens(call),
+            output_tokens=(
+                generation.expected_output_tokens if generation else 0
+            ),
             shared=generation.parts[:-1] if generation else (),
         )
 
