--- a/packages/daemon/src/yuccarouter/gateway/choice.py
+++ b/packages/daemon/src/yuccarouter/gateway/choice.py
@@ -15,7 +15,7 @@
 # objective earns all of it, so that expected time costs little until it nears
 # the objective.
 # Price of a byte between data centres; deployments differ by a factor of five.
-_DISTANT_COST_PER_BYTE: Final = 6e-6
+_DISTANT_COST_PER_BYTE: Final = 1.2e-5
 # Bytes of an answer and of the headers around both bodies.
 _ANSWER_BYTES: Final = 2000
 # Share of the price of generated tokens that a token costs that is read.
