--- a/packages/daemon/src/yuccarouter/gateway/sizes.py
+++ b/packages/daemon/src/yuccarouter/gateway/sizes.py
@@ -7,7 +7,7 @@
 import attrs
 
 # Confidence, 0 to 100, from which an answer of a smaller model is passed on.
-ACCEPTED_CONFIDENCE: Final = 60.0
+ACCEPTED_CONFIDENCE: Final = 56.0
 
 
 @attrs.frozen
