Settle every attempt that did not give the answer

The entry stops reading an attempt at its last event, so that its note stayed "cancelled" and only notes that say "done" were settled; whether the agent's row came before the check was a matter of time. The test of cascades fails before in two of four cases, and that of a settlement that overtakes the answer, too.

--- a/packages/daemon/src/yuccarouter/billing/cover.py
+++ b/packages/daemon/src/yuccarouter/billing/cover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import time
 from typing import TYPE_CHECKING, Final
 
@@ -22,6 +23,8 @@
 _CHECK_INTERVAL_S: Final = 0.5
 _MS_PER_S: Final = 1000
 _MAX_HELD_ATTEMPTS: Final = 50_000
+# Settlements that came before the answer was whole, kept for when it is.
+_MAX_SETTLED_EARLY: Final = 10_000
 
 
 @attrs.frozen
@@ -53,6 +56,9 @@
         self._cover_after_s = cover_after_ms / _MS_PER_S
         self._clock = clock
         self._held: dict[str, _Held] = {}
+        self._settled_early: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
 
     def completed(
         self,
@@ -67,6 +73,9 @@
         """
         if not whole or len(self._held) >= _MAX_HELD_ATTEMPTS:
             return
+        if request.attempt_id in self._settled_early:
+            self._settled_early.pop(request.attempt_id)
+            return
         self._held[request.attempt_id] = _Held(
             row=self._row(request, usage),
             due_s=self._clock() + self._cover_after_s,
@@ -75,7 +84,10 @@
     def settle(self, request: router_pb2.SettleRequest) -> None:
         """Forget the attempts that the entry has billed or discarded."""
         for settlement in request.settlements:
-            self._held.pop(settlement.attempt_id, None)
+            if self._held.pop(settlement.attempt_id, None) is None:
+                self._settled_early[settlement.attempt_id] = None
+        while len(self._settled_early) > _MAX_SETTLED_EARLY:
+            self._settled_early.popitem(last=False)
 
     def cover_due(self) -> int:
         """Hand the rows of overdue attempts to the ledger; return how many."""
--- a/packages/daemon/src/yuccarouter/request_path/bills.py
+++ b/packages/daemon/src/yuccarouter/request_path/bills.py
@@ -54,7 +54,9 @@
     for note in progress.attempts:
         if note.attempt_id == answer.attempt_id:
             shared.settlements.expect(note)
-        elif note.outcome == 'done':
+        elif not note.outcome.startswith('refused'):
+            # A whole answer may have been made even where the entry stopped
+            # reading; its agent would bill it as that of a lost entry.
             unused.append(note)
     shared.settlements.discard(unused)
     try:
--- a/packages/daemon/tests/billing/test_ledger.py
+++ b/packages/daemon/tests/billing/test_ledger.py
@@ -188,6 +188,30 @@
     assert [row.cost_microcents for row in counted.values()] == [230] * covered
 
 
+async def test_settled_before_the_answer_is_whole() -> None:
+    """Guards against a second bill for an answer that the entry has dropped.
+
+    An entry that stops reading settles the attempt while its agent still
+    completes the answer.
+    """
+    log = memory_log.MemoryLog()
+    rows = _ledger(log)
+    clock = _Clock()
+    usage = cover.UsageCover(rows, model.Configuration, 10_000, clock)
+    usage.settle(
+        router_pb2.SettleRequest(
+            settlements=[router_pb2.Settlement(attempt_id='a')]
+        )
+    )
+    usage.completed(
+        router_pb2.RunRequest(attempt_id='a', request_id='r'),
+        router_pb2.Usage(),
+        whole=True,
+    )
+    clock.now_s = 60
+    assert usage.cover_due() == 0
+
+
 async def test_cover_at_a_stop() -> None:
     """Guards against usage that a stopping agent takes with it."""
     log = memory_log.MemoryLog()
--- a/packages/daemon/tests/request_path/test_front.py
+++ b/packages/daemon/tests/request_path/test_front.py
@@ -345,6 +345,13 @@
     assert asked == versions
     [row] = await entry.billed()
     assert row['cost_microcents'] == cost
+    # An attempt that is not settled is billed by its agent after a while.
+    await entry.shared.settlements.finish()
+    settled = {settlement.attempt_id for settlement in entry.agent.settled}
+    answered = entry.agent.requests
+    if script is not fake.answer:
+        answered = answered[1:]
+    assert settled == {run.attempt_id for run in answered}
 
 
 async def test_models(entry: Any) -> None:
