--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -52,6 +52,7 @@
     priority: int
     body: bytes
     deadline_ms: float
+    arrived_ms: float = attrs.field(factory=clocks.monotonic_ms)
     sends: int = 0
     runs: int = 0
     tried: frozenset[str] = frozenset()
@@ -61,6 +62,10 @@
         """Return the time until the call's deadline."""
         return self.deadline_ms - clocks.monotonic_ms()
 
+    def elapsed_ms(self) -> float:
+        """Return the time since the call arrived."""
+        return clocks.monotonic_ms() - self.arrived_ms
+
     def next_endpoint(self, model_name: str) -> choice.Choice | None:
         """Return where to send the call next, if it may be sent."""
         if self.runs >= self.route.max_attempts:
@@ -253,7 +258,7 @@
             'answer did not end in time', 'no_answer', may_have_run=True
         ) from fault
     except (aiohttp.ClientError, OSError) as fault:
-        note_bad(out, opened, 'broken_answer')
+        note_bad(out, opened, 'broken_answer', str(fault))
         raise AttemptError(
             'answer broke off', 'broken_answer', may_have_run=True
         ) from fault
@@ -281,13 +286,15 @@
     _silent(out, opened.view)
 
 
-def note_bad(out: Outgoing, opened: Opened, outcome: str) -> None:
+def note_bad(
+    out: Outgoing, opened: Opened, outcome: str, reason: str = ''
+) -> None:
     """Count an answer that failed or broke off."""
     opened.view.note_failed()
     out.gateway.control.count(
         opened.view, out.route.name, rollouts.Tally(bad=1)
     )
-    _ended(out, opened.view, outcome, status=opened.head.status)
+    _ended(out, opened.view, outcome, status=opened.head.status, reason=reason)
 
 
 def _note_sent(
--- a/packages/daemon/src/yuccarouter/gateway/front.py
+++ b/packages/daemon/src/yuccarouter/gateway/front.py
@@ -42,13 +42,8 @@
     async def serve(request: web.BaseRequest) -> web.StreamResponse:
         call = gateway.platform.decode_call(request)
         arrived_ms = clocks.monotonic_ms()
-        gateway.in_progress += 1
-        gateway.busy_connections.add(request.protocol)
-        try:
+        with gateway.serving(request.protocol):
             return await _answer(gateway, request, call, arrived_ms)
-        finally:
-            gateway.in_progress -= 1
-            gateway.busy_connections.discard(request.protocol)
 
     return serve
 
@@ -98,7 +93,7 @@
         code = refusal.code
         answer = refusing.response(refusal)
     except streaming.StreamBrokenError:
-        code = 'stream_broken'
+        _log(gateway, call, route, arrived_ms, 0, 'stream_broken')
         _abort(request)
         raise asyncio.CancelledError from None
     except (asyncio.CancelledError, ConnectionError):
@@ -178,6 +173,7 @@
         priority=min(_MAX_PRIORITY, max(0, priority)),
         body=body,
         deadline_ms=arrived_ms + longest_ms,
+        arrived_ms=arrived_ms,
     )
 
 
@@ -185,7 +181,9 @@
     out: attempts.Outgoing, request: web.BaseRequest
 ) -> web.StreamResponse:
     if out.route.kind is not model.Kind.STREAM:
-        return await whole.forward(out)
+        answer = await whole.forward(out)
+        metrics.observe_first_byte(out.route.kind, out.elapsed_ms())
+        return answer
     return await streaming.forward(out, request)
 
 
--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -37,6 +37,13 @@
     ('route_kind',),
     buckets=_LATENCY_BUCKETS_S,
 )
+_MS_PER_S: Final = 1000
+
 IN_PROGRESS: Final = prometheus_client.Gauge(
     'yuccarouter_gateway_requests_in_progress', 'Requests without final answer'
 )
+
+
+def observe_first_byte(route_kind: str, elapsed_ms: float) -> None:
+    """Count the time to the first byte of an answer."""
+    FIRST_BYTE_S.labels(route_kind).observe(elapsed_ms / _MS_PER_S)
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -106,6 +106,14 @@
         """Return the peers that were heard a moment ago."""
         return [self.heard[name] for name in self.live_names()]
 
+    def confirms(self, topic: topics.Topic) -> bool:
+        """Return whether a peer that reads the topic knows nothing newer."""
+        return any(
+            topic.name in peer.reads
+            and peer.newest.get(topic.name, -1) <= topic.table.newest_offset
+            for peer in self.live_peers()
+        )
+
     async def run(self) -> None:
         """Send digests until cancelled."""
         while True:
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import math
+import contextlib
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -13,6 +13,7 @@
     choice,
     cold_limit,
     endpoints,
+    metrics,
     model,
     patience,
     ports,
@@ -23,6 +24,8 @@
 from yuccarouter_common import clocks, records
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     import aiohttp
 
     from yuccarouter.gateway import peers, settings, topics
@@ -70,24 +73,32 @@
             return _ASSUMED_DAEMONS
         return 1 + len(self.exchange.members)
 
-    def view_age_ms(self) -> float:
-        """Return how old the newest sight of the orders is."""
-        if self.orders_topic is None:
-            return math.inf
-        return self.orders_topic.age_ms()
-
     @property
     def is_view_stale(self) -> bool:
         """Whether unknown names may exist in a configuration not yet read."""
         topic = self.orders_topic
-        return topic is None or (
-            topic.is_failing and topic.age_ms() > _STALE_VIEW_MS
-        )
+        if topic is None:
+            return True
+        if not topic.is_failing or topic.age_ms() <= _STALE_VIEW_MS:
+            return False
+        return self.exchange is None or not self.exchange.confirms(topic)
 
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
         return self.table is not None and not self.is_draining
 
+    @contextlib.contextmanager
+    def serving(self, connection: object) -> Iterator[None]:
+        """Count a request, and its connection as one that is in use."""
+        self.in_progress += 1
+        self.busy_connections.add(connection)
+        try:
+            with metrics.IN_PROGRESS.track_inprogress():
+                yield
+        finally:
+            self.in_progress -= 1
+            self.busy_connections.discard(connection)
+
     def order_changed(self, entry: ports.Entry) -> None:
         """Take in a record of the operators."""
         platform = self.platform
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -11,7 +11,14 @@
 import multidict
 from aiohttp import web
 
-from yuccarouter.gateway import attempts, events, patience, repeating, sizes
+from yuccarouter.gateway import (
+    attempts,
+    events,
+    metrics,
+    patience,
+    repeating,
+    sizes,
+)
 from yuccarouter_common import clocks, errors, refusals
 
 if TYPE_CHECKING:
@@ -48,7 +55,6 @@
     buffer: events.EventBuffer
     step: int = 0
     response: web.StreamResponse | None = None
-    arrived_ms: float = attrs.field(factory=clocks.monotonic_ms)
 
     @property
     def model(self) -> str:
@@ -188,7 +194,7 @@
             'stream went silent', 'silent_stream', may_have_run=True
         ) from fault
     except (aiohttp.ClientError, events.OrderError, EndpointGoneError) as fault:
-        attempts.note_bad(out, opened, f'broken_stream {fault}')
+        attempts.note_bad(out, opened, 'broken_stream', str(fault))
         raise attempts.AttemptError(
             'stream broke off', 'broken_stream', may_have_run=True
         ) from fault
@@ -237,6 +243,7 @@
         if relay.out.gateway.is_draining:
             relay.response.force_close()
         relay.response.enable_chunked_encoding()
+        metrics.observe_first_byte(relay.out.route.kind, relay.out.elapsed_ms())
         await relay.response.prepare(relay.request)
     await relay.response.write(whole)
 
--- a/packages/daemon/tests/gateway/test_choice.py
+++ b/packages/daemon/tests/gateway/test_choice.py
@@ -8,7 +8,7 @@
 import gateway_makers as make
 import pytest
 
-from yuccarouter.gateway import choice, model
+from yuccarouter.gateway import choice, endpoints, model
 
 PARTS = (model.PromptPart('common', 500), model.PromptPart('topic', 5000))
 
@@ -134,6 +134,24 @@
     assert len(set(picks)) == 3
 
 
+def test_peers_long_prompts_count(clock: make.Clock) -> None:
+    """Guards against daemons that all send long prompts to one engine.
+
+    Incident inc-9d24: two of five engines had most of the unread prompts of
+    four daemons, each of which saw its own only.
+    """
+    directory = endpoints.Directory()
+    for name in ('e1', 'e2'):
+        directory.announce(make.announcement(name))
+    need = make.need(tokens=6000)
+    first = chosen(list(directory), need, clock.now_ms)
+    directory.note_peer_work('peer', {first: [3, 60_000]})
+    assert chosen(list(directory), need, clock.now_ms) != first
+    # A peer that is silent has no work there any more, as far as known.
+    clock.now_ms += 5000
+    assert chosen(list(directory), need, clock.now_ms) == first
+
+
 def test_cold_endpoint_gets_its_share() -> None:
     """Guards against a burst that breaks a cold endpoint."""
     view = make.view(cold_until_ms=1e9)
