--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -0,0 +1,261 @@
+"""The gateway process as a tree of supervised services."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any, Final
+
+import eliot
+import mode
+
+from yuccarouter.gateway import (
+    connections,
+    model,
+    peers,
+    ports,
+    reload,
+    rollout_control,
+    servers,
+    state,
+    topics,
+)
+from yuccarouter_common import clocks
+from yuccarouter_common.platform import errors as platform_errors
+
+if TYPE_CHECKING:
+    import aiohttp
+
+    from yuccarouter.gateway import settings
+
+MakeStore = Callable[
+    ['aiohttp.ClientSession', 'settings.GatewaySettings'], ports.Store
+]
+
+# Endpoints must be seen to leave within the drain bound; two readings within
+# it leave time for a call that fails.
+_DIRECTORY_READS_PER_BOUND: Final = 2.2
+# Part of the grace that requests in progress get; the rest is for closing.
+_DRAIN_PART: Final = 0.92
+# The balancer sends new connections until it has missed two checks.
+_BALANCER_S: Final = 2.6
+_DRAIN_CHECK_S: Final = 0.05
+_MEMBER_RETRY_S: Final = 1.0
+
+
+class Background(mode.Service):
+    """Runs one endless piece of work; its failure ends the process.
+
+    The platform starts the process again, with nothing left of a faulty
+    state.
+    """
+
+    def __init__(self, work: Callable[[], Awaitable[None]]) -> None:
+        super().__init__()
+        self._work = work
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        try:
+            await self._work()
+        except Exception:
+            eliot.write_traceback()
+            raise
+
+
+class Daemon(mode.Service):
+    """Supervises everything that a gateway consists of."""
+
+    def __init__(
+        self,
+        conf: settings.GatewaySettings,
+        platform: ports.Platform,
+        make_store: MakeStore,
+    ) -> None:
+        super().__init__()
+        self._conf = conf
+        self._make_store = make_store
+        self._sessions = (
+            connections.make_session(),
+            connections.make_store_session(),
+        )
+        self.gateway = _make_gateway(conf, platform, self._sessions[0])
+        self._callers = servers.callers_server(self.gateway)
+        self._front = servers.serve_callers(self._callers, conf.listen)
+
+    async def on_start(self) -> None:
+        """Build the parts and start them, the callers' port last."""
+        conf = self._conf
+        store_session = self._sessions[1]
+        store = self._make_store(store_session, conf)
+        followed = _follow(self.gateway, store)
+        exchange = await _open_exchange(self.gateway, followed)
+        _share_reading(self.gateway, exchange, followed, store_session)
+        shared_state = followed[-1]
+        work: list[Callable[[], Awaitable[None]]] = [
+            *(topic.follow for topic in followed),
+            exchange.run,
+            functools.partial(
+                peers.fetch_missed, store_session, exchange, followed
+            ),
+            functools.partial(self.gateway.control.run, store, shared_state),
+            functools.partial(_announce, self.gateway, store, shared_state),
+        ]
+        metrics_address = model.Address(conf.host, conf.metrics_port)
+        for service in (
+            *(Background(part) for part in work),
+            servers.serve_app(peers.records_app(followed), conf.peer),
+            servers.serve_app(servers.metrics_app(), metrics_address),
+            servers.serve_app(servers.ready_app(self.gateway), conf.ready),
+            self._front,
+        ):
+            await self.add_runtime_dependency(service)
+
+    async def watch_settings(self, reloading: reload.Reload) -> None:
+        """Take in settings whose file changes."""
+        await self.add_runtime_dependency(Background(reloading.run))
+
+    async def drain(self) -> None:
+        """Let requests in progress finish and the balancer turn away."""
+        gateway = self.gateway
+        gateway.is_draining = True
+        eliot.log_message('draining', in_progress=gateway.in_progress)
+        started_ms = clocks.monotonic_ms()
+        grace_ms = gateway.conf.bounds.grace_ms * _DRAIN_PART
+        self._close_connections()
+        await asyncio.sleep(_BALANCER_S)
+        await self._front.close_port()
+        self._close_connections()
+        while (
+            gateway.in_progress
+            and clocks.monotonic_ms() - started_ms < grace_ms
+        ):
+            await asyncio.sleep(_DRAIN_CHECK_S)
+
+    async def on_shutdown(self) -> None:
+        """Close the connections when nothing uses them any more."""
+        for session in self._sessions:
+            await session.close()
+
+    def _close_connections(self) -> None:
+        """Close idle connections now and the others after their answer.
+
+        A request on a kept connection could reach this daemon long after the
+        balancer has turned away.
+        """
+        for connection in self._callers.connections:
+            if connection in self.gateway.busy_connections:
+                connection.close()
+            else:
+                connection.force_close()
+
+
+def _make_gateway(
+    conf: settings.GatewaySettings,
+    platform: ports.Platform,
+    session: aiohttp.ClientSession,
+) -> state.Gateway:
+    turn: Callable[[], int] = lambda: _turn(gateway)  # noqa: E731
+    control = rollout_control.RolloutControl(
+        platform.encode_rollout_status, conf.bounds.exposure_share, turn
+    )
+    gateway = state.Gateway(conf, platform, session, control)
+    return gateway
+
+
+def _turn(gateway: state.Gateway) -> int:
+    """Return this daemon's place among those that take steps."""
+    if gateway.exchange is None:
+        return 0
+    live = gateway.exchange.live_names()
+    return sorted({*live, gateway.conf.name}).index(gateway.conf.name)
+
+
+def _follow(gateway: state.Gateway, store: ports.Store) -> list[topics.Topic]:
+    names = gateway.platform.topics
+    orders = topics.Topic(names.orders, store, gateway.order_changed, _ignore)
+    gateway.orders_topic = orders
+    interval_ms = gateway.conf.bounds.drain_ms / _DIRECTORY_READS_PER_BOUND
+    return [
+        orders,
+        topics.Topic(
+            names.endpoints,
+            store,
+            gateway.endpoint_changed,
+            gateway.directory.store_regained,
+            interval_ms=interval_ms,
+        ),
+        topics.Topic(names.state, store, gateway.state_changed, _ignore),
+    ]
+
+
+def _ignore(away_ms: float) -> None:
+    """Do nothing when contact to the store is back."""
+
+
+async def _open_exchange(
+    gateway: state.Gateway, followed: list[topics.Topic]
+) -> peers.Exchange:
+    exchange = peers.Exchange(
+        functools.partial(_digest, gateway, followed),
+        functools.partial(_receive, gateway),
+    )
+    gateway.exchange = exchange
+    address = gateway.conf.peer
+    await asyncio.get_running_loop().create_datagram_endpoint(
+        lambda: exchange, local_addr=(address.host, address.port)
+    )
+    return exchange
+
+
+def _share_reading(
+    gateway: state.Gateway,
+    exchange: peers.Exchange,
+    followed: list[topics.Topic],
+    session: aiohttp.ClientSession,
+) -> None:
+    """Let few daemons read what all need, but for orders.
+
+    Each daemon reads the orders: they bind within seconds.
+    """
+    duty = peers.ReadingDuty(
+        gateway.conf.name, gateway.conf.data_centre, exchange, session
+    )
+    for topic in followed[1:]:
+        topic.read_elsewhere = duty.read_elsewhere
+
+
+def _receive(gateway: state.Gateway, name: str, digest: dict[str, Any]) -> None:
+    gateway.control.receive(name, digest['rollouts'])
+    gateway.directory.note_peer_work(name, digest['work'])
+
+
+def _digest(
+    gateway: state.Gateway, followed: list[topics.Topic]
+) -> dict[str, Any]:
+    return {
+        'name': gateway.conf.name,
+        'data_centre': gateway.conf.data_centre,
+        'reads': [topic.name for topic in followed if topic.is_read_from_store],
+        'newest': {topic.name: topic.table.newest_offset for topic in followed},
+        'rollouts': gateway.control.digest(),
+        'work': gateway.directory.work(),
+    }
+
+
+async def _announce(
+    gateway: state.Gateway, store: ports.Store, topic: topics.Topic
+) -> None:
+    """Tell the other daemons where this one is, unless they know."""
+    key, value = state.member_record(gateway.conf)
+    while True:
+        known = topic.table.entries.get(key)
+        if topic.is_loaded and (known is None or known.value != value):
+            try:
+                await store.append(topic.name, [(key, value)], None)
+            except platform_errors.PlatformError as fault:
+                eliot.log_message('announcement_lost', code=fault.code)
+        elif topic.is_loaded:
+            return
+        await asyncio.sleep(_MEMBER_RETRY_S)
--- a/packages/daemon/src/yuccarouter/gateway/logs.py
+++ b/packages/daemon/src/yuccarouter/gateway/logs.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import logging
 import os
 import sys
 from typing import Any, Final
@@ -11,6 +12,7 @@
 import eliot
 import orjson
 import prometheus_client
+from eliot import stdlib
 
 # Lines a second that a process writes; more are counted as dropped.
 _LINES_PER_S: Final = 300.0
@@ -85,4 +87,6 @@
     os.set_blocking(sys.stdout.fileno(), False)  # noqa: FBT003
     log = LineLog(name)
     eliot.add_destinations(log.write)
+    # What libraries log comes out as lines of the same form.
+    logging.getLogger().addHandler(stdlib.EliotHandler())
     return log
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -84,8 +84,13 @@
         return self.exchange is None or not self.exchange.confirms(topic)
 
     def is_ready(self) -> bool:
-        """Whether callers should be sent here."""
-        return self.table is not None and not self.is_draining
+        """Whether callers should be sent here.
+
+        A daemon that knows no endpoint yet would refuse what others can serve.
+        """
+        if self.table is None or self.is_draining:
+            return False
+        return any(True for _ in self.directory)
 
     @contextlib.contextmanager
     def serving(self, connection: object) -> Iterator[None]:
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -22,8 +22,9 @@
 _RETRY_MS: Final = 300.0
 # Pause after records came, so that a series of them is read with few calls.
 _BATCH_MS: Final = 200.0
-# Pause between readings from a peer where the store would be asked to wait.
-_ELSEWHERE_MS: Final = 500.0
+# Pause between looks at what peers have read: their reading and this one must
+# both fit into the drain bound.
+_ELSEWHERE_MS: Final = 400.0
 # The newest records are read again this long after they were read last while
 # the store is away, since a long poll would not show that it has forgotten.
 _LOST_CONTACT_MS: Final = 1000.0
@@ -127,7 +128,7 @@
         elsewhere = self.read_elsewhere
         self.is_delegated = elsewhere is not None and await elsewhere(self)
         if self.is_delegated:
-            return max(self.interval_ms, _ELSEWHERE_MS)
+            return _ELSEWHERE_MS
         wait_ms = 0 if self.interval_ms else self.wait_ms
         page = await self.store.read(self.name, self.table.next_offset, wait_ms)
         self._reached()
