--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(ROOT)/packages/common/src:$(ROOT)/packages/daemon/src:$(ROOT)/packages/yuccactl/src:$(ROOT)/packages/testkit/src:$(ROOT)/platform
 PROTO := packages/common/src/yuccarouter_common/proto
 
-.PHONY: setup test lint format demo demo-serve bench load soak proto
+.PHONY: setup test lint format demo demo-serve bench load soak platform-soak experiment proto
 
 setup: $(VENV)/.installed
 
@@ -52,6 +52,16 @@
 load: setup
 	$(PY) -m yuccarouter_testkit.load --url $(URL) $(LOAD)
 
+# Fresh seeds of gateway processes under faults, for example SEEDS=100:149.
+SEEDS ?= 1:4
+platform-soak: setup
+	$(PY) -m yuccarouter_testbed.soak --seeds $(SEEDS)
+
+# Load on a small deployment, for example EXPERIMENT='--rates 20,200'.
+EXPERIMENT ?=
+experiment: setup
+	$(PY) -m yuccarouter_testbed.experiment $(EXPERIMENT)
+
 proto: setup
 	$(PY) -m grpc_tools.protoc -I packages/common/src --python_out=packages/common/src \
 		--grpc_python_out=packages/common/src --pyi_out=packages/common/src \
