--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -139,15 +139,13 @@
             await session.close()
 
     def _close_connections(self) -> None:
-        """Close idle connections now and the others after their answer.
+        """Close idle connections; the others close after their answer.
 
         A request on a kept connection could reach this daemon long after the
         balancer has turned away.
         """
         for connection in self._callers.connections:
-            if connection in self.gateway.busy_connections:
-                connection.close()
-            else:
+            if connection not in self.gateway.busy_connections:
                 connection.force_close()
 
 
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -27,6 +27,15 @@
 # Daemons of a data centre that read a topic from the store for all.
 _READERS: Final = 2
 _MAX_DATAGRAM: Final = 8000
+# A peer that is gone, or that answers with something else than records.
+_FETCH_FAULTS: Final = (
+    aiohttp.ClientError,
+    asyncio.TimeoutError,
+    records.ShapeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
 _RECORDS_PATH: Final = '/records'
 _RECORDS_TIMEOUT_S: Final = 0.8
 # Records reach all daemons within a few hundred milliseconds.
@@ -151,7 +160,15 @@
             for entry in topic.table.entries.values()
             if entry.offset >= since
         ]
-        return web.Response(body=orjson.dumps(known))
+        present = [
+            entry.key for entry in topic.table.entries.values() if entry.value
+        ]
+        document = {
+            'records': known,
+            'present': present,
+            'newest': topic.table.newest_offset,
+        }
+        return web.Response(body=orjson.dumps(document))
 
     app = web.Application()
     app.router.add_get(_RECORDS_PATH, give)
@@ -263,18 +280,14 @@
             params={'topic': topic.name, 'from': str(since)},
             timeout=aiohttp.ClientTimeout(total=_RECORDS_TIMEOUT_S),
         ) as answer:
-            rows = records.loads(await answer.read())
+            known = records.loads(await answer.read())
             found = [
                 ports.Entry(key, base64.b64decode(value), offset)
-                for key, value, offset in rows
+                for key, value, offset in known['records']
             ]
-    except (
-        aiohttp.ClientError,
-        asyncio.TimeoutError,
-        records.ShapeError,
-        TypeError,
-        ValueError,
-    ) as fault:
+            present = frozenset(known['present'])
+            newest = int(known['newest'])
+    except _FETCH_FAULTS as fault:
         eliot.log_message(
             'peer_fetch_failed', peer=str(peer.address), reason=str(fault)
         )
@@ -286,4 +299,5 @@
             peer=str(peer.address),
             count=len(found),
         )
-        topic.merge(sorted(found, key=lambda entry: entry.offset))
+        ordered = sorted(found, key=lambda entry: entry.offset)
+        topic.merge(ordered, present, newest)
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -115,8 +115,23 @@
             else:
                 await asyncio.sleep(pause_ms / _MS_PER_S)
 
-    def merge(self, entries: list[ports.Entry]) -> None:
-        """Apply records that a peer knows; older ones change nothing."""
+    def merge(
+        self,
+        entries: list[ports.Entry],
+        present: frozenset[str] | None = None,
+        newest_offset: int = -1,
+    ) -> None:
+        """Apply records that a peer knows; older ones change nothing.
+
+        ``present`` are all keys that the peer knows to be there, and
+        ``newest_offset`` is how far it has read: a key that it lacks was
+        removed, unless its record is newer than that.
+        """
+        removals = [] if present is None else self.table.missing(present)
+        for removed in removals:
+            if removed.offset < newest_offset:
+                self.table.entries[removed.key] = removed
+                self.changed(removed)
         for entry in entries:
             self._apply(entry)
 
--- a/packages/daemon/tests/gateway/test_topics.py
+++ b/packages/daemon/tests/gateway/test_topics.py
@@ -113,3 +113,23 @@
     assert not topic.is_failing
     assert ('regained', b'') in seen
     assert ('a', b'1') in seen
+
+
+async def test_removals_that_a_peer_knows() -> None:
+    """Guards against using an endpoint that a peer saw leave in a full reading.
+
+    Seen as DRAIN on hunt-0068-7 of a grown deployment: records that a full
+    reading lacks have no offset that a peer would ask for.
+    """
+    store = gateway_store.MemoryStore()
+    store.write(TOPIC, 'a', b'1')
+    store.write(TOPIC, 'b', b'1')
+    topic, seen = follow(store)
+    await read(topic)
+    topic.merge([ports.Entry('c', b'1', 2)], frozenset(('b', 'c')), 2)
+    assert seen[2:] == [('a', b''), ('c', b'1')]
+    # What is newer than all that the peer has read stays.
+    topic.merge([ports.Entry('d', b'1', 7)], frozenset('d'), 1)
+    assert 'c' in {
+        key for key, entry in topic.table.entries.items() if entry.value
+    }
