Say 502, not "not run", after a smaller model's answer was dropped

A stream whose first answer had been dropped for a larger model's was refused with 503 when no endpoint took the second run, although the first one had run.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -42,7 +42,11 @@
 
 @attrs.define
 class Outgoing:
-    """A call as it goes to endpoints."""
+    """A call as it goes to endpoints.
+
+    ``has_run`` is true once an answer was dropped, so that no refusal may say
+    that the call has not run.
+    """
 
     gateway: state.Gateway
     call: model.Call
@@ -57,6 +61,7 @@
     runs: int = 0
     tried: frozenset[str] = frozenset()
     has_budget: bool = False
+    has_run: bool = False
 
     def left_ms(self) -> float:
         """Return the time until the call's deadline."""
--- a/packages/daemon/src/yuccarouter/gateway/refusing.py
+++ b/packages/daemon/src/yuccarouter/gateway/refusing.py
@@ -47,13 +47,12 @@
 
     Only where no attempt may have run does it say so.
     """
+    if out.has_run or (lost is not None and lost.may_have_run):
+        code = 'upstream_failed' if out.left_ms() > 0 else 'deadline_exceeded'
+        message = 'no other endpoint answers' if lost is None else lost.message
+        return refusals.RefusalError(code, message, outcome=refusals.UNKNOWN)
     if lost is None and out.left_ms() > 0:
         return no_endpoint(out.service)
-    if lost is not None and lost.may_have_run:
-        code = 'upstream_failed' if out.left_ms() > 0 else 'deadline_exceeded'
-        return refusals.RefusalError(
-            code, lost.message, outcome=refusals.UNKNOWN
-        )
     return refusals.RefusalError(
         'overloaded',
         'no endpoint took the request',
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -166,6 +166,7 @@
         confidence=confidence,
     )
     relay.step += 1
+    out.has_run = True
     out.tried = frozenset()
     out.has_budget = True
     return True
