--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -25,6 +25,8 @@
 from yuccarouter_common.platform import errors as platform_errors
 
 if TYPE_CHECKING:
+    import socket
+
     import aiohttp
 
     from yuccarouter.gateway import settings
@@ -42,6 +44,9 @@
 _BALANCER_S: Final = 2.6
 _DRAIN_CHECK_S: Final = 0.05
 _MEMBER_RETRY_S: Final = 1.0
+# A call to the store takes a few ms; the first reading takes three.
+_FIRST_READING_MS: Final = 200.0
+_READY_CHECK_S: Final = 0.005
 
 
 class Background(mode.Service):
@@ -72,6 +77,7 @@
         conf: settings.GatewaySettings,
         platform: ports.Platform,
         make_store: MakeStore,
+        listener: socket.socket | None = None,
     ) -> None:
         super().__init__()
         self._conf = conf
@@ -82,7 +88,9 @@
         )
         self.gateway = _make_gateway(conf, platform, self._sessions[0])
         self._callers = servers.callers_server(self.gateway)
-        self._front = servers.serve_callers(self._callers, conf.listen)
+        self._front = servers.serve_callers(
+            self._callers, conf.listen, listener
+        )
 
     async def on_start(self) -> None:
         """Build the parts and start them, the callers' port last."""
@@ -108,9 +116,10 @@
             servers.serve_app(peers.records_app(followed), conf.peer),
             servers.serve_app(servers.metrics_app(), metrics_address),
             servers.serve_app(servers.ready_app(self.gateway), conf.ready),
-            self._front,
         ):
             await self.add_runtime_dependency(service)
+        await _wait_until_ready(self.gateway)
+        await self.add_runtime_dependency(self._front)
 
     async def watch_settings(self, reloading: reload.Reload) -> None:
         """Take in settings whose file changes."""
@@ -149,6 +158,17 @@
                 connection.force_close()
 
 
+async def _wait_until_ready(gateway: state.Gateway) -> None:
+    """Let the first reading of the store end before callers are served.
+
+    Callers who come earlier wait in the queue of the port. While the store is
+    away they are told when to come back instead.
+    """
+    until_ms = clocks.monotonic_ms() + _FIRST_READING_MS
+    while not gateway.is_ready() and clocks.monotonic_ms() < until_ms:
+        await asyncio.sleep(_READY_CHECK_S)
+
+
 def _make_gateway(
     conf: settings.GatewaySettings,
     platform: ports.Platform,
--- a/packages/daemon/src/yuccarouter/gateway/program.py
+++ b/packages/daemon/src/yuccarouter/gateway/program.py
@@ -3,26 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import signal
-import sys
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 import eliot
 
-from yuccarouter.gateway import daemon, logs, ports, reload
+from yuccarouter import lifecycle
+from yuccarouter.gateway import logs, reload
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from yuccarouter.gateway import settings
-
-_FAILED: Final = 1
+    from yuccarouter.gateway import daemon, settings
 
 
 async def serve(
     conf: settings.GatewaySettings,
-    platform: ports.Platform,
-    make_store: daemon.MakeStore,
+    make_daemon: Callable[[], daemon.Daemon],
     load: Callable[[], settings.GatewaySettings],
     settings_path: str,
 ) -> int:
@@ -38,30 +36,13 @@
         loop.add_signal_handler(number, stop.set)
     eliot.log_message('started', name=conf.name, data_centre=conf.data_centre)
     writing = asyncio.create_task(log.run())
-    role = daemon.Daemon(conf, platform, make_store)
+    role = make_daemon()
     reloading = reload.Reload(role.gateway, load, settings_path)
     loop.add_signal_handler(signal.SIGHUP, reloading.apply)
-    status = await _run(role, reloading, stop)
+    status = await lifecycle.run_role(
+        role, stop, functools.partial(role.watch_settings, reloading)
+    )
     eliot.log_message('stopped', name=conf.name, status=status)
     writing.cancel()
     log.flush()
     return status
-
-
-async def _run(
-    role: daemon.Daemon, reloading: reload.Reload, stop: asyncio.Event
-) -> int:
-    try:
-        await role.start()
-    except OSError as fault:
-        sys.stderr.write(f'can not start: {fault}\n')
-        await role.stop()
-        return _FAILED
-    await role.watch_settings(reloading)
-    crashed = asyncio.create_task(role.wait_until_stopped())
-    stopping = asyncio.create_task(stop.wait())
-    await asyncio.wait((crashed, stopping), return_when=asyncio.FIRST_COMPLETED)
-    if not crashed.done():
-        await role.drain()
-        await role.stop()
-    return _FAILED if role.crash_reason else 0
--- a/packages/daemon/src/yuccarouter/gateway/servers.py
+++ b/packages/daemon/src/yuccarouter/gateway/servers.py
@@ -8,12 +8,13 @@
 import prometheus_client
 from aiohttp import web
 
-from yuccarouter.gateway import front
+from yuccarouter.gateway import front, listening
 
 if TYPE_CHECKING:
+    import socket
+
     from yuccarouter.gateway import model, state
 
-_BACKLOG: Final = 1024
 _HEADER_BYTES: Final = 65536
 # Callers' connections may idle longer than any idle time that is configured.
 _KEEPALIVE_S: Final = 75.0
@@ -23,22 +24,31 @@
 
 
 class Server(mode.Service):
-    """Serves an application at one address."""
+    """Serves an application at one address.
+
+    ``listener`` is the socket of that address where it is open already.
+    """
 
-    def __init__(self, runner: web.BaseRunner, address: model.Address):
+    def __init__(
+        self,
+        runner: web.BaseRunner,
+        address: model.Address,
+        listener: socket.socket | None = None,
+    ) -> None:
         super().__init__()
         self._runner = runner
         self._address = address
-        self._site: web.TCPSite | None = None
+        self._listener = listener
+        self._site: web.SockSite | None = None
 
     async def on_start(self) -> None:
         """Listen before anything else relies on the address."""
         await self._runner.setup()
-        self._site = web.TCPSite(
-            self._runner,
-            self._address.host,
-            self._address.port,
-            backlog=_BACKLOG,
+        listener = self._listener or listening.open_port(
+            self._address.host, self._address.port
+        )
+        self._site = web.SockSite(
+            self._runner, listener, backlog=listening.BACKLOG
         )
         await self._site.start()
 
@@ -70,10 +80,14 @@
     )
 
 
-def serve_callers(server: web.Server, address: model.Address) -> Server:
+def serve_callers(
+    server: web.Server,
+    address: model.Address,
+    listener: socket.socket | None,
+) -> Server:
     """Return the service of the callers' address."""
     runner = web.ServerRunner(server, shutdown_timeout=_CANCEL_GRACE_S)
-    return Server(runner, address)
+    return Server(runner, address, listener)
 
 
 def serve_app(app: web.Application, address: model.Address) -> Server:
--- a/packages/daemon/src/yuccarouter/main.py
+++ b/packages/daemon/src/yuccarouter/main.py
@@ -9,13 +9,13 @@
 
 from absl import app, flags
 
+from yuccarouter import lifecycle
 from yuccarouter_common import settings, telemetry
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
 _BAD_SETTINGS: Final = 2
-_FAILED: Final = 1
 
 _FLAGS = flags.FLAGS
 flags.DEFINE_string('settings', '', 'path of the YAML settings')
@@ -48,19 +48,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    try:
-        await role.start()
-    except OSError as fault:
-        sys.stderr.write(f'can not start: {fault}\n')
-        await role.stop()
-        return _FAILED
-    crashed = asyncio.create_task(role.wait_until_stopped())
-    stopping = asyncio.create_task(stop.wait())
-    await asyncio.wait((crashed, stopping), return_when=asyncio.FIRST_COMPLETED)
-    if not crashed.done():
-        await role.drain()
-        await role.stop()
-    return _FAILED if role.crash_reason else 0
+    return await lifecycle.run_role(role, stop)
 
 
 def _role(conf: settings.Settings, spans: telemetry.SpanStore) -> Any:
