--- a/packages/daemon/src/yuccarouter/gateway/rollouts.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollouts.py
@@ -121,8 +121,7 @@
     done = elapsed_ms / max(1.0, order.ramp_ms)
     done_in_phase = phase_ms / max(1.0, order.ramp_ms)
     if phase is Phase.CANARY:
-        least = _MIN_CANARY_ANSWERS / (2 if done >= _LATE_CANARY else 1)
-        is_due = done >= _CANARY_END and answers >= least
+        is_due = done >= _CANARY_END and answers >= _least_in_canary(done)
         return Phase.RAMP if is_due else phase
     if phase is Phase.RAMP:
         is_due = done_in_phase >= _RAMP_PART and answers >= _MIN_RAMP_ANSWERS
@@ -130,6 +129,12 @@
     return Phase.COMPLETED if done_in_phase >= _FULL_PART else phase
 
 
+def _least_in_canary(done: float) -> int:
+    if done >= _LATE_CANARY:
+        return _MIN_CANARY_ANSWERS // 2
+    return _MIN_CANARY_ANSWERS
+
+
 def is_harmful(evidence: Evidence) -> bool:
     """Return whether the new version answers worse, on all routes or on one."""
     if _is_worse(_sum(evidence.new.values()), _sum(evidence.old.values())):
