--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -1,21 +1,19 @@
-"""The gateway process as a tree of supervised services."""
+"""The gateway process: its servers and what runs beside them."""
 
 from __future__ import annotations
 
 import asyncio
 import functools
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any, Final
 
 import eliot
-import mode
 
 from yuccarouter.gateway import (
     connections,
     model,
     peers,
     ports,
-    reload,
     rollout_control,
     servers,
     state,
@@ -49,29 +47,14 @@
 _READY_CHECK_S: Final = 0.005
 
 
-class Background(mode.Service):
-    """Runs one endless piece of work; its failure ends the process.
+class Daemon:
+    """Starts, watches and stops everything that a gateway consists of.
 
-    The platform starts the process again, with nothing left of a faulty
-    state.
+    The failure of any piece of work ends the process: the platform starts it
+    again, with nothing left of a faulty state. ``crash_reason`` is that
+    failure.
     """
 
-    def __init__(self, work: Callable[[], Awaitable[None]]) -> None:
-        super().__init__()
-        self._work = work
-
-    @mode.Service.task
-    async def _run(self) -> None:
-        try:
-            await self._work()
-        except Exception:
-            eliot.write_traceback()
-            raise
-
-
-class Daemon(mode.Service):
-    """Supervises everything that a gateway consists of."""
-
     def __init__(
         self,
         conf: settings.GatewaySettings,
@@ -79,7 +62,6 @@
         make_store: MakeStore,
         listener: socket.socket | None = None,
     ) -> None:
-        super().__init__()
         self._conf = conf
         self._make_store = make_store
         self._sessions = (
@@ -91,8 +73,11 @@
         self._front = servers.serve_callers(
             self._callers, conf.listen, listener
         )
+        self._servers: list[servers.Server] = []
+        self._work: list[asyncio.Task[None]] = []
+        self.crash_reason: BaseException | None = None
 
-    async def on_start(self) -> None:
+    async def start(self) -> None:
         """Build the parts and start them, the callers' port last."""
         conf = self._conf
         store_session = self._sessions[1]
@@ -101,7 +86,7 @@
         exchange = await _open_exchange(self.gateway, followed)
         _share_reading(self.gateway, exchange, followed, store_session)
         shared_state = followed[-1]
-        work: list[Callable[[], Awaitable[None]]] = [
+        work: list[Callable[[], Coroutine[Any, Any, None]]] = [
             *(topic.follow for topic in followed),
             exchange.run,
             functools.partial(
@@ -111,19 +96,33 @@
             functools.partial(_announce, self.gateway, store, shared_state),
         ]
         metrics_address = model.Address(conf.host, conf.metrics_port)
-        for service in (
-            *(Background(part) for part in work),
+        for part in work:
+            self.run(part)
+        for server in (
             servers.serve_app(peers.records_app(followed), conf.peer),
             servers.serve_app(servers.metrics_app(), metrics_address),
             servers.serve_app(servers.ready_app(self.gateway), conf.ready),
         ):
-            await self.add_runtime_dependency(service)
+            await self._start_server(server)
         await _wait_until_ready(self.gateway)
-        await self.add_runtime_dependency(self._front)
+        await self._start_server(self._front)
 
-    async def watch_settings(self, reloading: reload.Reload) -> None:
-        """Take in settings whose file changes."""
-        await self.add_runtime_dependency(Background(reloading.run))
+    def run(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Begin a piece of work that lasts as long as it has to do."""
+        self._work.append(asyncio.create_task(work()))
+
+    async def wait_until_stopped(self) -> None:
+        """Wait until a piece of work fails, and keep the reason."""
+        ended, _ = await asyncio.wait(
+            self._work, return_when=asyncio.FIRST_EXCEPTION
+        )
+        for task in ended:
+            fault = task.exception()
+            if fault is not None:
+                self.crash_reason = fault
+                eliot.write_traceback(
+                    exc_info=(type(fault), fault, fault.__traceback__)
+                )
 
     async def drain(self) -> None:
         """Let requests in progress finish and the balancer turn away."""
@@ -142,11 +141,20 @@
         ):
             await asyncio.sleep(_DRAIN_CHECK_S)
 
-    async def on_shutdown(self) -> None:
-        """Close the connections when nothing uses them any more."""
+    async def stop(self) -> None:
+        """Close the servers, end the work and close the connections."""
+        for server in reversed(self._servers):
+            await server.stop()
+        for task in self._work:
+            task.cancel()
+        await asyncio.gather(*self._work, return_exceptions=True)
         for session in self._sessions:
             await session.close()
 
+    async def _start_server(self, server: servers.Server) -> None:
+        self._servers.append(server)
+        await server.start()
+
     def _close_connections(self) -> None:
         """Close idle connections; the others close after their answer.
 
--- a/packages/daemon/src/yuccarouter/gateway/program.py
+++ b/packages/daemon/src/yuccarouter/gateway/program.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import signal
 from typing import TYPE_CHECKING
 
@@ -39,9 +38,8 @@
     role = make_daemon()
     reloading = reload.Reload(role.gateway, load, settings_path)
     loop.add_signal_handler(signal.SIGHUP, reloading.apply)
-    status = await lifecycle.run_role(
-        role, stop, functools.partial(role.watch_settings, reloading)
-    )
+    role.run(reloading.run)
+    status = await lifecycle.run_role(role, stop)
     eliot.log_message('stopped', name=conf.name, status=status)
     writing.cancel()
     log.flush()
--- a/packages/daemon/src/yuccarouter/gateway/servers.py
+++ b/packages/daemon/src/yuccarouter/gateway/servers.py
@@ -4,11 +4,10 @@
 
 from typing import TYPE_CHECKING, Final
 
-import mode
 import prometheus_client
 from aiohttp import web
 
-from yuccarouter.gateway import front, listening
+from yuccarouter.gateway import front, early
 
 if TYPE_CHECKING:
     import socket
@@ -23,7 +22,7 @@
 _NOT_READY: Final = 503
 
 
-class Server(mode.Service):
+class Server:
     """Serves an application at one address.
 
     ``listener`` is the socket of that address where it is open already.
@@ -35,21 +34,18 @@
         address: model.Address,
         listener: socket.socket | None = None,
     ) -> None:
-        super().__init__()
         self._runner = runner
         self._address = address
         self._listener = listener
         self._site: web.SockSite | None = None
 
-    async def on_start(self) -> None:
+    async def start(self) -> None:
         """Listen before anything else relies on the address."""
         await self._runner.setup()
-        listener = self._listener or listening.open_port(
+        listener = self._listener or early.open_port(
             self._address.host, self._address.port
         )
-        self._site = web.SockSite(
-            self._runner, listener, backlog=listening.BACKLOG
-        )
+        self._site = web.SockSite(self._runner, listener, backlog=early.BACKLOG)
         await self._site.start()
 
     async def close_port(self) -> None:
@@ -58,7 +54,7 @@
             await self._site.stop()
             self._site = None
 
-    async def on_stop(self) -> None:
+    async def stop(self) -> None:
         """Close the port and the connections."""
         await self._runner.cleanup()
 
--- a/packages/daemon/src/yuccarouter/lifecycle.py
+++ b/packages/daemon/src/yuccarouter/lifecycle.py
@@ -4,10 +4,7 @@
 
 import asyncio
 import sys
-from typing import TYPE_CHECKING, Final, Protocol
-
-if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+from typing import Final, Protocol
 
 _FAILED: Final = 1
 
@@ -32,11 +29,7 @@
         """Stop at once."""
 
 
-async def run_role(
-    role: Role,
-    stop: asyncio.Event,
-    after_start: Callable[[], Awaitable[None]] | None = None,
-) -> int:
+async def run_role(role: Role, stop: asyncio.Event) -> int:
     """Run a role until ``stop`` is set or it fails; return an exit status."""
     try:
         await role.start()
@@ -44,8 +37,6 @@
         sys.stderr.write(f'can not start: {fault}\n')
         await role.stop()
         return _FAILED
-    if after_start is not None:
-        await after_start()
     crashed = asyncio.create_task(role.wait_until_stopped())
     stopping = asyncio.create_task(stop.wait())
     await asyncio.wait((crashed, stopping), return_when=asyncio.FIRST_COMPLETED)
