--- a/packages/daemon/src/yuccarouter/gateway/sizes.py
+++ b/packages/daemon/src/yuccarouter/gateway/sizes.py
@@ -8,6 +8,11 @@
 
 # Confidence, 0 to 100, from which an answer of a smaller model is passed on.
 ACCEPTED_CONFIDENCE: Final = 56.0
+# Part of the objective that the prompts before it may take, for a call of the
+# first rank; an engine that is further behind can't read what it is sent.
+_BACKLOG_OF_OBJECTIVE: Final = 0.5
+# How much sooner each further rank gives up the larger model.
+_BACKLOG_PER_RANK: Final = 2
 
 
 @attrs.frozen
@@ -24,6 +29,34 @@
         return confidence is not None and confidence >= self.accepted_confidence
 
 
+@attrs.frozen
+class Prospect:
+    """What asking the larger model would take now.
+
+    ``backlog_ms`` is the time to read the prompts that wait at the endpoint
+    and ``read_ms`` the time to read this one.
+    """
+
+    elapsed_ms: float
+    backlog_ms: float
+    read_ms: float
+
+
+def is_worth_asking(
+    prospect: Prospect, objective_ms: float, priority: int
+) -> bool:
+    """Return whether to ask a larger model, rather than take the answer.
+
+    An answer that comes late is worth as little as one that may be wrong, and
+    all streams beside a long prompt of the largest model stand still. While
+    engines are behind, the less urgent calls do without it first.
+    """
+    first_ms = prospect.elapsed_ms + prospect.backlog_ms + prospect.read_ms
+    rank = 1 + _BACKLOG_PER_RANK * priority
+    bound_ms = _BACKLOG_OF_OBJECTIVE * objective_ms / rank
+    return first_ms <= objective_ms and prospect.backlog_ms <= bound_ms
+
+
 def plan_for(models: tuple[str, ...]) -> Plan:
     """Return the models for a call whose sizes are ``models``.
 
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -161,6 +161,8 @@
         return False
     if relay.plan.accepts(relay.step, confidence):
         return False
+    if not _is_worth_asking(relay, confidence):
+        return False
     if not out.may_run_again(after=0) or not out.take_repeat(is_optional=True):
         return False
     eliot.log_message(
@@ -176,6 +178,35 @@
     return True
 
 
+def _is_worth_asking(relay: Relay, confidence: float | None) -> bool:
+    """Return whether the next larger model is not too far behind."""
+    out = relay.out
+    larger = relay.plan.models[relay.step + 1]
+    chosen = out.gateway.choose(
+        out.call, out.route, out.service, frozenset(), larger
+    )
+    if chosen is None:
+        return False
+    unread = attempts.unread_tokens(out.call, chosen)
+    prospect = sizes.Prospect(
+        elapsed_ms=out.elapsed_ms(),
+        backlog_ms=chosen.endpoint.backlog_ms(clocks.monotonic_ms()),
+        read_ms=out.gateway.read_speeds.expected_ms(larger, unread),
+    )
+    if sizes.is_worth_asking(prospect, out.route.objective_ms, out.priority):
+        return True
+    eliot.log_message(
+        'larger_model_not_asked',
+        request=out.call.request_id,
+        confidence=confidence,
+        priority=out.priority,
+        elapsed_ms=round(prospect.elapsed_ms),
+        backlog_ms=round(prospect.backlog_ms),
+        read_ms=round(prospect.read_ms),
+    )
+    return False
+
+
 async def _failure(relay: Relay, opened: attempts.Opened) -> web.StreamResponse:
     out = relay.out
     until_ms = clocks.monotonic_ms() + out.left_ms()
