--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -23,8 +23,6 @@
 from yuccarouter_common.platform import errors as platform_errors
 
 if TYPE_CHECKING:
-    import socket
-
     import aiohttp
 
     from yuccarouter.gateway import settings
@@ -62,7 +60,7 @@
         conf: settings.GatewaySettings,
         platform: ports.Platform,
         make_store: MakeStore,
-        listener: socket.socket | None = None,
+        listener: int | None = None,
     ) -> None:
         self._conf = conf
         self._make_store = make_store
--- a/packages/daemon/src/yuccarouter/gateway/early.py
+++ b/packages/daemon/src/yuccarouter/gateway/early.py
@@ -2,13 +2,14 @@
 
 Loading them takes a good part of a second. Callers that connect meanwhile wait
 in the queue of the port instead of being turned away. This module therefore
-imports no library, and of the standard one only what loads fast.
+imports no library, and not the standard module of sockets either: it loads
+enumerations and selectors first, which takes as long as all the rest here.
 """
 
 from __future__ import annotations
 
+import _socket
 import os
-import socket
 
 # Connections that wait until they are accepted.
 BACKLOG = 1024
@@ -23,8 +24,8 @@
     os.environ.setdefault(_CERTIFICATES_VARIABLE, os.devnull)
 
 
-def open_callers_port(arguments: list[str]) -> socket.socket | None:
-    """Return the port that the arguments name, listening.
+def open_callers_port(arguments: list[str]) -> int | None:
+    """Return the descriptor of the port that the arguments name, listening.
 
     Where that fails the program opens the port of its settings later, and
     tells what is wrong with the address.
@@ -39,16 +40,16 @@
     return None
 
 
-def open_port(host: str, port: int) -> socket.socket:
-    """Return a listening socket; raises ``OSError``."""
-    family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    opened = socket.socket(family, socket.SOCK_STREAM)
+def open_port(host: str, port: int) -> int:
+    """Return the descriptor of a listening socket; raises ``OSError``."""
+    family = _socket.AF_INET6 if ':' in host else _socket.AF_INET
+    opened = _socket.socket(family, _socket.SOCK_STREAM)
     try:
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        opened.setsockopt(_socket.SOL_SOCKET, _socket.SO_REUSEADDR, 1)
         opened.bind((host, port))
         opened.listen(BACKLOG)
         opened.setblocking(False)
     except OSError:
         opened.close()
         raise
-    return opened
+    return opened.detach()
--- a/packages/daemon/src/yuccarouter/gateway/servers.py
+++ b/packages/daemon/src/yuccarouter/gateway/servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from typing import TYPE_CHECKING, Final
 
 import prometheus_client
@@ -10,8 +11,6 @@
 from yuccarouter.gateway import front, early
 
 if TYPE_CHECKING:
-    import socket
-
     from yuccarouter.gateway import model, state
 
 _HEADER_BYTES: Final = 65536
@@ -25,14 +24,14 @@
 class Server:
     """Serves an application at one address.
 
-    ``listener`` is the socket of that address where it is open already.
+    ``listener`` is the descriptor of that address where it is open already.
     """
 
     def __init__(
         self,
         runner: web.BaseRunner,
         address: model.Address,
-        listener: socket.socket | None = None,
+        listener: int | None = None,
     ) -> None:
         self._runner = runner
         self._address = address
@@ -42,9 +41,11 @@
     async def start(self) -> None:
         """Listen before anything else relies on the address."""
         await self._runner.setup()
-        listener = self._listener or early.open_port(
-            self._address.host, self._address.port
-        )
+        descriptor = self._listener
+        if descriptor is None:
+            address = self._address
+            descriptor = early.open_port(address.host, address.port)
+        listener = socket.socket(fileno=descriptor)
         self._site = web.SockSite(self._runner, listener, backlog=early.BACKLOG)
         await self._site.start()
 
@@ -79,7 +80,7 @@
 def serve_callers(
     server: web.Server,
     address: model.Address,
-    listener: socket.socket | None,
+    listener: int | None,
 ) -> Server:
     """Return the service of the callers' address."""
     runner = web.ServerRunner(server, shutdown_timeout=_CANCEL_GRACE_S)
