--- a/packages/daemon/src/yuccarouter/gateway/choice.py
+++ b/packages/daemon/src/yuccarouter/gateway/choice.py
@@ -41,7 +41,8 @@
     """What an endpoint must be for a call, and what makes it a good one.
 
     ``versions`` decides by version; ``tried`` are endpoints that had the call
-    before; ``cold_share_per_s`` is this daemon's bound for a cold endpoint.
+    before; ``cold_share_per_s`` is this daemon's bound for a cold endpoint;
+    ``read_ms_per_token`` is the reading speed of an idle engine.
     """
 
     service: str
--- a/packages/daemon/tests/gateway/test_sizes.py
+++ b/packages/daemon/tests/gateway/test_sizes.py
@@ -47,16 +47,21 @@
     ('pattern', 'prospect', 'asked_by_rank'),
     [
         ('idle engines', (50, 0, 200), (True, True, True)),
-        ('a short queue: the last rank does without', (50, 300, 200),
-         (True, True, False)),
-        ('a queue: only the first rank asks', (50, 900, 200),
-         (True, False, False)),
+        (
+            'a short queue: the last rank does without',
+            (50, 300, 200),
+            (True, True, False),
+        ),
+        (
+            'a queue: only the first rank asks',
+            (50, 900, 200),
+            (True, False, False),
+        ),
         ('engines are behind', (50, 1100, 200), (False, False, False)),
-        ('a prompt that takes too long', (50, 0, 2500),
-         (False, False, False)),
+        ('a prompt that takes too long', (50, 0, 2500), (False, False, False)),
         ('the time has passed', (1950, 0, 200), (False, False, False)),
     ],
-)  # fmt: skip
+)
 def test_larger_model_while_engines_are_behind(
     pattern: str,
     prospect: tuple[float, float, float],
