End answers without end, and stalls that look alive

Cause: an unfinished event was kept without a bound and joined anew with each chunk, so that an endpoint could block the event loop for the square of what it sent. Whole answers were read without a bound, interim answers were waited through until the deadline, a stalled stream that sent a byte or a comment now and then was kept, and a caller that reads nothing held an endpoint's run.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -22,6 +22,9 @@
     from yuccarouter.gateway import choice, endpoints, state
 
 _MS_PER_S: Final = 1000
+# Answers that are passed on once they are whole are held in memory; twenty
+# that never end must fit the smallest VM, of 128 MB.
+MAX_ANSWER_BYTES: Final = 2_097_152
 _OK: Final = 200
 # Of the budget for repeats, kept for those that follow a failure.
 _RESERVE_SHARE: Final = 0.3
@@ -260,11 +263,14 @@
 
 
 async def read_whole(out: Outgoing, opened: Opened, until_ms: float) -> bytes:
-    """Return an answer's body; raises ``AttemptError`` if it breaks off."""
+    """Return an answer's body; raises ``AttemptError`` if it breaks off.
+
+    A body that does not end within ``MAX_ANSWER_BYTES`` counts as broken.
+    """
     left_ms = until_ms - clocks.monotonic_ms()
     try:
         async with asyncio.timeout(max(0, left_ms) / _MS_PER_S):
-            return await opened.response.read()
+            body = await _read_bounded(opened.response)
     except TimeoutError as fault:
         note_silent(out, opened)
         raise AttemptError(
@@ -275,6 +281,27 @@
         raise AttemptError(
             'answer broke off', 'broken_answer', may_have_run=True
         ) from fault
+    if body is None:
+        note_bad(out, opened, 'endless_answer')
+        raise AttemptError(
+            'answer is too long', 'endless_answer', may_have_run=True
+        )
+    return body
+
+
+async def _read_bounded(response: aiohttp.ClientResponse) -> bytes | None:
+    """Return a body, ``None`` if it is too long."""
+    chunks: list[bytes] = []
+    length = response.content_length or 0
+    if length > MAX_ANSWER_BYTES:
+        return None
+    length = 0
+    async for chunk in response.content.iter_any():
+        length += len(chunk)
+        if length > MAX_ANSWER_BYTES:
+            return None
+        chunks.append(chunk)
+    return b''.join(chunks)
 
 
 def response_with(opened: Opened, body: bytes) -> web.Response:
--- a/packages/daemon/src/yuccarouter/gateway/connections.py
+++ b/packages/daemon/src/yuccarouter/gateway/connections.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 import aiohttp
-from aiohttp import client_proto
+from aiohttp import client_proto, streams
 
 if TYPE_CHECKING:
     from aiohappyeyeballs import AddrInfoType
@@ -24,6 +24,8 @@
     'User-Agent',
 )
 _MAX_LINE: Final = 65536
+# Bytes of the head, with interim answers and what arrives of the body at once.
+MAX_HEAD_BYTES: Final = 524_288
 # A peer that lost power or is cut off answers nothing, so that only probes
 # show it: after two seconds of silence, the least that whole seconds allow.
 _SOCKET_OPTIONS: Final = (
@@ -39,9 +41,24 @@
     """Marks an answer as broken when its connection is reset.
 
     The library takes an answer without a length as whole at any end of its
-    connection.
+    connection. It also waits through interim answers without a bound, so that
+    the bytes before an answer's body are counted here.
     """
 
+    _head_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes; too many before a body end the connection."""
+        if self._payload is None or self._payload is streams.EMPTY_PAYLOAD:
+            self._head_bytes += len(data)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self.set_exception(
+                aiohttp.ClientPayloadError('answer has no end of its head')
+            )
+            self.abort()
+            return
+        super().data_received(data)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
--- a/packages/daemon/src/yuccarouter/gateway/front.py
+++ b/packages/daemon/src/yuccarouter/gateway/front.py
@@ -92,8 +92,11 @@
     except refusals.RefusalError as refusal:
         code = refusal.code
         answer = refusing.response(refusal)
-    except streaming.StreamBrokenError:
-        _log(gateway, call, route, arrived_ms, 0, 'stream_broken')
+    except (
+        streaming.StreamBrokenError,
+        streaming.CallerStalledError,
+    ) as fault:
+        _log(gateway, call, route, arrived_ms, 0, fault.code)
         _abort(request)
         raise asyncio.CancelledError from None
     except (asyncio.CancelledError, ConnectionError):
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -22,6 +22,8 @@
 from yuccarouter_common import clocks, errors, refusals
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
     from yuccarouter.gateway import choice
 
 _MS_PER_S: Final = 1000
@@ -42,6 +44,37 @@
     code = 'endpoint_gone'
 
 
+class CallerStalledError(errors.RouterError):
+    """The caller did not read its stream until its deadline."""
+
+    code = 'caller_stalled'
+
+
+# How a stream breaks that an endpoint began.
+_BROKEN: Final = (
+    aiohttp.ClientError,
+    events.OrderError,
+    events.EventTooLongError,
+    EndpointGoneError,
+)
+
+
+@attrs.define
+class _Silence:
+    """How long an endpoint has sent no event, whatever bytes came."""
+
+    buffer: events.EventBuffer
+    since_ms: float = attrs.field(factory=clocks.monotonic_ms)
+    _events_seen: int = 0
+
+    def elapsed_ms(self) -> float:
+        """Return the time since the newest event with data."""
+        if self.buffer.data_count > self._events_seen:
+            self._events_seen = self.buffer.data_count
+            self.since_ms = clocks.monotonic_ms()
+        return clocks.monotonic_ms() - self.since_ms
+
+
 @attrs.define
 class Relay:
     """A caller's stream with what was passed on of it.
@@ -174,7 +207,6 @@
     relay.step += 1
     out.has_run = True
     out.tried = frozenset()
-    out.has_budget = True
     return True
 
 
@@ -229,14 +261,14 @@
         raise attempts.AttemptError(
             'stream went silent', 'silent_stream', may_have_run=True
         ) from fault
-    except (aiohttp.ClientError, events.OrderError, EndpointGoneError) as fault:
+    except _BROKEN as fault:
         attempts.note_bad(out, opened, 'broken_stream', str(fault))
         raise attempts.AttemptError(
             'stream broke off', 'broken_stream', may_have_run=True
         ) from fault
     attempts.note_good(out, opened, is_slow=_is_slow(relay, opened, first_ms))
     if relay.response is not None:
-        await relay.response.write_eof()
+        await _until_read(relay, relay.response.write_eof())
 
 
 async def _pass_events(relay: Relay, opened: attempts.Opened) -> float:
@@ -247,8 +279,10 @@
     if out.may_run_again(after=0):
         pause_ms = patience.pause_ms(gap_ms)
     first_ms: float = 0
+    silence = _Silence(relay.buffer)
     while True:
-        chunk = await _next_chunk(opened, min(pause_ms, out.left_ms()))
+        borne_ms = pause_ms - silence.elapsed_ms()
+        chunk = await _next_chunk(opened, min(borne_ms, out.left_ms()))
         if not chunk:
             break
         first_ms = first_ms or clocks.monotonic_ms() - opened.sent_ms
@@ -281,7 +315,16 @@
         relay.response.enable_chunked_encoding()
         metrics.observe_first_byte(relay.out.route.kind, relay.out.elapsed_ms())
         await relay.response.prepare(relay.request)
-    await relay.response.write(whole)
+    await _until_read(relay, relay.response.write(whole))
+
+
+async def _until_read(relay: Relay, writing: Awaitable[None]) -> None:
+    """Wait for a caller to read; one that reads nothing holds no endpoint."""
+    try:
+        async with asyncio.timeout(max(0, relay.out.left_ms()) / _MS_PER_S):
+            await writing
+    except TimeoutError as fault:
+        raise CallerStalledError('caller does not read') from fault
 
 
 def _is_slow(relay: Relay, opened: attempts.Opened, first_ms: float) -> bool:
--- a/packages/daemon/tests/gateway/test_streams.py
+++ b/packages/daemon/tests/gateway/test_streams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import hypothesis
 import pytest
 from hypothesis import strategies as st
@@ -95,3 +97,43 @@
     for ratio in ratios:
         usual.note(ratio * patience.expected_ms(tokens), tokens)
     assert least_ms <= usual.first_ms(tokens, 2000) <= most_ms, pattern
+
+
+def test_comments_are_no_progress() -> None:
+    """Guards against a stalled stream that sends a comment now and then."""
+    buffer = events.EventBuffer()
+    assert buffer.feed(b': on\n\n') == b': on\n\n'
+    assert buffer.data_count == 0
+    buffer.feed(event(1))
+    assert buffer.data_count == 1
+
+
+@pytest.mark.parametrize('size', [1, 4096, 65536])
+def test_event_without_end(size: int) -> None:
+    """Guards against an endpoint that fills a daemon's memory."""
+    buffer = events.EventBuffer()
+    total = 0
+    with pytest.raises(events.EventTooLongError):
+        for _ in range(events.MAX_EVENT_BYTES // size + 2):
+            buffer.feed(b'z' * size)
+            total += size
+    assert total <= events.MAX_EVENT_BYTES
+
+
+def test_long_event_is_searched_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against time that grows with the square of an event's length.
+
+    Eight megabytes in pieces blocked the event loop for thirteen seconds.
+    """
+    searched: list[int] = []
+
+    class Pattern:
+        def finditer(self, data: bytearray, start: int) -> list[Any]:
+            searched.append(len(data) - start)
+            return []
+
+    monkeypatch.setattr(events, '_END', Pattern())
+    buffer = events.EventBuffer()
+    for _ in range(1000):
+        buffer.feed(b'z' * 1000)
+    assert sum(searched) <= 1000 * (1000 + 3)
