Tell daemons of lost endpoints; charge repeats by arrivals; draw among equals

Cause: while a quarter of a service's endpoints are dead, each daemon found each of them by itself, all daemons turned to the same idle one (a tie went to the lowest name, and a dead endpoint is the idlest), and a repeat was charged for attempts that never arrived, so that callers were refused while sound endpoints were free. An address where another endpoint listens refused all calls and was not avoided at all.

Change: reports of unreachable endpoints pass among daemons with their witnesses; two make an endpoint the last resort for all. The budget is charged for arrivals only. Equal endpoints are drawn from.

Ruled out: lost or slow answers are not reported, since an endpoint that loses a few answers still serves; a daemon that lost half of all endpoints says nothing, as it is likely cut off itself.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -48,6 +48,8 @@
 class Outgoing:
     """A call as it goes to endpoints.
 
+    ``arrivals`` counts the sends that reached an endpoint, or may have, and
+    ``allowed_arrivals`` those that are paid for: the first one is free.
     ``has_run`` is true once an answer was dropped, so that no refusal may say
     that the call has not run.
     """
@@ -62,9 +64,10 @@
     deadline_ms: float
     arrived_ms: float = attrs.field(factory=clocks.monotonic_ms)
     sends: int = 0
+    arrivals: int = 0
+    allowed_arrivals: int = 1
     runs: int = 0
     tried: frozenset[str] = frozenset()
-    has_budget: bool = False
     has_run: bool = False
 
     def left_ms(self) -> float:
@@ -79,11 +82,12 @@
         """Return where to send the call next, if it may be sent."""
         if self.runs >= self.route.max_attempts:
             return None
-        if self.sends and not self.take_repeat():
-            return None
-        return self.gateway.choose(
+        chosen = self.gateway.choose(
             self.call, self.route, self.service, self.tried, model_name
         )
+        if chosen is None or not self._may_arrive():
+            return None
+        return chosen
 
     def may_run_again(self, *, after: int) -> bool:
         """Return whether ``after`` more runs leave another one."""
@@ -106,15 +110,18 @@
 
         Optional ones leave part of the budget to repeats after failures.
         """
-        if self.has_budget:
-            self.has_budget = False
-            return True
-        return self.gateway.repeats.take(
+        is_taken = self.gateway.repeats.take(
             self.service,
             clocks.monotonic_ms(),
             self.gateway.daemons,
             _RESERVE_SHARE if is_optional else 0,
         )
+        self.allowed_arrivals += is_taken
+        return is_taken
+
+    def _may_arrive(self) -> bool:
+        """Return whether one more send is paid for, or can be."""
+        return self.arrivals < self.allowed_arrivals or self.take_repeat()
 
 
 @attrs.define
@@ -185,7 +192,9 @@
         aiohttp.ClientConnectorError,
     ) as fault:
         out.runs -= 1
-        _lost(out, view, 'unreachable')
+        out.arrivals -= 1
+        _out_of_reach(out, view)
+        _ended(out, view, 'unreachable')
         raise AttemptError(
             'endpoint is unreachable', 'unreachable', may_have_run=False
         ) from fault
@@ -241,6 +250,8 @@
     if head.load is not None:
         view.note_load(head.load, now_ms)
     if head.not_run:
+        if head.is_other_endpoint:
+            _out_of_reach(out, view)
         _ended(out, view, 'refused', status=head.status)
         out.runs -= 1
         raise AttemptError(
@@ -255,6 +266,7 @@
             'foreign_answer',
             may_have_run=True,
         )
+    out.gateway.losses.note_answered(view.name, now_ms)
     generation = out.call.generation
     if generation is not None:
         parts = [part.name for part in generation.parts]
@@ -344,6 +356,7 @@
     if view.is_cold(now_ms):
         view.cold_sends_ms.append(now_ms)
     out.sends += 1
+    out.arrivals += 1
     out.runs += 1
     out.tried |= {view.name}
 
@@ -369,12 +382,18 @@
     _ended(out, view, 'no_answer')
 
 
+def _out_of_reach(out: Outgoing, view: endpoints.EndpointView) -> None:
+    """Avoid an endpoint that is not there, and tell the other daemons."""
+    now_ms = clocks.monotonic_ms()
+    view.note_lost(now_ms)
+    out.gateway.losses.note_lost(view.name, now_ms)
+
+
 def _lost(
     out: Outgoing, view: endpoints.EndpointView, outcome: str, reason: str = ''
 ) -> None:
     view.note_lost(clocks.monotonic_ms())
-    if outcome != 'unreachable':
-        out.gateway.control.count(view, out.route.name, rollouts.Tally(bad=1))
+    out.gateway.control.count(view, out.route.name, rollouts.Tally(bad=1))
     _ended(out, view, outcome, reason=reason)
 
 
--- a/packages/daemon/src/yuccarouter/gateway/choice.py
+++ b/packages/daemon/src/yuccarouter/gateway/choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterable
 from typing import Final
 
@@ -41,7 +42,8 @@
     """What an endpoint must be for a call, and what makes it a good one.
 
     ``versions`` decides by version; ``tried`` are endpoints that had the call
-    before; ``cold_share_per_s`` is this daemon's bound for a cold endpoint;
+    before and ``lost`` those that other daemons can't reach;
+    ``cold_share_per_s`` is this daemon's bound for a cold endpoint;
     ``read_ms_per_token`` is the reading speed of an idle engine.
     """
 
@@ -54,6 +56,7 @@
     cold_share_per_s: float
     cold_bounded: bool
     connections: int
+    lost: frozenset[str] = frozenset()
     model_name: str = ''
     tokens: int = 0
     output_tokens: int = 0
@@ -79,19 +82,29 @@
     """Return the endpoint of least cost, ``None`` where none may be used.
 
     Endpoints that were lost a moment ago are used only where no other is left.
+    Those of equal cost are drawn from, so that many daemons do not all turn to
+    the same one.
     """
     usable = [view for view in views if is_usable(view, need, now_ms)]
-    trusted = [view for view in usable if view.avoid_until_ms <= now_ms]
+    trusted = [
+        view
+        for view in usable
+        if view.avoid_until_ms <= now_ms and view.name not in need.lost
+    ]
     candidates = trusted or usable
     if not candidates:
         return None
     places = _places(candidates, need)
     ranked = [
-        (_cost(view, need, now_ms) - places.get(view.name, 0), view.name)
-        for view in candidates
+        (
+            _cost(view, need, now_ms) - places.get(view.name, 0),
+            random.random(),
+            place,
+        )
+        for place, view in enumerate(candidates)
     ]
-    cost, name = min(ranked)
-    chosen = next(view for view in candidates if view.name == name)
+    cost, _, place = min(ranked)
+    chosen = candidates[place]
     return Choice(
         endpoint=chosen,
         cost=cost,
--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -257,6 +257,7 @@
 def _receive(gateway: state.Gateway, name: str, digest: dict[str, Any]) -> None:
     gateway.control.receive(name, digest['rollouts'])
     gateway.directory.note_peer_work(name, digest['work'])
+    gateway.losses.merge(digest.get('lost', {}), clocks.monotonic_ms())
 
 
 def _digest(
@@ -269,6 +270,9 @@
         'newest': {topic.name: topic.table.newest_offset for topic in followed},
         'rollouts': gateway.control.digest(),
         'work': gateway.directory.work(),
+        'lost': gateway.losses.message(
+            len(gateway.directory), clocks.monotonic_ms()
+        ),
     }
 
 
--- a/packages/daemon/src/yuccarouter/gateway/endpoints.py
+++ b/packages/daemon/src/yuccarouter/gateway/endpoints.py
@@ -147,6 +147,10 @@
         """Iterate over the endpoints that are not gone."""
         return iter(list(self._views.values()))
 
+    def __len__(self) -> int:
+        """Return the number of endpoints that are not gone."""
+        return len(self._views)
+
     def get(self, endpoint: str) -> EndpointView | None:
         """Return an endpoint by id."""
         return self._views.get(endpoint)
--- a/packages/daemon/src/yuccarouter/gateway/model.py
+++ b/packages/daemon/src/yuccarouter/gateway/model.py
@@ -208,7 +208,9 @@
     """What the head of an endpoint's answer says.
 
     ``not_run`` is true only where the endpoint promises that the request did
-    not run. ``confidence`` is the model's opinion of its answer, 0 to 100.
+    not run, and ``is_other_endpoint`` where another one answered than the
+    request was meant for. ``confidence`` is the model's opinion of its answer,
+    0 to 100.
     """
 
     status: int
@@ -219,6 +221,7 @@
     load: Load | None
     confidence: float | None
     is_encoded: bool
+    is_other_endpoint: bool = False
 
 
 def prompt_tokens(call: Call) -> int:
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -36,6 +36,14 @@
     TypeError,
     ValueError,
 )
+# A digest of another shape than expected.
+_DIGEST_FAULTS: Final = (
+    records.ShapeError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
 _RECORDS_PATH: Final = '/records'
 _RECORDS_TIMEOUT_S: Final = 0.8
 # Records reach all daemons within a few hundred milliseconds.
@@ -95,7 +103,7 @@
                 reads=tuple(digest.get('reads', ())),
             )
             self._receive(name, digest)
-        except (records.ShapeError, LookupError, TypeError, ValueError) as bad:
+        except _DIGEST_FAULTS as bad:
             eliot.log_message('bad_digest', sender=sender[0], reason=str(bad))
 
     def error_received(self, exc: Exception) -> None:
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -13,6 +13,7 @@
     choice,
     cold_limit,
     endpoints,
+    losses,
     metrics,
     model,
     patience,
@@ -51,6 +52,7 @@
     table: routes.RouteTable | None = None
     evacuated: frozenset[str] = frozenset()
     repeats: repeat_budget.RepeatBudget = attrs.field(init=False)
+    losses: losses.Losses = attrs.field(init=False)
     exchange: peers.Exchange | None = None
     orders_topic: topics.Topic | None = None
     is_draining: bool = False
@@ -66,6 +68,7 @@
     def __attrs_post_init__(self) -> None:
         """Build what depends on the settings."""
         bounds = self.conf.bounds
+        self.losses = losses.Losses(self.conf.name)
         self.repeats = repeat_budget.RepeatBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
         )
@@ -189,6 +192,7 @@
                 if kind and kind.max_connections
                 else 0
             ),
+            lost=self.losses.lost(clocks.monotonic_ms()),
             model_name=model_name,
             read_ms_per_token=self.read_speeds.expected_ms(model_name, 1),
             model_cost=kind.model_costs.get(model_name, 0) if kind else 0,
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -0,0 +1,180 @@
+"""Tests of what the budget for repeats is charged with.
+
+The pattern of load: a quarter of a service's endpoints crash at once, and a
+call meets several of them, idle as they are, before it meets a sound one.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import types
+from typing import Any
+
+import aiohttp
+import gateway_makers as make
+import pytest
+from aiohttp import client_reqrep
+
+from yuccarouter.gateway import (
+    attempts,
+    choice,
+    losses,
+    model,
+    read_speeds,
+    repeat_budget,
+    rollouts,
+)
+from yuccarouter_common import clocks
+
+ROUTE = model.Route(
+    name='r',
+    host='h',
+    path_prefix='/',
+    kind=model.Kind.SAFE,
+    timeout_ms=1000,
+    objective_ms=100,
+    gap_objective_ms=0,
+    priority=0,
+    max_attempts=2,
+    shares=(model.ServiceShare('engine', 1),),
+)
+CALL = model.Call(
+    request_id='r1',
+    method='GET',
+    target='/x',
+    host='h',
+    path='/x',
+    headers=(),
+    key='',
+    caller_deadline_ms=None,
+    generation=None,
+    last_event_id='',
+    session='',
+)
+NO_CONNECTION = aiohttp.ClientConnectorError(
+    client_reqrep.ConnectionKey('h', 80, False, True, None, None, None),
+    OSError('refused'),
+)
+
+
+class Session:
+    """Gives each attempt the next of the prepared results."""
+
+    def __init__(self, *results: Any) -> None:
+        self._results = list(results)
+
+    async def request(self, *args: Any, **fields: Any) -> Any:
+        found = self._results.pop(0)
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+
+def answer(**fields: Any) -> Any:
+    head = model.AnswerHead(
+        **{
+            'status': 200,
+            'headers': (),
+            'request_id': 'r1',
+            'not_run': False,
+            'is_signed': True,
+            'load': None,
+            'confidence': None,
+            'is_encoded': False,
+            **fields,
+        }
+    )
+    return types.SimpleNamespace(head=head, close=lambda: None)
+
+
+def outgoing(*results: Any, repeats: float) -> attempts.Outgoing:
+    """Return a call whose attempts end with ``results``, one by one."""
+    views = [make.view(f'e{number}') for number in range(9)]
+    gateway = types.SimpleNamespace(
+        choose=lambda call, route, service, tried, name: choice.choose(
+            views, make.need(tried=tried), clocks.monotonic_ms()
+        ),
+        repeats=repeat_budget.RepeatBudget(0, repeats, 10_000),
+        daemons=1,
+        losses=losses.Losses('d0'),
+        read_speeds=read_speeds.ReadSpeeds(),
+        control=types.SimpleNamespace(count=_count),
+        session=Session(*results),
+        platform=types.SimpleNamespace(
+            encode_attempt=lambda call, attempt: (),
+            decode_answer=lambda response: response.head,
+        ),
+    )
+    return attempts.Outgoing(
+        gateway=gateway,  # type: ignore[arg-type]
+        call=CALL,
+        route=ROUTE,
+        service='engine',
+        organisation='',
+        priority=0,
+        body=b'',
+        deadline_ms=clocks.monotonic_ms() + 1000,
+    )
+
+
+def _count(view: Any, route: str, tally: rollouts.Tally) -> None:
+    """Take no notice of evidence."""
+
+
+async def tries(out: attempts.Outgoing) -> int:
+    """Return how many sends the budget allows before an answer."""
+    count = 0
+    while True:
+        chosen = out.next_endpoint('')
+        if chosen is None:
+            return count
+        count += 1
+        with contextlib.suppress(attempts.AttemptError):
+            async with attempts.open_attempt(out, chosen, '', '', 1000):
+                return count
+
+
+@pytest.mark.parametrize(
+    ('pattern', 'results', 'repeats', 'expected'),
+    [
+        ('dead endpoints cost nothing', [NO_CONNECTION] * 4, 0, 5),
+        (
+            'a second arrival costs a repeat',
+            [answer(not_run=True, status=503)],
+            0,
+            1,
+        ),
+        (
+            'a paid repeat that arrives nowhere is kept',
+            [answer(not_run=True, status=503), NO_CONNECTION, NO_CONNECTION],
+            2,
+            4,
+        ),
+    ],
+)
+async def test_only_arrivals_are_charged(
+    pattern: str, results: list[Any], repeats: float, expected: int
+) -> None:
+    """Guards against refusing callers while sound endpoints are free."""
+    out = outgoing(*results, answer(), repeats=repeats)
+    assert await tries(out) == expected, pattern
+
+
+async def test_misdirected_calls_show_a_dead_endpoint() -> None:
+    """Guards against an idle address whose endpoint is gone.
+
+    Another endpoint listens there; it refuses all calls meant for the old one
+    and looks the idlest of all.
+    """
+    refusal = answer(not_run=True, status=421, is_other_endpoint=True)
+    out = outgoing(refusal, repeats=5)
+    chosen = out.next_endpoint('')
+    assert chosen is not None
+    with pytest.raises(attempts.AttemptError):
+        async with attempts.open_attempt(out, chosen, '', '', 1000):
+            pytest.fail('the call was refused')
+    now_ms = clocks.monotonic_ms()
+    assert chosen.endpoint.avoid_until_ms > now_ms
+    assert out.gateway.losses.message(100, now_ms) == {
+        chosen.endpoint.name: {'d0': pytest.approx(0, abs=1000)}
+    }
--- a/packages/daemon/tests/gateway/test_choice.py
+++ b/packages/daemon/tests/gateway/test_choice.py
@@ -163,3 +163,11 @@
             view.cold_sends_ms.append(now_ms)
             sent += 1
     assert sent == 3
+
+
+def test_equal_endpoints_share_calls() -> None:
+    """Guards against many daemons that all turn to the first of idle ones."""
+    views = [make.view(f'e{number}') for number in range(10)]
+    counts = collections.Counter(chosen(views, make.need()) for _ in range(400))
+    assert len(counts) == 10
+    assert max(counts.values()) < 100
