Begin the ramp of a roll-out in the second half of its time

Smaller deployments moved too few sessions to break the rule.

Change: the canary lasts 0.51 of the ordered time, the ramp 0.22 and the last phase 0.1 (before 0.4, 0.25 and 0.12), which leaves a sixth of it for delays.

Ruled out: daemons that learn of the phase one after the other (1.2 s apart in the trace): all seven requests moved from the old version to the new one, before the middle of the order's time.

--- a/packages/daemon/src/yuccarouter/gateway/rollouts.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollouts.py
@@ -16,10 +16,11 @@
 ROLLED_BACK: Final = 'rolled_back'
 
 # Part of the ordered time at which the canary may end, and the least parts
-# that the next phases last.
-_CANARY_END: Final = 0.4
-_RAMP_PART: Final = 0.25
-_FULL_PART: Final = 0.12
+# that the next phases last. Sessions may move to the new version in the second
+# half only.
+_CANARY_END: Final = 0.51
+_RAMP_PART: Final = 0.22
+_FULL_PART: Final = 0.1
 # Part of the agreed exposure that the canary uses; the rest is for the ramp.
 _CANARY_OF_BOUND: Final = 0.67
 _RAMP_SHARE: Final = 0.3
@@ -28,7 +29,7 @@
 _MIN_RAMP_ANSWERS: Final = 20
 # Part of the ordered time from which half as many answers end the canary, so
 # that a good version of a service with little traffic is completed in time.
-_LATE_CANARY: Final = 0.55
+_LATE_CANARY: Final = 0.6
 _MIN_BAD: Final = 4
 # Chance of a false alarm at one look, for each tested route.
 _FALSE_ALARM: Final = 0.0005
