Assign senders to cold endpoints; let readers tell their data centre each round

Cause: with more daemons than a cold endpoint bears requests a second, each still had one first request, so that all could send in the same second (stated as the worst case by the test before). Of 68 daemons that each send a digest to 12, two hear each other every 2.3 s, while a peer counts as live for 2.5 s and those who read through it must learn of a leaving endpoint within the drain bound. A digest over 8,000 bytes was not sent at all.

Change: a hash of both names assigns as many daemons to a cold endpoint as its bound bears; readers send each digest to all of their data centre; a digest names at most 128 endpoints with work and 32 lost ones.

--- a/packages/daemon/src/yuccarouter/gateway/choice.py
+++ b/packages/daemon/src/yuccarouter/gateway/choice.py
@@ -43,7 +43,8 @@
 
     ``versions`` decides by version; ``tried`` are endpoints that had the call
     before and ``lost`` those that other daemons can't reach;
-    ``cold_share_per_s`` is this daemon's bound for a cold endpoint;
+    ``cold_share`` bounds what ``daemon`` sends to a cold endpoint beside the
+    other ``daemons``, and is ``None`` where a cold one bears any load;
     ``read_ms_per_token`` is the reading speed of an idle engine.
     """
 
@@ -53,9 +54,10 @@
     tried: frozenset[str]
     out_of_service: frozenset[str]
     home: str
-    cold_share_per_s: float
-    cold_bounded: bool
+    cold_share: cold_limit.ColdShare | None
     connections: int
+    daemon: str = ''
+    daemons: tuple[str, ...] = ()
     lost: frozenset[str] = frozenset()
     model_name: str = ''
     tokens: int = 0
@@ -126,11 +128,16 @@
         return False
     if need.connections and view.in_flight >= need.connections:
         return False
-    if need.cold_bounded and view.is_cold(now_ms):
-        return cold_limit.may_send(
-            view.cold_sends_ms, need.cold_share_per_s, now_ms
-        )
-    return True
+    return not view.is_cold(now_ms) or _may_warm(view, need, now_ms)
+
+
+def _may_warm(view: endpoints.EndpointView, need: Need, now_ms: float) -> bool:
+    share = need.cold_share
+    if share is None:
+        return True
+    return cold_limit.is_sender(
+        view.name, need.daemon, need.daemons, share.senders
+    ) and cold_limit.may_send(view.cold_sends_ms, share.per_s, now_ms)
 
 
 def missing_tokens(view: endpoints.EndpointView, need: Need) -> int:
--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -250,6 +250,7 @@
     duty = peers.ReadingDuty(
         gateway.conf.name, gateway.conf.data_centre, exchange, session
     )
+    exchange.relying = duty.relying
     for topic in followed[1:]:
         topic.read_elsewhere = duty.read_elsewhere
 
--- a/packages/daemon/src/yuccarouter/gateway/endpoints.py
+++ b/packages/daemon/src/yuccarouter/gateway/endpoints.py
@@ -31,6 +31,8 @@
 # A reported load older than this says nothing; own requests still count.
 _LOAD_AGE_MS: Final = 1500.0
 _CACHED_PARTS: Final = 4000
+# Endpoints in one message to peers, which must fit a datagram.
+_TOLD_ENDPOINTS: Final = 128
 
 
 @attrs.frozen
@@ -156,11 +158,15 @@
         return self._views.get(endpoint)
 
     def work(self) -> dict[str, list[int]]:
-        """Return this daemon's requests and time to read, for peers."""
+        """Return this daemon's requests and time to read, for peers.
+
+        Only the busiest endpoints are told, so that a message stays short.
+        """
+        busy = [view for view in self._views.values() if view.in_flight]
+        busy.sort(key=_own_work, reverse=True)
         return {
             view.name: [view.in_flight, round(view.unread_ms)]
-            for view in self._views.values()
-            if view.in_flight
+            for view in busy[:_TOLD_ENDPOINTS]
         }
 
     def note_peer_work(self, peer: str, work: dict[str, list[int]]) -> None:
@@ -258,3 +264,7 @@
         if len(self._removed) > _KEPT_REMOVED:
             self._removed.popitem(last=False)
         eliot.log_message('endpoint_removed', endpoint=view.name)
+
+
+def _own_work(view: EndpointView) -> tuple[float, int]:
+    return (view.unread_ms, view.in_flight)
--- a/packages/daemon/src/yuccarouter/gateway/losses.py
+++ b/packages/daemon/src/yuccarouter/gateway/losses.py
@@ -19,7 +19,7 @@
 # A daemon that lost more than this part of its endpoints is likely cut off.
 _CREDIBLE_PART: Final = 0.5
 # Reports in one message, the newest ones, so that it fits a datagram.
-_MAX_ENDPOINTS: Final = 64
+_MAX_ENDPOINTS: Final = 32
 
 # What a message carries: by endpoint, each witness with the report's age.
 Message = dict[str, dict[str, int]]
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -69,6 +69,8 @@
     """Sends this daemon's digest to peers and keeps theirs.
 
     A digest holds totals, so that a lost datagram costs nothing but time.
+    ``members`` are the registered peers and ``names`` their names in order;
+    ``relying`` returns those that need each digest.
     """
 
     def __init__(
@@ -81,7 +83,9 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._next = 0
         self.members: dict[str, model.Address] = {}
+        self.names: tuple[str, ...] = ()
         self.heard: dict[str, Peer] = {}
+        self.relying: Callable[[], list[str]] = list
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport to send with."""
@@ -110,6 +114,16 @@
         """Log that a datagram could not be sent; the peer stays silent."""
         eliot.log_message('digest_not_sent', reason=str(exc))
 
+    def add_member(self, name: str, address: model.Address) -> None:
+        """Register a peer, or its new address."""
+        self.members[name] = address
+        self.names = tuple(sorted(self.members))
+
+    def remove_member(self, name: str) -> None:
+        """Forget a peer that is registered no more."""
+        self.members.pop(name, None)
+        self.names = tuple(sorted(self.members))
+
     def live_names(self) -> list[str]:
         """Return the names of peers that were heard a moment ago."""
         since_ms = clocks.monotonic_ms() - _LIVE_MS
@@ -138,16 +152,20 @@
             self.send()
 
     def send(self) -> None:
-        """Send the digest to the next few members."""
+        """Send the digest to the next few members, and to those who rely."""
         if self._transport is None or not self.members:
             return
         payload = orjson.dumps(self._digest())
         if len(payload) > _MAX_DATAGRAM:
             eliot.log_message('digest_too_long', length=len(payload))
             return
-        names = sorted(self.members)
-        for step in range(min(_FANOUT, len(names))):
-            address = self.members[names[(self._next + step) % len(names)]]
+        count = len(self.names)
+        turn = [
+            self.names[(self._next + step) % count]
+            for step in range(min(_FANOUT, count))
+        ]
+        for name in {*turn, *self.relying()} & self.members.keys():
+            address = self.members[name]
             self._transport.sendto(payload, (address.host, address.port))
         self._next += _FANOUT
 
@@ -250,15 +268,30 @@
             await _fetch(self.session, best, topic)
         return True
 
-    def _readers(self, topic: topics.Topic) -> list[Peer]:
-        """Return the peers that read for this daemon, if it is none of them."""
-        live = self.exchange.live_names()
-        near = sorted(
+    def relying(self) -> list[str]:
+        """Return the peers that this daemon reads for.
+
+        With many daemons the digests that go round come seldom; these peers
+        must learn of new records, and of a reader's end, at once.
+        """
+        near = self._near()
+        first = near[:_READERS]
+        if len(first) == _READERS and self.name > first[-1]:
+            return []
+        return near
+
+    def _near(self) -> list[str]:
+        """Return the live peers of this data centre, in order."""
+        heard = self.exchange.heard
+        return sorted(
             name
-            for name in live
-            if self.exchange.heard[name].data_centre == self.data_centre
+            for name in self.exchange.live_names()
+            if heard[name].data_centre == self.data_centre
         )
-        first = near[:_READERS]
+
+    def _readers(self, topic: topics.Topic) -> list[Peer]:
+        """Return the peers that read for this daemon, if it is none of them."""
+        first = self._near()[:_READERS]
         if len(first) < _READERS or self.name < first[-1]:
             return []
         peers = [self.exchange.heard[name] for name in first]
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -168,9 +168,7 @@
         """Return what an endpoint must be for the next attempt of a call."""
         table = self.table
         kind = table.configuration.services.get(service) if table else None
-        bounds = self.conf.bounds
         generation = call.generation
-        cold_per_s = kind.cold_requests_per_s if kind else 0
         return choice.Need(
             service=service,
             objective_ms=route.objective_ms,
@@ -180,13 +178,9 @@
             tried=tried,
             out_of_service=self.evacuated,
             home=self.conf.data_centre,
-            cold_share_per_s=cold_limit.own_share_per_s(
-                cold_per_s,
-                bounds.cold_overshoot,
-                bounds.cold_slack,
-                self.daemons,
-            ),
-            cold_bounded=cold_per_s > 0,
+            cold_share=self._cold_share(kind),
+            daemon=self.conf.name,
+            daemons=self.exchange.names if self.exchange else (),
             connections=(
                 max(1, kind.max_connections // self.daemons)
                 if kind and kind.max_connections
@@ -204,6 +198,19 @@
             shared=generation.parts[:-1] if generation else (),
         )
 
+    def _cold_share(
+        self, kind: model.Service | None
+    ) -> cold_limit.ColdShare | None:
+        if kind is None or kind.cold_requests_per_s <= 0:
+            return None
+        bounds = self.conf.bounds
+        return cold_limit.share_of(
+            kind.cold_requests_per_s,
+            bounds.cold_overshoot,
+            bounds.cold_slack,
+            self.daemons,
+        )
+
     def choose(
         self,
         call: model.Call,
@@ -258,9 +265,9 @@
             host, port = records.loads(entry.value)
             address = model.Address(str(host), int(port))
         except (records.ShapeError, TypeError, ValueError):
-            self.exchange.members.pop(name, None)
+            self.exchange.remove_member(name)
             return
-        self.exchange.members[name] = address
+        self.exchange.add_member(name, address)
 
 
 def member_record(conf: settings.GatewaySettings) -> tuple[str, bytes]:
