Give short prompts the largest model beside a backlog; ask callers back later

Callers that a daemon refused before it knew a configuration came back after 0.3 s into the same state.

Change: the bound on the backlog is for prompts over 0.05 of the objective. A daemon without a configuration asks callers back after a second. Escalations that the budget refuses are logged and counted.

--- a/packages/daemon/src/yuccarouter/gateway/front.py
+++ b/packages/daemon/src/yuccarouter/gateway/front.py
@@ -115,7 +115,7 @@
     if route is not None:
         return route
     if gateway.is_view_stale:
-        raise refusing.not_configured()
+        raise refusing.configuration_too_old()
     raise refusals.RefusalError('not_found', 'no route leads there')
 
 
@@ -129,7 +129,7 @@
     if found is not None or route.is_anonymous:
         return found
     if call.key and gateway.is_view_stale:
-        raise refusing.not_configured()
+        raise refusing.configuration_too_old()
     raise refusals.RefusalError('unauthenticated', 'the key is not known')
 
 
--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -31,6 +31,11 @@
     'Attempts at endpoints, by how they ended',
     ('service', 'outcome'),
 )
+UNPAID_ESCALATIONS: Final = prometheus_client.Counter(
+    'yuccarouter_gateway_unpaid_escalations',
+    'Doubtful answers passed on as the budget for repeats was spent',
+    ('service',),
+)
 FIRST_BYTE_S: Final = prometheus_client.Histogram(
     'yuccarouter_gateway_first_byte_seconds',
     'Time from the arrival of a request to the first byte of its answer',
--- a/packages/daemon/src/yuccarouter/gateway/refusing.py
+++ b/packages/daemon/src/yuccarouter/gateway/refusing.py
@@ -18,16 +18,28 @@
 # together.
 _SOON_MS: Final = 300.0
 _LATER_MS: Final = 800.0
+# A store that is away when a daemon starts is mostly so for another second;
+# most callers come back only once.
+_STARTING_MS: Final = 1000.0
 _MS_PER_S: Final = 1000
 _JSON: Final = 'application/json'
 
 
 def not_configured() -> refusals.RefusalError:
-    """No configuration is known yet, or it is too old to say no."""
+    """No configuration is known yet."""
+    return _without_configuration(_STARTING_MS)
+
+
+def configuration_too_old() -> refusals.RefusalError:
+    """The known configuration is too old to say no."""
+    return _without_configuration(_SOON_MS)
+
+
+def _without_configuration(pause_ms: float) -> refusals.RefusalError:
     return refusals.RefusalError(
         'configuration_stale',
         'the configuration is not known here yet',
-        retry_after_ms=_spread(_SOON_MS),
+        retry_after_ms=_spread(pause_ms),
     )
 
 
--- a/packages/daemon/src/yuccarouter/gateway/sizes.py
+++ b/packages/daemon/src/yuccarouter/gateway/sizes.py
@@ -11,6 +11,9 @@
 # Part of the objective that the prompts before it may take, for a call of the
 # first rank; an engine that is further behind can't read what it is sent.
 _BACKLOG_OF_OBJECTIVE: Final = 0.5
+# Part of the objective up to which a prompt adds little to the backlog. It is
+# worth far more for the time that it takes than a long one.
+_LITTLE_OF_OBJECTIVE: Final = 0.05
 # How much sooner each further rank gives up the larger model.
 _BACKLOG_PER_RANK: Final = 2
 
@@ -49,12 +52,17 @@
 
     An answer that comes late is worth as little as one that may be wrong, and
     all streams beside a long prompt of the largest model stand still. While
-    engines are behind, the less urgent calls do without it first.
+    engines are behind, the less urgent calls do without it first, unless their
+    prompts are short.
     """
     first_ms = prospect.elapsed_ms + prospect.backlog_ms + prospect.read_ms
+    if first_ms > objective_ms:
+        return False
+    if prospect.read_ms <= _LITTLE_OF_OBJECTIVE * objective_ms:
+        return True
     rank = 1 + _BACKLOG_PER_RANK * priority
     bound_ms = _BACKLOG_OF_OBJECTIVE * objective_ms / rank
-    return first_ms <= objective_ms and prospect.backlog_ms <= bound_ms
+    return prospect.backlog_ms <= bound_ms
 
 
 def plan_for(models: tuple[str, ...]) -> Plan:
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -196,7 +196,15 @@
         return False
     if not _is_worth_asking(relay, confidence):
         return False
-    if not out.may_run_again(after=0) or not out.take_repeat(is_optional=True):
+    if not out.may_run_again(after=0):
+        return False
+    if not out.take_repeat(is_optional=True):
+        metrics.UNPAID_ESCALATIONS.labels(out.service).inc()
+        eliot.log_message(
+            'larger_model_not_paid',
+            request=out.call.request_id,
+            confidence=confidence,
+        )
         return False
     eliot.log_message(
         'answer_escalated',
--- a/packages/daemon/tests/gateway/test_sizes.py
+++ b/packages/daemon/tests/gateway/test_sizes.py
@@ -58,6 +58,12 @@
             (True, False, False),
         ),
         ('engines are behind', (50, 1100, 200), (False, False, False)),
+        (
+            'short prompts beside a queue of long ones',
+            (50, 1100, 90),
+            (True, True, True),
+        ),
+        ('a short prompt that comes too late', (950, 1100, 90), (False,) * 3),
         ('a prompt that takes too long', (50, 0, 2500), (False, False, False)),
         ('the time has passed', (1950, 0, 200), (False, False, False)),
     ],
