--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -236,8 +236,11 @@
     ) -> bool:
         """Return whether a record should have been read from the store.
 
-        ``newest`` is the newest record of peers, -1 where none is ahead.
+        ``newest`` is the newest record of peers, -1 where none is ahead. A
+        daemon that could not read the topic at all waits for nothing.
         """
+        if topic.is_failing and not topic.is_loaded:
+            return newest >= 0
         if topic.table.newest_offset >= self.offset:
             self.offset = newest
             self.since_ms = now_ms
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -54,6 +54,28 @@
     assert first == overdue_at_ms
 
 
+@pytest.mark.parametrize(
+    ('is_failing', 'is_loaded', 'newest', 'overdue'),
+    [
+        (True, False, 5, True),
+        (True, False, -1, False),
+        (False, False, 5, False),
+        (True, True, 5, False),
+    ],
+)
+def test_start_without_the_store(
+    is_failing: bool, is_loaded: bool, newest: int, overdue: bool
+) -> None:
+    """Guards against a started daemon that refuses what its peers serve.
+
+    Its callers wait for a second at most; the store is away all the time.
+    """
+    followed = topic()
+    followed.is_failing = is_failing
+    followed.is_loaded = is_loaded
+    assert peers.Lack().is_overdue(followed, newest, 0) is overdue
+
+
 async def test_digests_reach_members() -> None:
     """Guards against daemons that never hear each other."""
     heard: list[tuple[str, Any]] = []
