--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -224,7 +224,7 @@
 ) -> peers.Exchange:
     exchange = peers.Exchange(
         functools.partial(_digest, gateway, followed),
-        functools.partial(_receive, gateway),
+        functools.partial(receive_digest, gateway),
     )
     gateway.exchange = exchange
     address = gateway.conf.peer
@@ -252,7 +252,14 @@
         topic.read_elsewhere = duty.read_elsewhere
 
 
-def _receive(gateway: state.Gateway, name: str, digest: dict[str, Any]) -> None:
+def receive_digest(
+    gateway: state.Gateway, name: str, digest: dict[str, Any]
+) -> None:
+    """Take in what a peer tells.
+
+    Raises ``LookupError``, ``AttributeError``, ``TypeError`` or ``ValueError``
+    for what is no digest.
+    """
     gateway.control.receive(name, digest['rollouts'])
     gateway.directory.note_peer_work(name, digest['work'])
     gateway.losses.merge(digest.get('lost', {}), clocks.monotonic_ms())
--- a/packages/daemon/src/yuccarouter/gateway/endpoints.py
+++ b/packages/daemon/src/yuccarouter/gateway/endpoints.py
@@ -4,7 +4,7 @@
 
 import collections
 import math
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import attrs
 import eliot
@@ -169,12 +169,20 @@
             for view in busy[:_TOLD_ENDPOINTS]
         }
 
-    def note_peer_work(self, peer: str, work: dict[str, list[int]]) -> None:
-        """Take in what a peer has at endpoints, which replaces the earlier."""
+    def note_peer_work(self, peer: str, work: dict[str, Any]) -> None:
+        """Take in what a peer has at endpoints, which replaces the earlier.
+
+        Raises ``AttributeError``, ``TypeError`` or ``ValueError`` for what is
+        no work, and changes nothing then.
+        """
         now_ms = clocks.monotonic_ms()
+        told = {
+            name: PeerWork(int(in_flight), float(unread_ms), now_ms)
+            for name, (in_flight, unread_ms) in work.items()
+        }
+        idle = PeerWork(0, 0, now_ms)
         for view in self._views.values():
-            in_flight, unread_ms = work.get(view.name, (0, 0))
-            view.peer_work[peer] = PeerWork(in_flight, unread_ms, now_ms)
+            view.peer_work[peer] = told.get(view.name, idle)
 
     def store_regained(self, away_ms: float) -> None:
         """Expect announcements to come back that lapsed meanwhile."""
--- a/packages/daemon/src/yuccarouter/gateway/losses.py
+++ b/packages/daemon/src/yuccarouter/gateway/losses.py
@@ -87,7 +87,8 @@
         """
         for endpoint, ages in message.items():
             for witness, age_ms in ages.items():
-                self._merge_one(str(endpoint), str(witness), now_ms - age_ms)
+                lost_ms = now_ms - max(0, age_ms)
+                self._merge_one(str(endpoint), str(witness), lost_ms)
 
     def _merge_one(self, endpoint: str, witness: str, lost_ms: float) -> None:
         answered_ms = self._answered_ms.get(endpoint, -math.inf)
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -105,7 +105,7 @@
             self.heard[name] = Peer(
                 address=model.Address(sender[0], sender[1]),
                 heard_ms=clocks.monotonic_ms(),
-                newest=dict(digest['newest']),
+                newest=_offsets(digest['newest']),
                 data_centre=str(digest.get('data_centre', '')),
                 reads=tuple(digest.get('reads', ())),
             )
@@ -186,6 +186,10 @@
         self._next += _FANOUT
 
 
+def _offsets(newest: dict[str, Any]) -> dict[str, int]:
+    return {str(topic): int(offset) for topic, offset in newest.items()}
+
+
 def records_app(followed: list[topics.Topic]) -> web.Application:
     """Return the application that gives known records to peers."""
     by_name = {topic.name: topic for topic in followed}
@@ -231,7 +235,7 @@
     while True:
         await asyncio.sleep(_INTERVAL_S)
         for topic in followed:
-            peer = _ahead(exchange, topic)
+            peer = peer_ahead(exchange, topic)
             newest = -1 if peer is None else peer.newest[topic.name]
             is_overdue = lacks[topic.name].is_overdue(
                 topic, newest, clocks.monotonic_ms()
@@ -317,7 +321,7 @@
         return [peer for peer in peers if topic.name in peer.reads]
 
 
-def _ahead(exchange: Exchange, topic: topics.Topic) -> Peer | None:
+def peer_ahead(exchange: Exchange, topic: topics.Topic) -> Peer | None:
     """Return the live peer that knows most, if it knows more."""
     best = max(
         exchange.live_peers(),
--- a/packages/daemon/tests/gateway/test_losses.py
+++ b/packages/daemon/tests/gateway/test_losses.py
@@ -47,6 +47,7 @@
         ('one daemon may be at fault', ['d1'], 100, False),
         ('two agree', ['d1', 'd2'], 100, True),
         ('the endpoint may be back', ['d1', 'd2'], 2000, False),
+        ('an age that can not be is taken as new', ['d1', 'd2'], -9000, True),
     ],
 )
 def test_whom_to_believe(
