Leave records and heads that no decoder foresaw

Cause: an endpoint's announcement with the address "1.2.3.4:²", or a configuration whose `engine` or `sizes` is a number, raised other errors than the one that was expected; that ends the task that follows the topic and so the process, in all daemons and at each start again. Any writer may write such an announcement.

Ruled out: orders of roll-outs and evacuations, where the fuzz test found nothing on the code before.

--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -33,6 +33,16 @@
     from yuccarouter.gateway import peers, settings, topics
 
 MEMBER_PREFIX: Final = 'member/'
+# What a record raises that its decoder did not foresee. All daemons read it,
+# and again at each start, so that none may end for it.
+_UNREADABLE: Final = (
+    records.ShapeError,
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
 # Daemons that are assumed while none is known.
 _ASSUMED_DAEMONS: Final = 8
 # A key or route that is unknown here may stand in a configuration that could
@@ -118,8 +128,8 @@
             configuration = platform.decode_configuration(entry)
             order = platform.decode_order(entry)
             evacuation = platform.decode_evacuation(entry)
-        except records.ShapeError as fault:
-            eliot.log_message('bad_order', key=entry.key, reason=fault.message)
+        except _UNREADABLE as fault:
+            eliot.log_message('bad_order', key=entry.key, reason=str(fault))
             return
         if configuration is not None:
             self._configure(configuration)
@@ -132,9 +142,9 @@
         """Take in an announcement or its removal."""
         try:
             announced = self.platform.decode_announcement(entry)
-        except records.ShapeError as fault:
+        except _UNREADABLE as fault:
             eliot.log_message(
-                'bad_announcement', key=entry.key, reason=fault.message
+                'bad_announcement', key=entry.key, reason=str(fault)
             )
             return
         if announced is None:
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -142,7 +142,8 @@
 
 def _buffer(out: attempts.Outgoing) -> events.EventBuffer:
     last = out.call.last_event_id
-    return events.EventBuffer(last_id=int(last) if last.isdigit() else None)
+    is_number = last.isascii() and last.isdigit()
+    return events.EventBuffer(last_id=int(last) if is_number else None)
 
 
 def _next_endpoint(relay: Relay) -> choice.Choice | None:
--- a/packages/daemon/tests/gateway/test_state.py
+++ b/packages/daemon/tests/gateway/test_state.py
@@ -7,11 +7,14 @@
 import pathlib
 from typing import Any
 
+import attrs
 import eliot
+import gateway_makers as make
 import orjson
 import pytest
 
-from yuccarouter.gateway import logs, model, routes
+from yuccarouter.gateway import logs, model, ports, routes, settings, state
+from yuccarouter_common import records
 
 
 def route(prefix: str, **fields: Any) -> model.Route:
@@ -131,3 +134,54 @@
     assert line['message_type'] == 'endpoint_added'
     assert line['endpoint'] == 'e1'
     assert 'task_uuid' not in line
+
+
+@pytest.mark.parametrize(
+    'fault',
+    [
+        records.ShapeError('no shape'),
+        ValueError('digits'),
+        TypeError('kind'),
+        AttributeError('part'),
+        KeyError('name'),
+        ZeroDivisionError('share'),
+    ],
+)
+@pytest.mark.parametrize('change', ['order_changed', 'endpoint_changed'])
+async def test_record_that_no_decoder_foresaw(
+    fault: Exception, change: str
+) -> None:
+    """Guards against one record that ends all daemons, at each start again."""
+
+    def fail(entry: ports.Entry) -> None:
+        raise fault
+
+    platform = ports.Platform(
+        topics=ports.Topics('orders', 'endpoints', 'state'),
+        **{
+            field.name: fail
+            for field in attrs.fields(ports.Platform)
+            if field.name != 'topics'
+        },
+    )
+    address = model.Address('127.0.0.1', 0)
+    conf = settings.GatewaySettings(
+        name='d',
+        host='127.0.0.1',
+        data_centre='a',
+        listen=address,
+        ready=address,
+        peer=address,
+        metrics_port=0,
+        store=address,
+        bounds=settings.Bounds(),
+    )
+    gateway = state.Gateway(
+        conf,
+        platform,
+        None,  # type: ignore[arg-type]
+        None,  # type: ignore[arg-type]
+    )
+    getattr(gateway, change)(make.entry('k', b'x'))
+    assert gateway.table is None
+    assert not list(gateway.directory)
