--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(ROOT)/packages/common/src:$(ROOT)/packages/daemon/src:$(ROOT)/packages/yuccactl/src:$(ROOT)/packages/testkit/src:$(ROOT)/platform
 PROTO := packages/common/src/yuccarouter_common/proto
 
-.PHONY: setup test lint format demo demo-serve bench load soak platform-soak experiment proto
+.PHONY: setup test lint format demo demo-serve bench load soak platform-soak experiment variants proto
 
 setup: $(VENV)/.installed
 
@@ -62,6 +62,12 @@
 experiment: setup
 	$(PY) -m yuccarouter_testbed.experiment $(EXPERIMENT)
 
+# Variants of a site file of the users' bench, for hunts on unseen deployments.
+SITE ?=
+FOLDER ?= target/variants
+variants: setup
+	$(PY) -m yuccarouter_testbed.variants $(SITE) $(FOLDER) --seeds $(SEEDS)
+
 proto: setup
 	$(PY) -m grpc_tools.protoc -I packages/common/src --python_out=packages/common/src \
 		--grpc_python_out=packages/common/src --pyi_out=packages/common/src \
--- a/packages/daemon/tests/gateway/gateway_makers.py
+++ b/packages/daemon/tests/gateway/gateway_makers.py
@@ -12,6 +12,7 @@
     endpoints,
     model,
     ports,
+    settings,
 )
 
 
@@ -59,6 +60,21 @@
     return model.RolloutOrder(number=number, **shown)
 
 
+def conf(name: str = 'gateway-1') -> settings.GatewaySettings:
+    address = model.Address('127.0.0.1', 0)
+    return settings.GatewaySettings(
+        name=name,
+        host=address.host,
+        data_centre='a',
+        listen=address,
+        ready=address,
+        peer=address,
+        metrics_port=0,
+        store=address,
+        bounds=settings.Bounds(),
+    )
+
+
 def entry(key: str, value: bytes = b'x', offset: int = 0) -> ports.Entry:
     return ports.Entry(key, value, offset)
 
--- a/packages/daemon/tests/gateway/test_daemon.py
+++ b/packages/daemon/tests/gateway/test_daemon.py
@@ -6,23 +6,11 @@
 from typing import Any
 
 import attrs
+import gateway_makers as make
 import pytest
 
 from yuccarouter import lifecycle
-from yuccarouter.gateway import daemon, model, ports, settings
-
-ADDRESS = model.Address('127.0.0.1', 0)
-CONF = settings.GatewaySettings(
-    name='gateway-1',
-    host='127.0.0.1',
-    data_centre='a',
-    listen=ADDRESS,
-    ready=ADDRESS,
-    peer=ADDRESS,
-    metrics_port=0,
-    store=ADDRESS,
-    bounds=settings.Bounds(),
-)
+from yuccarouter.gateway import daemon, ports
 
 
 def never(*_: Any) -> Any:
@@ -38,7 +26,7 @@
             if field.name != 'topics'
         },
     )
-    return daemon.Daemon(CONF, platform, never)
+    return daemon.Daemon(make.conf(), platform, never)
 
 
 async def endless() -> None:
--- a/packages/daemon/tests/gateway/test_state.py
+++ b/packages/daemon/tests/gateway/test_state.py
@@ -13,7 +13,7 @@
 import orjson
 import pytest
 
-from yuccarouter.gateway import logs, model, ports, routes, settings, state
+from yuccarouter.gateway import logs, model, ports, routes, state
 from yuccarouter_common import records
 
 
@@ -164,20 +164,8 @@
             if field.name != 'topics'
         },
     )
-    address = model.Address('127.0.0.1', 0)
-    conf = settings.GatewaySettings(
-        name='d',
-        host='127.0.0.1',
-        data_centre='a',
-        listen=address,
-        ready=address,
-        peer=address,
-        metrics_port=0,
-        store=address,
-        bounds=settings.Bounds(),
-    )
     gateway = state.Gateway(
-        conf,
+        make.conf(),
         platform,
         None,  # type: ignore[arg-type]
         None,  # type: ignore[arg-type]
