Keep sessions in progress on their version while a canary lasts

The canary's share of sessions is drawn from the session's name alone, so that sessions that had begun on the old version moved to the new one when the order was read.

Change: each daemon remembers the version of a session's newest request for as long as the session lasts; the canary takes only sessions that are not in progress on the old version. How long a session lasts comes from the settings.

Measured: the second row of test_canary_takes_no_session_in_progress fails on the code before.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -328,6 +328,7 @@
 def note_good(out: Outgoing, opened: Opened, *, is_slow: bool = False) -> None:
     """Count an answer that came whole."""
     opened.view.note_served()
+    _note_session(out, opened.view)
     answers = rollouts.Tally(slow=1) if is_slow else rollouts.Tally(good=1)
     out.gateway.control.count(opened.view, out.route.name, answers)
     _ended(out, opened.view, 'slow' if is_slow else 'served')
@@ -353,6 +354,7 @@
     out: Outgoing, view: endpoints.EndpointView, now_ms: float
 ) -> None:
     view.sent_since_load += 1
+    _note_session(out, view)
     if view.is_cold(now_ms):
         view.cold_sends_ms.append(now_ms)
     out.sends += 1
@@ -361,6 +363,17 @@
     out.tried |= {view.name}
 
 
+def _note_session(out: Outgoing, view: endpoints.EndpointView) -> None:
+    """Remember on which version a request of a session runs, or ran."""
+    if out.call.session:
+        out.gateway.control.sessions.note(
+            out.service,
+            out.call.session,
+            view.announced.version,
+            clocks.monotonic_ms(),
+        )
+
+
 def unread_tokens(call: model.Call, chosen: choice.Choice) -> float:
     """Return the prompt tokens that the endpoint has to read."""
     generation = call.generation
--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -180,7 +180,10 @@
 ) -> state.Gateway:
     turn: Callable[[], int] = lambda: _turn(gateway)  # noqa: E731
     control = rollout_control.RolloutControl(
-        platform.encode_rollout_status, conf.bounds.exposure_share, turn
+        platform.encode_rollout_status,
+        conf.bounds.exposure_share,
+        turn,
+        conf.bounds.session_ms,
     )
     gateway = state.Gateway(conf, platform, session, control)
     return gateway
--- a/packages/daemon/src/yuccarouter/gateway/rollout_control.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollout_control.py
@@ -10,7 +10,13 @@
 import eliot
 import orjson
 
-from yuccarouter.gateway import ports, rollouts, routes, usual_times
+from yuccarouter.gateway import (
+    ports,
+    rollouts,
+    routes,
+    session_versions,
+    usual_times,
+)
 from yuccarouter_common import clocks, records
 from yuccarouter_common.platform import errors
 
@@ -70,7 +76,9 @@
         encode_status: Callable[[model.RolloutOrder, str], tuple[str, bytes]],
         exposure_share: float,
         turn: Callable[[], int],
+        session_ms: float = 0,
     ) -> None:
+        self.sessions = session_versions.SessionVersions(session_ms)
         self._encode_status = encode_status
         self._exposure_share = exposure_share
         self._turn = turn
@@ -123,7 +131,8 @@
         """Return the versions that a call of ``session`` may use.
 
         The draw depends on the session alone and the share of the new version
-        only grows, so that a session moves to it once and never back.
+        only grows, so that a session moves to it once and never back. While
+        the canary lasts, sessions in progress stay where they are.
         """
         present = {
             view.announced.version
@@ -141,6 +150,12 @@
         share = rollouts.new_share(rollout.phase, self._exposure_share)
         if rollout.wanted is rollouts.Phase.ROLLED_BACK:
             share = 0
+        elif rollout.phase is rollouts.Phase.CANARY:
+            version = self.sessions.version(
+                service, session, clocks.monotonic_ms()
+            )
+            if version in present - {target}:
+                share = 0
         if routes.draw_for(f'{rollout.order.number}/{session}') < share:
             return frozenset((target,)) & present or _others(rollout, present)
         return frozenset(present - {target})
--- a/packages/daemon/src/yuccarouter/gateway/settings.py
+++ b/packages/daemon/src/yuccarouter/gateway/settings.py
@@ -19,6 +19,7 @@
     retry_ratio: float = 0.9
     retry_window_ms: float = 10_000
     retry_slack: float = 56
+    session_ms: float = 5000
 
 
 @attrs.frozen
--- a/packages/daemon/tests/gateway/test_rollout_control.py
+++ b/packages/daemon/tests/gateway/test_rollout_control.py
@@ -257,3 +257,40 @@
         control.is_slow(make.view(version='v1'), 'r/m', 200)
     slow = control.is_slow(make.view(version='v2'), 'r/m', 200 * factor)
     assert slow is (factor > 4)
+
+
+@pytest.mark.parametrize(
+    ('pattern', 'ran_on', 'ended_before_ms', 'expected'),
+    [
+        ('a new session', None, 0, {'v2'}),
+        ('in progress on the old version', 'v1', 4000, {'v1'}),
+        ('in progress on the new one', 'v2', 4000, {'v2'}),
+        ('over', 'v1', 6000, {'v2'}),
+    ],
+)
+def test_canary_takes_no_session_in_progress(
+    clock: make.Clock,
+    pattern: str,
+    ran_on: str | None,
+    ended_before_ms: float,
+    expected: set[str],
+) -> None:
+    """Guards against sessions that the canary moves at its start.
+
+    quiet-1 of mgs-brno-grown, seed 1058025222840: six requests of the first
+    seconds after the order ran on another version than the one before.
+    """
+    control = rollout_control.RolloutControl(
+        lambda order, state: ('k', b''), 1.0, lambda: 0, session_ms=5000
+    )
+    control.ordered(make.order())
+    views = [make.view('e1', version='v1'), make.view('e2', version='v2')]
+    chosen = next(
+        name
+        for name in (f's{number}' for number in range(100))
+        if control.versions('engine', name, views) == {'v2'}
+    )
+    if ran_on:
+        control.sessions.note('engine', chosen, ran_on, clock.now_ms)
+    clock.now_ms += ended_before_ms
+    assert control.versions('engine', chosen, views) == expected, pattern
