Log the rate limits that endpoints state

Answers of another endpoint at the address don't count. Nothing else uses the limit yet. Measured: tests of the gateway and of the translation pass.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -257,6 +257,12 @@
     now_ms = clocks.monotonic_ms()
     if head.load is not None:
         view.record_load(head.load, now_ms)
+    is_for_other_request = head.request_id not in {'', out.call.request_id}
+    is_from_endpoint = not (is_for_other_request or head.is_misdirected)
+    if is_from_endpoint and (
+        head.is_signed or head.rate_limit_per_s is not None
+    ):
+        view.record_rate_limit(head.rate_limit_per_s)
     if head.not_run:
         if head.is_misdirected:
             _record_unreachable(out, view)
@@ -265,7 +271,6 @@
         raise AttemptError(
             'endpoint refused the request', 'refused', may_have_run=False
         )
-    is_for_other_request = head.request_id not in {'', out.call.request_id}
     if is_for_other_request or head.is_encoded or not head.is_signed:
         view.record_failure()
         _record_outcome(out, view, 'foreign_answer', status=head.status)
--- a/packages/daemon/src/yuccarouter/gateway/model.py
+++ b/packages/daemon/src/yuccarouter/gateway/model.py
@@ -214,6 +214,8 @@
     ``not_run`` is true only if the endpoint guarantees that the request did
     not run, and ``is_misdirected`` if another endpoint than the addressed one
     answered. ``confidence`` is the model's confidence in its answer, 0 to 100.
+    ``rate_limit_per_s`` is the rate of requests that the endpoint accepts from
+    all daemons together, ``None`` if it states none.
     """
 
     status: int
@@ -225,6 +227,7 @@
     confidence: float | None
     is_encoded: bool
     is_misdirected: bool = False
+    rate_limit_per_s: float | None = None
 
 
 def prompt_tokens(call: Call) -> int:
