Keep the rate limits of endpoints across restarts

What callers saw: nothing; an endpoint in need got a burst of requests from each restarted daemon. Cause: the limit lived in the memory of the processes, and the predecessor's sends with it. The class: what a stop or a restart forgets. Change: one daemon writes each beginning, end and, at most every 5 s, change of a limit to the shared state in the platform's store; a daemon reads the shared state before it serves callers, and starts without a burst. Records of endpoints that are gone are removed.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -14,6 +14,7 @@
     model,
     peers,
     ports,
+    rate_limit_records,
     rollout_control,
     servers,
     state,
@@ -83,6 +84,12 @@
         gossip = await _open_gossip(self.gateway, replicas)
         _share_reads(self.gateway, gossip, replicas, session)
         shared_state = replicas[-1]
+        stored_limits = rate_limit_records.RateLimitRecords(
+            self.gateway.rate_limits,
+            store,
+            shared_state,
+            functools.partial(_rank, self.gateway),
+        )
         background: list[Callable[[], Coroutine[Any, Any, None]]] = [
             *(topic.follow for topic in replicas),
             gossip.run,
@@ -91,6 +98,7 @@
             ),
             functools.partial(self.gateway.control.run, store, shared_state),
             functools.partial(_register, self.gateway, store, shared_state),
+            stored_limits.run,
         ]
         metrics_address = model.Address(conf.host, conf.metrics_port)
         for function in background:
@@ -101,7 +109,8 @@
             servers.app_server(servers.readiness_app(self.gateway), conf.ready),
         ):
             await self._start_server(server)
-        await _wait_until_ready(self.gateway)
+        await _wait_until_ready(self.gateway, shared_state)
+        stored_limits.read()
         await self._start_server(self._callers_server)
 
     def run(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
@@ -166,14 +175,22 @@
                 connection.force_close()
 
 
-async def _wait_until_ready(gateway: state.Gateway) -> None:
+async def _wait_until_ready(
+    gateway: state.Gateway, shared_state: topics.Topic
+) -> None:
     """Wait for the first load of the store before serving callers.
 
+    The shared state tells which daemons share limits and which endpoints state
+    one.
+
     Until then, callers wait in the backlog of the listening socket. After a
     failed call to the store, they are refused with a time to retry instead.
     """
     deadline_ms = clocks.monotonic_ms() + _FIRST_LOAD_TIMEOUT_MS
-    while not gateway.is_ready() and clocks.monotonic_ms() < deadline_ms:
+    while clocks.monotonic_ms() < deadline_ms:
+        is_state_known = shared_state.is_loaded or shared_state.is_failing
+        if gateway.is_ready() and is_state_known:
+            return
         if gateway.orders_topic is None or gateway.orders_topic.is_failing:
             return
         await asyncio.sleep(_READY_CHECK_INTERVAL_S)
