Withhold the slack of the retry budget for a window after a restart

What callers would see: the bound on retries holds for all daemons together in a window of 10 s; a daemon that restarts in it took its share of the slack a second time. Change: the slack is granted from one window after the start, unless the whole deployment starts for the first time. The ratio to the daemon's own requests stays. Ruled out: shares that grow with time since the start; the sum of two processes still exceeds the bound within a window. Callers lose the retry of the first request of a restarted daemon at most.

--- a/packages/daemon/src/yuccarouter/gateway/retry_budget.py
+++ b/packages/daemon/src/yuccarouter/gateway/retry_budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from typing import Final
 
 # Leaves room for retries that arrive in another window than they were sent in.
@@ -15,10 +16,20 @@
     For all daemons together, the retries may be at most ``ratio`` times the
     requests plus ``slack``. Each daemon applies the ratio to its own requests
     and takes an equal part of the slack, so that the sum stays within the
-    bound without communication.
+    bound without communication. The slack is granted from ``slack_from_ms`` on:
+    a restarted daemon does not know what its process before used of it in the
+    same window.
     """
 
-    def __init__(self, ratio: float, slack: float, window_ms: float) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window_ms: float,
+        *,
+        slack_from_ms: float = -math.inf,
+    ) -> None:
+        self._slack_from_ms = slack_from_ms
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
@@ -47,8 +58,9 @@
         """
         requests = self._count_recent(self._requests[service], now_ms)
         retries = self._count_recent(self._retries[service], now_ms)
+        slack = self._slack if now_ms >= self._slack_from_ms else 0
         allowed = _SAFETY_FACTOR * (
-            self._ratio * requests + self._slack / max(1, daemons)
+            self._ratio * requests + slack / max(1, daemons)
         )
         if retries + 1 > allowed * (1 - reserve_share):
             return False
--- a/packages/daemon/src/yuccarouter/gateway/settings.py
+++ b/packages/daemon/src/yuccarouter/gateway/settings.py
@@ -36,7 +36,8 @@
     """The settings of a gateway process.
 
     ``listen`` is the callers' address, ``ready`` that of readiness probes, and
-    ``peer`` the TCP and UDP address for other daemons.
+    ``peer`` the TCP and UDP address for other daemons. ``is_first_start`` is
+    true only when the whole deployment starts for the first time.
     """
 
     name: str
@@ -48,3 +49,4 @@
     metrics_port: int
     store: model.Address
     bounds: Bounds
+    is_first_start: bool = False
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -88,7 +89,14 @@
             lambda: self.gossip.sharing_names() if self.gossip else (),
         )
         self.retry_budget = retry_budget.RetryBudget(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_ms,
+            slack_from_ms=(
+                -math.inf
+                if self.conf.is_first_start
+                else clocks.monotonic_ms() + bounds.retry_window_ms
+            ),
         )
 
     @property
--- a/packages/daemon/tests/gateway/test_limits.py
+++ b/packages/daemon/tests/gateway/test_limits.py
@@ -47,6 +47,44 @@
         assert recent_retries <= RATIO * recent_requests + SLACK
 
 
+@pytest.mark.parametrize('restart_ms', [0, 1500, 9000])
+@pytest.mark.parametrize('daemons', [1, 4])
+def test_restarts_do_not_renew_the_slack(
+    daemons: int, restart_ms: float
+) -> None:
+    """Guards against a retry budget that each restart grants anew.
+
+    All daemons spend their budget, restart and spend it again, as after a loss
+    of power in the middle of a wave of failures.
+    """
+    requests: list[float] = []
+    retries: list[float] = []
+    for start_ms in (0.0, restart_ms):
+        budgets = [
+            retry_budget.RetryBudget(
+                RATIO, SLACK, WINDOW_MS, slack_from_ms=start_ms + WINDOW_MS
+            )
+            for _ in range(daemons)
+        ]
+        for now_ms in (start_ms + 1, start_ms + 900):
+            for budget in budgets:
+                for _ in range(10):
+                    budget.record_request('s', now_ms)
+                    requests.append(now_ms)
+                while budget.take('s', now_ms, daemons):
+                    retries.append(now_ms)
+    assert len(retries) <= RATIO * len(requests) + SLACK
+
+
+def test_slack_after_a_window() -> None:
+    """Guards against a daemon that never gets its share of the slack."""
+    budget = retry_budget.RetryBudget(
+        RATIO, SLACK, WINDOW_MS, slack_from_ms=WINDOW_MS
+    )
+    assert not budget.take('s', WINDOW_MS - 1, 1)
+    assert budget.take('s', WINDOW_MS, 1)
+
+
 def test_optional_retries_leave_a_reserve() -> None:
     """Guards against escalations that spend the budget of failures."""
     budget = retry_budget.RetryBudget(RATIO, SLACK, WINDOW_MS)
