Withhold a restarted daemon's share of cold endpoints for a second

What would happen: a cold endpoint bears so many requests a second from all daemons; a daemon that is killed and is back within that second sends its share twice. Change: no share in the first second of a process. Starting takes most of that time.

--- a/packages/daemon/src/yuccarouter/gateway/bootstrap.py
+++ b/packages/daemon/src/yuccarouter/gateway/bootstrap.py
@@ -10,9 +10,11 @@
 
 import _socket
 import os
+import time
 
 # Maximum number of connections that wait to be accepted.
 BACKLOG = 1024
+PROCESS_STARTED_MS = time.monotonic() * 1000
 _LISTEN_FLAG = '--listen='
 # The HTTP library reads all root certificates when it is loaded, which takes
 # 0.15 s, and the gateway makes no TLS connections.
--- a/packages/daemon/src/yuccarouter/gateway/cold_limit.py
+++ b/packages/daemon/src/yuccarouter/gateway/cold_limit.py
@@ -36,6 +36,16 @@
     return ColdShare(senders, int(limit_per_s / senders))
 
 
+def share_after_start(share: ColdShare, process_age_ms: float) -> ColdShare:
+    """Return the share of a daemon whose process has run for so long.
+
+    The process before may have used the share in the same window.
+    """
+    if process_age_ms < _WINDOW_MS:
+        return attrs.evolve(share, per_s=0)
+    return share
+
+
 def may_send(sends_ms: deque[float], per_s: int, now_ms: float) -> bool:
     """Return whether one more request stays within the rate limit."""
     while sends_ms and sends_ms[0] <= now_ms - _WINDOW_MS:
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -11,6 +11,7 @@
 import orjson
 
 from yuccarouter.gateway import (
+    bootstrap,
     choice,
     cold_limit,
     endpoints,
@@ -238,12 +239,15 @@
         if service_conf is None or service_conf.cold_requests_per_s <= 0:
             return None
         bounds = self.conf.bounds
-        return cold_limit.share_per_daemon(
+        share = cold_limit.share_per_daemon(
             service_conf.cold_requests_per_s,
             bounds.cold_overshoot,
             bounds.cold_slack,
             self.daemon_count,
         )
+        return cold_limit.share_after_start(
+            share, clocks.monotonic_ms() - bootstrap.PROCESS_STARTED_MS
+        )
 
     def choose(
         self,
--- a/packages/daemon/tests/gateway/test_limits.py
+++ b/packages/daemon/tests/gateway/test_limits.py
@@ -123,6 +123,29 @@
         assert len(within) <= cold_per_s * 1.5 + 5
 
 
+@pytest.mark.parametrize('restart_ms', [100, 600, 1000])
+def test_restarts_do_not_renew_cold_shares(restart_ms: float) -> None:
+    """Guards against a cold endpoint that gets two shares of each daemon.
+
+    All daemons send as much as they may, restart and do so again.
+    """
+    share = cold_limit.share_per_daemon(7.8, 1.5, 5, 4)
+    deliveries: list[float] = []
+    for start_ms in (-1000.0, restart_ms):
+        for _ in range(4):
+            send_times: collections.deque[float] = collections.deque()
+            for now_ms in range(int(max(0, start_ms)), 2200, 50):
+                if start_ms < 0 and now_ms >= restart_ms:
+                    break
+                allowed = cold_limit.share_after_start(share, now_ms - start_ms)
+                if cold_limit.may_send(send_times, allowed.per_s, now_ms):
+                    send_times.append(now_ms)
+                    deliveries.append(now_ms)
+    for start_ms in range(0, 2200, 50):
+        within = [at for at in deliveries if start_ms <= at < start_ms + 1000]
+        assert len(within) <= 7.8 * 1.5 + 5
+
+
 def test_cold_endpoints_have_different_senders() -> None:
     """Guards against only a few daemons that may use cold endpoints."""
     names = tuple(f'd{number}' for number in range(68))
