Judge a new version's answers while they are pending, and in relation to their work

Cause: only the time to the first event was compared, with four times the mean over prompts of all lengths; slow answers counted when they had ended, after the good ones, or never; 20 answers ended the ramp whatever they showed. Change: latency in relation to prefill tokens and events, against the median of similar answers of the old version; pending answers count as slow as soon as they are; without a baseline an answer is no evidence; a suspicious version gets no larger share, and all requests only once a much larger share of bad or slow answers is improbable; late in the ordered time a weaker suspicion ends it.

--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/answer_progress.py
@@ -0,0 +1,59 @@
+"""Progress of an answer, to judge its latency also before it has ended."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from yuccarouter.gateway import stream_timeouts
+
+if TYPE_CHECKING:
+    from yuccarouter.gateway import endpoints
+
+_MS_PER_EVENT: Final = 20.0
+
+
+@attrs.define(eq=False)
+class Progress:
+    """An answer that is awaited or received.
+
+    ``model`` is empty for plain services. ``events`` are those received so
+    far. ``is_judged`` is true once the answer has been counted as slow.
+    """
+
+    view: endpoints.EndpointView
+    route: str
+    model: str
+    prefill_tokens: float
+    sent_ms: float
+    events: int = 0
+    is_judged: bool = False
+
+    @property
+    def kinds(self) -> tuple[str, ...]:
+        """Kinds of similar answers, from the narrowest to the widest."""
+        service = self.view.announced.service
+        if not self.model:
+            return (f'{service}/{self.route}', service)
+        return (
+            f'{service}/{self.route}/{self.model}',
+            f'{service}//{self.model}',
+            service,
+        )
+
+    def relative_latency(self, elapsed_ms: float) -> float:
+        """Return the latency in relation to the work that is done so far.
+
+        The work of requests to plain services is unknown and taken as equal.
+        """
+        if not self.model:
+            return elapsed_ms
+        return elapsed_ms / expected_ms(self.prefill_tokens, self.events)
+
+
+def expected_ms(prefill_tokens: float, events: int) -> float:
+    """Return the time of a prefill and of so many events on an idle engine."""
+    return stream_timeouts.expected_ms(prefill_tokens) + _MS_PER_EVENT * max(
+        1, events
+    )
--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -13,7 +13,13 @@
 import yarl
 from aiohttp import web
 
-from yuccarouter.gateway import metrics, model, ports, rollouts
+from yuccarouter.gateway import (
+    answer_progress,
+    metrics,
+    model,
+    ports,
+    rollouts,
+)
 from yuccarouter_common import clocks, errors
 
 if TYPE_CHECKING:
@@ -133,7 +139,12 @@
     response: aiohttp.ClientResponse
     head: model.AnswerHead
     view: endpoints.EndpointView
-    sent_ms: float
+    progress: answer_progress.Progress
+
+    @property
+    def sent_ms(self) -> float:
+        """When the request was sent."""
+        return self.progress.sent_ms
 
 
 @contextlib.asynccontextmanager
@@ -156,27 +167,31 @@
     uncached_tokens = prefill_tokens(out.call, chosen)
     prefill_ms = speeds.expected_ms(model_name, uncached_tokens)
     backlog_ms = view.backlog_ms(sent_ms)
-    _record_send(out, view, sent_ms)
-    view.in_flight += 1
-    view.pending_prefill_ms += prefill_ms
-    try:
-        response = await _await_response(
-            out, view, model_name, last_event_id, head_timeout_ms
-        )
-    except BaseException:
-        view.in_flight -= 1
-        raise
-    finally:
-        view.pending_prefill_ms -= prefill_ms
-    first_token_ms = clocks.monotonic_ms() - sent_ms - backlog_ms
-    try:
-        opened = _checked_answer(out, view, response, sent_ms, model_name)
-        if uncached_tokens and opened.head.status == _OK:
-            speeds.record(model_name, first_token_ms, uncached_tokens)
-        yield opened
-    finally:
-        view.in_flight -= 1
-        response.close()
+    progress = answer_progress.Progress(
+        view, out.route.name, model_name, uncached_tokens, sent_ms
+    )
+    with out.gateway.control.latencies.follow(progress):
+        _record_send(out, view, sent_ms)
+        view.in_flight += 1
+        view.pending_prefill_ms += prefill_ms
+        try:
+            response = await _await_response(
+                out, view, model_name, last_event_id, head_timeout_ms
+            )
+        except BaseException:
+            view.in_flight -= 1
+            raise
+        finally:
+            view.pending_prefill_ms -= prefill_ms
+        first_token_ms = clocks.monotonic_ms() - sent_ms - backlog_ms
+        try:
+            opened = _checked_answer(out, response, progress)
+            if uncached_tokens and opened.head.status == _OK:
+                speeds.record(model_name, first_token_ms, uncached_tokens)
+            yield opened
+        finally:
+            view.in_flight -= 1
+            response.close()
 
 
 async def _await_response(
@@ -247,12 +262,11 @@
 
 def _checked_answer(
     out: OutgoingCall,
-    view: endpoints.EndpointView,
     response: aiohttp.ClientResponse,
-    sent_ms: float,
-    model_name: str,
+    progress: answer_progress.Progress,
 ) -> OpenAnswer:
     """Return the answer; raises ``AttemptError`` if its head is rejected."""
+    view = progress.view
     head = out.gateway.platform.decode_answer(response)
     now_ms = clocks.monotonic_ms()
     if head.load is not None:
@@ -265,7 +279,7 @@
         out.gateway.rate_limits.record_answer(
             view.name,
             per_s=head.rate_limit_per_s,
-            sent_ms=sent_ms,
+            sent_ms=progress.sent_ms,
             now_ms=now_ms,
         )
     if head.not_run:
@@ -288,8 +302,8 @@
     generation = out.call.generation
     if generation is not None:
         parts = [part.name for part in generation.parts]
-        view.record_cached(model_name, parts, now_ms)
-    return OpenAnswer(response, head, view, sent_ms)
+        view.record_cached(progress.model, parts, now_ms)
+    return OpenAnswer(response, head, view, progress)
 
 
 async def read_body(
@@ -349,15 +363,20 @@
     )
 
 
-def record_success(
-    out: OutgoingCall, opened: OpenAnswer, *, is_slow: bool = False
-) -> None:
+def record_success(out: OutgoingCall, opened: OpenAnswer) -> None:
     """Record a complete answer."""
     opened.view.record_success()
     _record_session_version(out, opened.view)
-    answers = rollouts.Tally(slow=1) if is_slow else rollouts.Tally(good=1)
-    out.gateway.control.record_answers(opened.view, out.route.name, answers)
-    _record_outcome(out, opened.view, 'slow' if is_slow else 'served')
+    elapsed_ms = clocks.monotonic_ms() - opened.sent_ms
+    is_slow = out.gateway.control.latencies.record_success(
+        opened.progress, elapsed_ms
+    )
+    _record_outcome(
+        out,
+        opened.view,
+        'slow' if is_slow else 'served',
+        elapsed_ms=elapsed_ms,
+    )
 
 
 def record_timeout(out: OutgoingCall, opened: OpenAnswer) -> None:
@@ -457,6 +476,7 @@
     *,
     status: int = 0,
     reason: str = '',
+    elapsed_ms: float = 0,
 ) -> None:
     metrics.ATTEMPTS.labels(out.service, outcome).inc()
     eliot.log_message(
@@ -468,5 +488,6 @@
         outcome=outcome,
         status=status,
         reason=reason,
+        elapsed_ms=round(elapsed_ms),
         left_ms=round(out.remaining_ms()),
     )
--- a/packages/daemon/src/yuccarouter/gateway/buffered.py
+++ b/packages/daemon/src/yuccarouter/gateway/buffered.py
@@ -53,12 +53,8 @@
         out, chosen, '', out.call.last_event_id, timeout_ms
     ) as opened:
         body = await attempts.read_body(out, opened, deadline_ms)
-        elapsed_ms = clocks.monotonic_ms() - opened.sent_ms
         if opened.head.status >= _SERVER_ERROR:
             attempts.record_failure(out, opened, 'failed')
         else:
-            is_slow = out.gateway.control.is_slow(
-                opened.view, out.route.name, elapsed_ms
-            )
-            attempts.record_success(out, opened, is_slow=is_slow)
+            attempts.record_success(out, opened)
         return attempts.response_with(opened, body)
--- a/packages/daemon/src/yuccarouter/gateway/latency_baselines.py
+++ b/packages/daemon/src/yuccarouter/gateway/latency_baselines.py
@@ -1,34 +1,54 @@
-"""Smoothed latencies of answers, to detect slow ones."""
+"""Typical latencies of answers, to detect slow ones.
+
+Latencies are compared relative to the work of a request, so that long prompts
+and long answers are not taken for slow ones.
+"""
 
 from __future__ import annotations
 
+import collections
+import statistics
+from collections.abc import Sequence
 from typing import Final
 
 import attrs
 
-# An answer is slow above this multiple of its baseline.
-_SLOW_FACTOR: Final = 4.0
+# An answer is slow above this multiple of the median of similar answers.
+_SLOW_FACTOR: Final = 3.0
 # Faster answers are never slow: their latency is mostly queueing.
 _MIN_SLOW_MS: Final = 250.0
-_SMOOTHING_FACTOR: Final = 0.1
+_RECENT_ANSWERS: Final = 40
+_MIN_ANSWERS: Final = 5
 
 
 @attrs.define
 class LatencyBaselines:
-    """Smoothed latencies of similar answers, by a common key."""
-
-    _baselines_ms: dict[str, float] = attrs.field(factory=dict)
-
-    def record(self, key: str, elapsed_ms: float) -> None:
-        """Update the baseline of a key with an answer's latency."""
-        baseline_ms = self._baselines_ms.setdefault(key, elapsed_ms)
-        self._baselines_ms[key] = baseline_ms + _SMOOTHING_FACTOR * (
-            elapsed_ms - baseline_ms
-        )
-
-    def is_slow(self, key: str, elapsed_ms: float) -> bool:
-        """Return whether a latency is far above the baseline of its key."""
-        baseline_ms = self._baselines_ms.get(key)
-        if baseline_ms is None:
-            return False
-        return elapsed_ms > max(_MIN_SLOW_MS, _SLOW_FACTOR * baseline_ms)
+    """The relative latencies of recent answers, by kind of answer.
+
+    Each answer belongs to several ``kinds``, from the narrowest to the widest.
+    It is judged by the narrowest of which enough answers are known.
+    """
+
+    _recent: dict[str, collections.deque[float]] = attrs.field(factory=dict)
+
+    def record(self, kinds: Sequence[str], relative_latency: float) -> None:
+        """Record the latency of an answer."""
+        for kind in kinds:
+            recent = self._recent.setdefault(
+                kind, collections.deque(maxlen=_RECENT_ANSWERS)
+            )
+            recent.append(relative_latency)
+
+    def is_slow(
+        self, kinds: Sequence[str], relative_latency: float, elapsed_ms: float
+    ) -> bool | None:
+        """Return whether an answer is far slower than similar ones.
+
+        Returns ``None`` if too few similar answers are known.
+        """
+        for kind in kinds:
+            recent = self._recent.get(kind, ())
+            if len(recent) >= _MIN_ANSWERS:
+                limit = _SLOW_FACTOR * statistics.median(recent)
+                return elapsed_ms > _MIN_SLOW_MS and relative_latency > limit
+        return None
--- a/packages/daemon/src/yuccarouter/gateway/rollout_control.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollout_control.py
@@ -11,7 +11,7 @@
 import orjson
 
 from yuccarouter.gateway import (
-    latency_baselines,
+    latency_judge,
     ports,
     rollouts,
     routes,
@@ -88,7 +88,9 @@
         self._rollouts: dict[str, Rollout] = {}
         self._phases: dict[str, dict[str, Any]] = {}
         self._first_seen_ms: dict[tuple[str, str], float] = {}
-        self._baselines = latency_baselines.LatencyBaselines()
+        self.latencies = latency_judge.LatencyJudge(
+            self._is_new, self.record_answers
+        )
         self._started_ms = clocks.monotonic_ms()
 
     def apply_order(self, order: model.RolloutOrder) -> None:
@@ -192,24 +194,16 @@
         rollout = self._rollouts.get(view.announced.service)
         if rollout is None or rollout.phase.is_final:
             return rollouts.Tally()
-        is_new = view.announced.version == rollout.order.target
-        tallies = rollout.own_new if is_new else rollout.own_old
+        tallies = rollout.own_new if self._is_new(view) else rollout.own_old
         return tallies.setdefault(route, rollouts.Tally())
 
-    def is_slow(
-        self, view: endpoints.EndpointView, key: str, elapsed_ms: float
-    ) -> bool:
-        """Return whether an answer is far slower than the old version's.
-
-        ``key`` groups similar answers. Answers of the old version set the
-        baseline.
-        """
-        is_slow = self._baselines.is_slow(key, elapsed_ms)
+    def _is_new(self, view: endpoints.EndpointView) -> bool:
+        """Return whether an endpoint runs the version of the newest order."""
         rollout = self._rollouts.get(view.announced.service)
-        target = None if rollout is None else rollout.order.target
-        if view.announced.version != target:
-            self._baselines.record(key, elapsed_ms)
-        return is_slow
+        return (
+            rollout is not None
+            and view.announced.version == rollout.order.target
+        )
 
     def own_evidence(self) -> list[Any]:
         """Return this daemon's evidence, for peers."""
@@ -237,6 +231,7 @@
         """Write due steps until cancelled."""
         while True:
             await asyncio.sleep(_CHECK_INTERVAL_S)
+            self.latencies.judge_pending()
             await self.take_due_steps(store, state)
 
     async def take_due_steps(
--- a/packages/daemon/src/yuccarouter/gateway/rollouts.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollouts.py
@@ -33,8 +33,19 @@
 _MIN_BAD_OR_SLOW: Final = 4
 # Probability of a false alarm in one test of one route.
 _FALSE_ALARM_PROBABILITY: Final = 0.0005
-# Added to the old version's share of bad or slow answers.
-_TOLERATED_EXTRA_SHARE: Final = 0.06
+# Probability at which the new version gets no larger share yet.
+_SUSPICION_PROBABILITY: Final = 0.03
+# Share of the ordered time from which a weaker suspicion ends the roll-out.
+_LATE_SHARE: Final = 0.85
+_LATE_PROBABILITY: Final = 0.005
+# A version gets all requests once a share of bad or slow answers that is so
+# much larger than the old version's has become this improbable.
+_EXCLUDED_EXTRA_SHARE: Final = 0.3
+_EXCLUSION_PROBABILITY: Final = 0.05
+# Added to the old version's share of bad and of slow answers. Slow answers are
+# counted before they end, and good ones after it.
+_TOLERATED_EXTRA_BAD_SHARE: Final = 0.06
+_TOLERATED_EXTRA_SLOW_SHARE: Final = 0.12
 _PRIOR_ANSWERS: Final = 20.0
 
 
@@ -118,8 +129,12 @@
         return phase
     if is_harmful(evidence):
         return Phase.ROLLED_BACK
-    answers = sum(tally.total for tally in evidence.new.values())
     elapsed_share = elapsed_ms / max(1.0, order.ramp_ms)
+    if elapsed_share >= _LATE_SHARE and is_harmful(evidence, _LATE_PROBABILITY):
+        return Phase.ROLLED_BACK
+    if is_harmful(evidence, _SUSPICION_PROBABILITY):
+        return phase
+    answers = sum(tally.total for tally in evidence.new.values())
     phase_share = phase_ms / max(1.0, order.ramp_ms)
     if phase is Phase.CANARY:
         is_due = (
@@ -129,7 +144,9 @@
         return Phase.RAMP if is_due else phase
     if phase is Phase.RAMP:
         is_due = (
-            phase_share >= _RAMP_TIME_SHARE and answers >= _MIN_RAMP_ANSWERS
+            phase_share >= _RAMP_TIME_SHARE
+            and answers >= _MIN_RAMP_ANSWERS
+            and _is_harm_excluded(evidence)
         )
         return Phase.FULL if is_due else phase
     return Phase.COMPLETED if phase_share >= _FULL_TIME_SHARE else phase
@@ -141,33 +158,66 @@
     return _MIN_CANARY_ANSWERS
 
 
-def is_harmful(evidence: Evidence) -> bool:
-    """Return whether the new version is worse, on all routes or on one."""
-    if _is_worse(_sum(evidence.new.values()), _sum(evidence.old.values())):
+def is_harmful(
+    evidence: Evidence, probability: float = _FALSE_ALARM_PROBABILITY
+) -> bool:
+    """Return whether the new version is worse, on all routes or on one.
+
+    ``probability`` is that of a false alarm in each comparison.
+    """
+    if _is_worse(
+        _sum(evidence.new.values()), _sum(evidence.old.values()), probability
+    ):
         return True
     return any(
-        _is_worse(tally, evidence.old.get(route, Tally()))
+        _is_worse(tally, evidence.old.get(route, Tally()), probability)
         for route, tally in evidence.new.items()
     )
 
 
-def _is_worse(new: Tally, old: Tally) -> bool:
+def _is_harm_excluded(evidence: Evidence) -> bool:
+    """Return whether the new version is certainly not much worse."""
+    new, old = _sum(evidence.new.values()), _sum(evidence.old.values())
+    return all(
+        1
+        - _binomial_tail(
+            count + 1,
+            new.total,
+            min(
+                1.0, _prior_share(old_count, old.total) + _EXCLUDED_EXTRA_SHARE
+            ),
+        )
+        < _EXCLUSION_PROBABILITY
+        for count, old_count in ((new.bad, old.bad), (new.slow, old.slow))
+    )
+
+
+def _is_worse(new: Tally, old: Tally, probability: float) -> bool:
     """Return whether bad or slow answers are significantly more frequent."""
-    return _is_significantly_more(
-        new.bad, new.total, old.bad, old.total
-    ) or _is_significantly_more(new.slow, new.total, old.slow, old.total)
+    likelihood = min(
+        _likelihood(
+            new.bad,
+            new.total,
+            _prior_share(old.bad, old.total) + _TOLERATED_EXTRA_BAD_SHARE,
+        ),
+        _likelihood(
+            new.slow,
+            new.total,
+            _prior_share(old.slow, old.total) + _TOLERATED_EXTRA_SLOW_SHARE,
+        ),
+    )
+    return likelihood < probability
 
 
-def _is_significantly_more(
-    new: int, new_total: int, old: int, old_total: int
-) -> bool:
+def _likelihood(new: int, new_total: int, expected_share: float) -> float:
+    """Return the probability of so many bad or slow answers or more."""
     if new < _MIN_BAD_OR_SLOW:
-        return False
-    expected = old / (old_total + _PRIOR_ANSWERS) + _TOLERATED_EXTRA_SHARE
-    return (
-        _binomial_tail(new, new_total, min(1.0, expected))
-        < _FALSE_ALARM_PROBABILITY
-    )
+        return 1
+    return _binomial_tail(new, new_total, min(1.0, expected_share))
+
+
+def _prior_share(old: int, old_total: int) -> float:
+    return old / (old_total + _PRIOR_ANSWERS)
 
 
 def _binomial_tail(bad: int, total: int, share: float) -> float:
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -282,7 +282,7 @@
     """Forward all events; raises ``AttemptError`` if the stream breaks."""
     out = relay.out
     try:
-        first_event_ms = await _forward_events(relay, opened)
+        await _forward_events(relay, opened)
     except TimeoutError as fault:
         attempts.record_timeout(out, opened)
         raise attempts.AttemptError(
@@ -297,22 +297,19 @@
             'broken_stream',
             may_have_run=True,
         ) from fault
-    attempts.record_success(
-        out, opened, is_slow=_is_slow(relay, opened, first_event_ms)
-    )
+    attempts.record_success(out, opened)
     if relay.response is not None:
         await _await_write(relay, relay.response.write_eof())
 
 
-async def _forward_events(relay: Relay, opened: attempts.OpenAnswer) -> float:
-    """Forward the events and return the time to the first data in ms."""
+async def _forward_events(relay: Relay, opened: attempts.OpenAnswer) -> None:
     out = relay.out
     gap_ms = out.route.gap_objective_ms or _DEFAULT_GAP_OBJECTIVE_MS
     idle_limit_ms = out.remaining_ms()
     if out.may_run_again(after=0):
         idle_limit_ms = stream_timeouts.gap_timeout_ms(gap_ms)
-    first_event_ms: float = 0
     idle_timer = _IdleTimer(relay.buffer)
+    events_before = relay.buffer.data_count
     while True:
         idle_remaining_ms = idle_limit_ms - idle_timer.elapsed_ms()
         chunk = await _next_chunk(
@@ -320,15 +317,12 @@
         )
         if not chunk:
             break
-        first_event_ms = (
-            first_event_ms or clocks.monotonic_ms() - opened.sent_ms
-        )
         complete = relay.buffer.feed(chunk)
+        opened.progress.events = relay.buffer.data_count - events_before
         if complete:
             await _write(relay, opened, complete)
     if not relay.buffer.is_at_event_end or relay.response is None:
         raise events.OrderError('stream ended within an event')
-    return first_event_ms
 
 
 async def _next_chunk(opened: attempts.OpenAnswer, timeout_ms: float) -> bytes:
@@ -372,11 +366,3 @@
         raise CallerStalledError(
             'caller did not read its stream before the deadline'
         ) from fault
-
-
-def _is_slow(
-    relay: Relay, opened: attempts.OpenAnswer, first_event_ms: float
-) -> bool:
-    return relay.out.gateway.control.is_slow(
-        opened.view, f'{relay.out.route.name}/{relay.model}', first_event_ms
-    )
--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -20,6 +20,7 @@
     attempts,
     choice,
     failure_reports,
+    latency_judge,
     model,
     prefill_speeds,
     rate_limits,
@@ -101,7 +102,10 @@
         failure_reports=failure_reports.FailureReports('d0'),
         rate_limits=rate_limits.RateLimits('d0', lambda endpoint: 1, tuple),
         prefill_speeds=prefill_speeds.PrefillSpeeds(),
-        control=types.SimpleNamespace(record_answers=_count),
+        control=types.SimpleNamespace(
+            record_answers=_count,
+            latencies=latency_judge.LatencyJudge(bool, _count),
+        ),
         session=Session(*results),
         platform=types.SimpleNamespace(
             encode_attempt=lambda call, attempt: (),
--- a/packages/daemon/tests/gateway/test_rollout_control.py
+++ b/packages/daemon/tests/gateway/test_rollout_control.py
@@ -13,7 +13,13 @@
 import pytest
 from hypothesis import strategies as st
 
-from yuccarouter.gateway import model, rollout_control, rollouts, topics
+from yuccarouter.gateway import (
+    answer_progress,
+    model,
+    rollout_control,
+    rollouts,
+    topics,
+)
 from yuccarouter_common import clocks
 
 STATE = 'state'
@@ -260,15 +266,100 @@
         assert rollouts.Phase.COMPLETED not in final
 
 
-@pytest.mark.parametrize('factor', [1.0, 3.0, 8.0])
-def test_slow_answers(clock: make.Clock, factor: float) -> None:
-    """Guards against a slow version whose answers are all correct."""
+def progress(
+    clock: make.Clock, version: str, route: str = 'r', **fields: Any
+) -> answer_progress.Progress:
+    return answer_progress.Progress(
+        make.view(version=version),
+        route,
+        fields.pop('model', 'm'),
+        fields.pop('prefill_tokens', 1000),
+        clock.now_ms,
+        **fields,
+    )
+
+
+def control_with_baseline(
+    clock: make.Clock, answers: int = 20
+) -> rollout_control.RolloutControl:
+    """Return a control in a roll-out with answers of 200 ms."""
     control = rollout_control.RolloutControl(encode_status, 0.15, lambda: 0)
     control.apply_order(make.order())
-    for _ in range(20):
-        control.is_slow(make.view(version='v1'), 'r/m', 200)
-    slow = control.is_slow(make.view(version='v2'), 'r/m', 200 * factor)
-    assert slow is (factor > 4)
+    for _ in range(answers):
+        control.latencies.record_success(progress(clock, 'v1'), 200)
+    return control
+
+
+def new_answers(control: rollout_control.RolloutControl) -> list[int]:
+    """Return the good, bad and slow answers of the new version."""
+    ((_, _, new, _),) = control.own_evidence()
+    return [sum(counts) for counts in zip(*new.values(), strict=True)]
+
+
+@pytest.mark.parametrize(
+    ('factor', 'expected'),
+    [(1, [1, 0, 0]), (3, [1, 0, 0]), (3.5, [0, 0, 1]), (8, [0, 0, 1])],
+)
+def test_slow_answers(
+    clock: make.Clock, factor: float, expected: list[int]
+) -> None:
+    """Guards against a slow version whose answers are all correct."""
+    control = control_with_baseline(clock)
+    control.latencies.record_success(progress(clock, 'v2'), 200 * factor)
+    assert new_answers(control) == expected
+
+
+@pytest.mark.parametrize('old_answers', [0, 4])
+def test_latency_without_a_baseline(
+    clock: make.Clock, old_answers: int
+) -> None:
+    """Guards against slow answers that count as good for want of others."""
+    control = control_with_baseline(clock, old_answers)
+    control.latencies.record_success(progress(clock, 'v2'), 2000)
+    assert new_answers(control) == []
+
+
+def test_latency_of_a_rare_kind(clock: make.Clock) -> None:
+    """Guards against slow answers of a kind without a baseline of its own."""
+    control = control_with_baseline(clock)
+    control.latencies.record_success(progress(clock, 'v2', 'x'), 2000)
+    assert new_answers(control) == [0, 0, 1]
+
+
+@pytest.mark.parametrize(
+    ('events', 'prefill_tokens', 'elapsed_ms', 'expected'),
+    [
+        (0, 1000, 400, []),
+        (0, 1000, 900, [0, 0, 1]),
+        (0, 20_000, 900, []),
+        (3, 1000, 1200, [0, 0, 1]),
+        (60, 1000, 1200, []),
+    ],
+)
+def test_pending_answers(
+    clock: make.Clock,
+    events: int,
+    prefill_tokens: float,
+    elapsed_ms: float,
+    expected: list[int],
+) -> None:
+    """Guards against slow answers that count only once they have ended.
+
+    A slow version then looks good at first. Long prompts and long answers must
+    not be taken for slow ones.
+    """
+    control = control_with_baseline(clock)
+    awaited = progress(
+        clock, 'v2', events=events, prefill_tokens=prefill_tokens
+    )
+    with control.latencies.follow(awaited):
+        clock.now_ms += elapsed_ms
+        control.latencies.judge_pending()
+        control.latencies.judge_pending()
+    assert new_answers(control) == expected
+    if expected:
+        control.latencies.record_success(awaited, elapsed_ms)
+        assert new_answers(control) == expected
 
 
 @pytest.mark.parametrize(
