Reject statements of rate limits with numbers that can't be serialised

What would happen: a peer's digest or a stored record with a version beyond 64 bits was accepted, and sending the next digest failed, which ends the process. Cause: integers were converted without a bound. Change: one decoder for messages and records, which raises ValueError.

--- a/packages/daemon/src/yuccarouter/gateway/rate_limit_records.py
+++ b/packages/daemon/src/yuccarouter/gateway/rate_limit_records.py
@@ -59,11 +59,7 @@
         """Merge the stored statements."""
         self.limits.merge(
             {
-                endpoint: (
-                    statement.started_ms,
-                    statement.version,
-                    statement.per_s,
-                )
+                endpoint: rate_limits.encode_statement(statement)
                 for endpoint, statement in self._stored().items()
             },
             clocks.monotonic_ms(),
@@ -102,7 +98,7 @@
         current = self.limits.statements()
         since_ms = now_ms - _MIN_CHANGE_INTERVAL_MS
         changes = {
-            endpoint: _encode(statement)
+            endpoint: orjson.dumps(rate_limits.encode_statement(statement))
             for endpoint, statement in current.items()
             if statement.is_newer_than(stored.get(endpoint))
             and (
@@ -121,7 +117,9 @@
             if not key.startswith(_PREFIX) or not entry.value:
                 continue
             try:
-                statement = _decode(entry.value)
+                statement = rate_limits.decode_statement(
+                    records.loads(entry.value)
+                )
             except (records.ShapeError, TypeError, ValueError) as fault:
                 eliot.log_message('bad_rate_limit', key=key, reason=str(fault))
                 continue
@@ -139,18 +137,3 @@
 def _delay_ms(value: bytes) -> float:
     """Return the delay of a write; an empty ``value`` removes a record."""
     return 0 if value else _ORPHAN_TIMEOUT_MS
-
-
-def _encode(statement: rate_limits.Statement) -> bytes:
-    return orjson.dumps(
-        [statement.started_ms, statement.version, statement.per_s]
-    )
-
-
-def _decode(value: bytes) -> rate_limits.Statement:
-    started_ms, version, per_s = records.loads(value)
-    return rate_limits.Statement(
-        int(started_ms),
-        int(version),
-        None if per_s is None else max(0, float(per_s)),
-    )
--- a/packages/daemon/src/yuccarouter/gateway/rate_limits.py
+++ b/packages/daemon/src/yuccarouter/gateway/rate_limits.py
@@ -34,7 +34,10 @@
 # Only the newest statements are sent, so that a message fits a datagram.
 _MAX_STATEMENTS: Final = 24
 
-# The incarnation, version and rate of each endpoint's statement.
+# Larger numbers can't be serialised.
+_MAX_INTEGER: Final = 2**53
+
+# The fields of each endpoint's statement.
 Message = dict[str, tuple[int, int, float | None]]
 
 
@@ -61,6 +64,24 @@
         return (self.started_ms, self.version, -_rate(self.per_s))
 
 
+def encode_statement(statement: Statement) -> tuple[int, int, float | None]:
+    """Return a statement's fields for messages and records."""
+    return (statement.started_ms, statement.version, statement.per_s)
+
+
+def decode_statement(fields: Any) -> Statement:
+    """Return a statement; raises ``TypeError`` or ``ValueError``."""
+    started_ms, version, per_s = fields
+    if not all(
+        isinstance(number, int) and 0 <= number <= _MAX_INTEGER
+        for number in (started_ms, version)
+    ):
+        raise ValueError('a statement needs two integers')
+    return Statement(
+        started_ms, version, None if per_s is None else max(0, float(per_s))
+    )
+
+
 @attrs.frozen
 class Share:
     """This daemon's share of a limit: an interval between sends and a burst."""
@@ -212,11 +233,7 @@
             reverse=True,
         )
         return {
-            endpoint: (
-                limit.statement.started_ms,
-                limit.statement.version,
-                limit.statement.per_s,
-            )
+            endpoint: encode_statement(limit.statement)
             for endpoint, limit in newest_first[:_MAX_STATEMENTS]
         }
 
@@ -226,15 +243,9 @@
         Raises ``AttributeError``, ``TypeError`` or ``ValueError`` for a
         malformed message.
         """
-        for endpoint, (started_ms, version, per_s) in message.items():
+        for endpoint, fields in message.items():
             self._merge_statement(
-                str(endpoint),
-                Statement(
-                    int(started_ms),
-                    int(version),
-                    None if per_s is None else max(0, float(per_s)),
-                ),
-                now_ms,
+                str(endpoint), decode_statement(fields), now_ms
             )
         self._discard_outdated()
 
