Keep the evidence of a peer's earlier process in a roll-out

What callers would see: more requests on a bad version than agreed. Change: digests carry a random id of the process, and evidence is kept for each. The tests of malformed digests now include the rate limits, which their receiver lacked. Ruled out: taking lower counts for a restart; a late datagram has lower counts too.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -298,7 +298,8 @@
     Raises ``LookupError``, ``AttributeError``, ``TypeError`` or ``ValueError``
     if it is malformed.
     """
-    gateway.control.merge_peer_evidence(name, digest['rollouts'])
+    process = f'{name}/{digest.get("process", 0)}'
+    gateway.control.merge_peer_evidence(process, digest['rollouts'])
     gateway.directory.record_peer_backlog(name, digest['work'])
     now_ms = clocks.monotonic_ms()
     gateway.failure_reports.merge(digest.get('lost', {}), now_ms)
@@ -310,6 +311,7 @@
 ) -> dict[str, Any]:
     return {
         'name': gateway.conf.name,
+        'process': gateway.process_id,
         'data_centre': gateway.conf.data_centre,
         'reads': [topic.name for topic in replicas if topic.is_read_from_store],
         'newest': {topic.name: topic.table.newest_offset for topic in replicas},
--- a/packages/daemon/src/yuccarouter/gateway/rollout_control.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollout_control.py
@@ -186,16 +186,11 @@
         self, view: endpoints.EndpointView, route: str, answers: rollouts.Tally
     ) -> None:
         """Record answers as evidence in a roll-out of their service."""
-        self._own_tally(view, route).add(answers)
-
-    def _own_tally(
-        self, view: endpoints.EndpointView, route: str
-    ) -> rollouts.Tally:
         rollout = self._rollouts.get(view.announced.service)
         if rollout is None or rollout.phase.is_final:
-            return rollouts.Tally()
+            return
         tallies = rollout.own_new if self._is_new(view) else rollout.own_old
-        return tallies.setdefault(route, rollouts.Tally())
+        tallies.setdefault(route, rollouts.Tally()).add(answers)
 
     def _is_new(self, view: endpoints.EndpointView) -> bool:
         """Return whether an endpoint runs the version of the newest order."""
@@ -218,8 +213,16 @@
             if not rollout.phase.is_final
         ]
 
+    def evidence(self, service: str) -> rollouts.Evidence:
+        """Return all daemons' evidence of the newest roll-out of a service."""
+        return self._rollouts[service].evidence()
+
     def merge_peer_evidence(self, peer: str, digest: list[Any]) -> None:
-        """Record a peer's evidence, which replaces its earlier one."""
+        """Record a peer's evidence, which replaces its earlier one.
+
+        ``peer`` names a process: a restarted daemon counts from zero, and what
+        its earlier process has counted remains.
+        """
         for number, service, new, old in digest:
             rollout = self._rollouts.get(service)
             if rollout is not None and rollout.order.number == number:
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import math
+import random
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -46,6 +47,7 @@
     TypeError,
     ValueError,
 )
+_PROCESS_ID_BITS: Final = 32
 # Number of daemons that is assumed while no other one is registered.
 _DEFAULT_DAEMON_COUNT: Final = 8
 # Age of the configuration above which unknown keys and routes are answered
@@ -54,9 +56,16 @@
 _STALE_CONFIGURATION_MS: Final = 1500.0
 
 
+def _random_id() -> int:
+    return random.getrandbits(_PROCESS_ID_BITS)
+
+
 @attrs.define
 class Gateway:
-    """Shared state of a daemon's request path."""
+    """Shared state of a daemon's request path.
+
+    ``process_id`` tells a restarted daemon from its earlier process.
+    """
 
     conf: settings.GatewaySettings
     platform: ports.Platform
@@ -70,6 +79,7 @@
     rate_limits: rate_limits.RateLimits = attrs.field(init=False)
     gossip: peers.Gossip | None = None
     orders_topic: topics.Topic | None = None
+    process_id: int = attrs.field(factory=_random_id)
     is_draining: bool = False
     in_progress: int = 0
     prefill_speeds: prefill_speeds.PrefillSpeeds = attrs.field(
--- a/packages/daemon/tests/gateway/test_bad_messages.py
+++ b/packages/daemon/tests/gateway/test_bad_messages.py
@@ -20,7 +20,9 @@
     endpoints,
     failure_reports,
     peers,
+    rate_limits,
     rollout_control,
+    rollouts,
     topics,
 )
 from yuccarouter_common import clocks
@@ -33,6 +35,7 @@
     'rollouts': [[1, 'engine', {'r': [1, 2, 3]}, {'r': [4, 5, 6]}]],
     'work': {'e1': [1, 20]},
     'lost': {'e1': {'d3': 10}},
+    'rate_limits': {'e1': [1, 3, 2.5]},
 }
 ANY_JSON = st.recursive(
     st.none()
@@ -64,6 +67,9 @@
             control=control,
             directory=directory,
             failure_reports=failure_reports.FailureReports('d1'),
+            rate_limits=rate_limits.RateLimits(
+                'd1', directory.started_ms, tuple
+            ),
         )
         self.gossip = peers.Gossip(
             dict,
@@ -87,6 +93,8 @@
         need = make.need(prompt_tokens=500, unreachable=lost)
         assert choice.choose(self.gateway.directory, need, now_ms)
         orjson.dumps(self.gateway.failure_reports.message(2, now_ms))
+        self.gateway.rate_limits.exhausted(now_ms)
+        orjson.dumps(self.gateway.rate_limits.message())
         self.gossip.confirms(self.topic)
         peers.most_advanced_peer(self.gossip, self.topic)
         asyncio.run(
@@ -102,6 +110,12 @@
 @hypothesis.example(field='newest', replacement={'t': 'x'}, drop=False)
 @hypothesis.example(field='work', replacement={'e1': ['x', 'y']}, drop=False)
 @hypothesis.example(field='lost', replacement={'e1': {'d3': 'x'}}, drop=False)
+@hypothesis.example(
+    field='rate_limits', replacement={'e1': [1, 1e300, 2]}, drop=False
+)
+@hypothesis.example(
+    field='rate_limits', replacement={'e1': [2**60, 1, -1]}, drop=False
+)
 def test_malformed_digest(field: str, replacement: Any, drop: bool) -> None:
     """Guards against a digest that makes all calls fail or ends the daemon.
 
@@ -141,3 +155,25 @@
     view = receiver.gateway.directory.get('e1')
     assert view is not None
     assert view.occupancy(clocks.monotonic_ms()) == 1
+    assert receiver.gateway.rate_limits.message() == {'e1': (1, 3, 2.5)}
+
+
+@pytest.mark.parametrize(
+    ('process', 'expected'), [(7, [1, 2, 3]), (8, [2, 4, 6])]
+)
+def test_evidence_of_a_restarted_peer(
+    process: int, expected: list[int]
+) -> None:
+    """Guards against evidence that is lost when a peer restarts.
+
+    A digest of the same process replaces the one before.
+    """
+    receiver = Receiver()
+    for number in (7, process):
+        digest = {**VALID_DIGEST, 'process': number}
+        receiver.gossip.datagram_received(
+            orjson.dumps(digest), ('10.0.0.2', 7300)
+        )
+    assert receiver.control.evidence('engine').new == {
+        'r': rollouts.Tally(*expected)
+    }
