--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -12,7 +12,14 @@
 import pytest
 from aiohttp import web
 
-from yuccarouter.gateway import endpoints, failure_reports, model, peers, topics
+from yuccarouter.gateway import (
+    endpoints,
+    failure_reports,
+    model,
+    peers,
+    rate_limits,
+    topics,
+)
 
 
 def topic(poll_interval_ms: float = 0) -> topics.Topic:
@@ -180,6 +187,24 @@
     assert all(name.startswith('a') for name in names)
 
 
+def test_silent_peers_give_up_their_share(clock: make.Clock) -> None:
+    """Guards against shares of rate limits that removed daemons keep for good.
+
+    A peer that is silent for a moment may only be cut off from this daemon. It
+    keeps its share, and so does one that a restarted daemon has not heard yet.
+    """
+    gossip = peers.Gossip(dict, lambda name, digest: None)
+    for name in ('d2', 'd3'):
+        gossip.add_member(name, model.Address('10.0.0.1', 1))
+    shares = []
+    for _ in range(5):
+        shares.append(gossip.sharing_names())
+        digest = {'name': 'd2', 'newest': {}}
+        gossip.datagram_received(orjson.dumps(digest), ('10.0.0.1', 1))
+        clock.now_ms += 3000
+    assert shares == [('d2', 'd3')] * 4 + [('d2',)]
+
+
 def test_digest_of_a_large_deployment_fits() -> None:
     """Guards against digests that are too long for a datagram.
 
@@ -187,13 +212,22 @@
     """
     directory = endpoints.Directory()
     reports = failure_reports.FailureReports('gateway-of-a-data-centre-1')
+    limits = rate_limits.RateLimits('d1', directory.started_ms, tuple)
+    started = model.Incarnation(1_796_000_000_000, 1)
     for number in range(810):
         name = f'i-{number:010x}'
-        directory.apply_announcement(make.announcement(name))
+        directory.apply_announcement(
+            make.announcement(name, incarnation=started)
+        )
         directory.get(name).in_flight = 64
         directory.get(name).pending_prefill_ms = 99_999
         reports.merge(
             {name: {f'gateway-of-a-data-centre-{n}': 1500 for n in (2, 3)}}, 0
         )
-    digest = {'work': directory.own_backlog(), 'lost': reports.message(810, 0)}
+        limits.record_answer(name, per_s=810 / 7, sent_ms=0, now_ms=number)
+    digest = {
+        'work': directory.own_backlog(),
+        'lost': reports.message(810, 0),
+        'rate_limits': limits.message(),
+    }
     assert len(orjson.dumps(digest)) < 7500
