Compare thousands of answers in a roll-out without an overflow

What callers would see: on a large site, every daemon ends at once in a roll-out and again after each restart. Cause: the probability of so many bad answers was a sum of products of an exact binomial coefficient and a float, which raises OverflowError above about 1,030 answers; the task's failure ends the process. Change: terms from the logarithm of the gamma function, summed until they are negligible.

--- a/packages/daemon/src/yuccarouter/gateway/rollouts.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollouts.py
@@ -47,6 +47,10 @@
 _TOLERATED_EXTRA_BAD_SHARE: Final = 0.06
 _TOLERATED_EXTRA_SLOW_SHARE: Final = 0.12
 _PRIOR_ANSWERS: Final = 20.0
+# So many standard deviations below the mean, the rest of the distribution is 1.
+_CERTAIN_DEVIATIONS: Final = 10.0
+# Terms of a sum that are smaller than this share of it are left out.
+_NEGLIGIBLE_SHARE: Final = 1e-12
 
 
 class Phase(enum.StrEnum):
@@ -220,12 +224,29 @@
     return old / (old_total + _PRIOR_ANSWERS)
 
 
-def _binomial_tail(bad: int, total: int, share: float) -> float:
-    """Return the probability of ``bad`` or more bad answers of ``total``."""
-    return sum(
-        math.comb(total, count) * share**count * (1 - share) ** (total - count)
-        for count in range(bad, total + 1)
+def _binomial_tail(least: int, total: int, share: float) -> float:
+    """Return the probability of ``least`` or more of ``total`` answers."""
+    if least <= 0 or share >= 1:
+        return 1
+    if least > total or share <= 0:
+        return 0
+    mean = total * share
+    if least < mean - _CERTAIN_DEVIATIONS * math.sqrt(mean * (1 - share)):
+        return 1
+    probability = math.exp(
+        math.lgamma(total + 1)
+        - math.lgamma(least + 1)
+        - math.lgamma(total - least + 1)
+        + least * math.log(share)
+        + (total - least) * math.log1p(-share)
     )
+    tail: float = 0
+    for count in range(least, total + 1):
+        tail += probability
+        if count > mean and probability < _NEGLIGIBLE_SHARE * tail:
+            break
+        probability *= (total - count) / (count + 1) * share / (1 - share)
+    return min(1, tail)
 
 
 def _sum(tallies: Iterable[Tally]) -> Tally:
--- a/packages/daemon/tests/gateway/test_rollouts.py
+++ b/packages/daemon/tests/gateway/test_rollouts.py
@@ -114,6 +114,31 @@
     assert next_phase is rollouts.Phase.ROLLED_BACK
 
 
+@pytest.mark.parametrize('phase', list(rollouts.Phase)[:3])
+@pytest.mark.parametrize(
+    ('bad', 'slow', 'is_harmful'),
+    [(60, 300, False), (0, 0, False), (900, 300, True), (60, 1500, True)],
+)
+def test_many_answers(
+    phase: rollouts.Phase, bad: int, slow: int, is_harmful: bool
+) -> None:
+    """Guards against numbers of answers that overflow and end the process.
+
+    A large site has thousands of answers within a roll-out.
+    """
+    new = rollouts.Tally(3000 - bad - slow, bad, slow)
+    old = rollouts.Tally(9000, 200, 1000)
+    next_phase = rollouts.next_phase(
+        phase,
+        make.order(ramp_ms=RAMP_MS),
+        RAMP_MS,
+        RAMP_MS,
+        evidence({'r': new}, {'r': old}),
+    )
+    assert (next_phase is rollouts.Phase.ROLLED_BACK) is is_harmful
+    assert is_harmful or next_phase is not phase
+
+
 def simulate(
     seed: int, bad_share: float, base_share: float = 0.02, steps: int = 300
 ) -> tuple[rollouts.Phase, int]:
