--- a/packages/daemon/src/yuccarouter/gateway/bootstrap.py
+++ b/packages/daemon/src/yuccarouter/gateway/bootstrap.py
@@ -14,6 +14,7 @@
 
 # Maximum number of connections that wait to be accepted.
 BACKLOG = 1024
+# On the monotonic clock.
 PROCESS_STARTED_MS = time.monotonic() * 1000
 _LISTEN_FLAG = '--listen='
 # The HTTP library reads all root certificates when it is loaded, which takes
