--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -303,6 +303,7 @@
 
 
 async def _forward_events(relay: Relay, opened: attempts.OpenAnswer) -> None:
+    """Forward the events of one answer, up to its last one."""
     out = relay.out
     gap_ms = out.route.gap_objective_ms or _DEFAULT_GAP_OBJECTIVE_MS
     idle_limit_ms = out.remaining_ms()
