Log the prompt parts of lost answers and whether their endpoint has crashed

A refused connection shows a crash; a connection that is accepted or not answered does not. Ruled out as a sign: the endpoint's record in the directory, which stays for three heartbeats after a crash.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -40,14 +40,23 @@
     """Raised when an attempt ends without a usable answer.
 
     ``may_have_run`` is false only where it is certain that the endpoint did
-    not run the request and never will.
+    not run the request and never will. ``lost`` is the answer's progress if
+    its connection failed.
     """
 
     code = 'attempt_failed'
 
-    def __init__(self, message: str, code: str, *, may_have_run: bool) -> None:
+    def __init__(
+        self,
+        message: str,
+        code: str,
+        *,
+        may_have_run: bool,
+        lost: answer_progress.Progress | None = None,
+    ) -> None:
         super().__init__(message, code=code)
         self.may_have_run = may_have_run
+        self.lost = lost
 
 
 @attrs.define
@@ -176,7 +185,7 @@
         view.pending_prefill_ms += prefill_ms
         try:
             response = await _await_response(
-                out, view, model_name, last_event_id, head_timeout_ms
+                out, progress, last_event_id, head_timeout_ms
             )
         except BaseException:
             view.in_flight -= 1
@@ -196,14 +205,14 @@
 
 async def _await_response(
     out: OutgoingCall,
-    view: endpoints.EndpointView,
-    model_name: str,
+    progress: answer_progress.Progress,
     last_event_id: str,
     head_timeout_ms: float,
 ) -> aiohttp.ClientResponse:
+    view = progress.view
     try:
         async with asyncio.timeout(max(0, head_timeout_ms) / _MS_PER_S):
-            return await _send(out, view, model_name, last_event_id)
+            return await _send(out, view, progress.model, last_event_id)
     except (
         aiohttp.ConnectionTimeoutError,
         aiohttp.ClientConnectorError,
@@ -230,6 +239,7 @@
             'connection failed before the answer arrived',
             'answer_lost',
             may_have_run=True,
+            lost=progress,
         ) from fault
 
 
@@ -330,6 +340,7 @@
             'connection failed within the answer',
             'broken_answer',
             may_have_run=True,
+            lost=opened.progress,
         ) from fault
     if body is None:
         record_failure(out, opened, 'endless_answer')
--- a/packages/daemon/src/yuccarouter/gateway/retries.py
+++ b/packages/daemon/src/yuccarouter/gateway/retries.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from yuccarouter.gateway import attempts, refusal_responses
+from yuccarouter.gateway import attempts, lost_answers, refusal_responses
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -79,6 +79,8 @@
     try:
         answer = await attempt
     except attempts.AttemptError as fault:
+        if fault.lost is not None:
+            await lost_answers.investigate(out, fault.lost)
         if not outcomes.may_have_run:
             outcomes.fault = fault
         return None
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -15,11 +15,11 @@
     bootstrap,
     choice,
     cold_limit,
+    crash_checks,
     endpoints,
     failure_reports,
     metrics,
     model,
-    ports,
     prefill_speeds,
     rate_limits,
     retry_budget,
@@ -34,7 +34,7 @@
 
     import aiohttp
 
-    from yuccarouter.gateway import peers, settings, topics
+    from yuccarouter.gateway import peers, ports, settings, topics
 
 MEMBER_PREFIX: Final = 'member/'
 # Errors that a malformed record may raise in its decoder. All daemons read
@@ -88,6 +88,9 @@
     first_event_timeouts: dict[
         tuple[str, str], stream_timeouts.FirstEventTimeout
     ] = attrs.field(factory=dict)
+    crash_checks: crash_checks.CrashChecks = attrs.field(
+        factory=crash_checks.CrashChecks
+    )
     busy_connections: set[object] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -296,6 +296,7 @@
             'stream ended before its last event',
             'broken_stream',
             may_have_run=True,
+            lost=opened.progress,
         ) from fault
     attempts.record_success(out, opened)
     if relay.response is not None:
