Hold prompts with a part on which engines crash

Cause: nothing related a crash to the prompts that the engine was about to answer. Each request took as many engines down as it has attempts, and each new one did so again. Change: an attempt whose engine refuses connections, and whose answer had not gone on, makes the shared parts of its prompt suspects. An answer clears its parts. Parts that explain three crashes one after the other, met by two requests, are held; parts that had been answered before need five crashes and three requests, and new parts are blamed first, so that a part that most prompts share is not held. Crashes at the same time count as one, and crashes that a part explains don't count against other prompts. Daemons exchange the attempts at once and store them, with bounds on memory and messages. Why it works: the evidence is the union of all daemons' attempts with suspects that only shrink, so that all come to the same result in any order of messages.

--- a/packages/common/src/yuccarouter_common/refusals.py
+++ b/packages/common/src/yuccarouter_common/refusals.py
@@ -33,6 +33,7 @@
     'overloaded': 503,
     'organisation_limit': 429,
     'no_endpoint': 503,
+    'prompt_held': 503,
     'log_unavailable': 503,
     'session_version_withdrawn': 409,
     'configuration_stale': 503,
--- a/packages/daemon/src/yuccarouter/gateway/answer_progress.py
+++ b/packages/daemon/src/yuccarouter/gateway/answer_progress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -12,6 +13,8 @@
     from yuccarouter.gateway import endpoints
 
 _MS_PER_EVENT: Final = 20.0
+# An engine that crashes on a prompt may send the first events before.
+_PROCEEDED_AFTER_MS: Final = 500.0
 
 
 @attrs.define(eq=False)
@@ -19,7 +22,9 @@
     """An answer that is awaited or received.
 
     ``model`` is empty for plain services. ``events`` are those received so
-    far. ``is_judged`` is true once the answer has been counted as slow.
+    far and ``first_event_ms`` is when the first one arrived. ``is_judged`` is
+    true once the answer has been counted as slow, and ``is_proven`` once it
+    has shown that its prompt crashes no engine.
     """
 
     view: endpoints.EndpointView
@@ -28,7 +33,19 @@
     prefill_tokens: float
     sent_ms: float
     events: int = 0
+    first_event_ms: float = math.inf
     is_judged: bool = False
+    is_proven: bool = False
+
+    def record_events(self, events: int, now_ms: float) -> None:
+        """Record the number of events received so far."""
+        if events and not self.events:
+            self.first_event_ms = now_ms
+        self.events = events
+
+    def has_proceeded(self, now_ms: float) -> bool:
+        """Return whether the answer has gone on after its first event."""
+        return now_ms - self.first_event_ms >= _PROCEEDED_AFTER_MS
 
     @property
     def kinds(self) -> tuple[str, ...]:
--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -18,6 +18,7 @@
     metrics,
     model,
     ports,
+    prompt_parts,
     rollouts,
 )
 from yuccarouter_common import clocks, errors
@@ -69,6 +70,7 @@
     one for each retry taken from the budget. ``tried`` names the endpoints
     that are not chosen again. ``has_run`` is true once an answer was
     discarded; a refusal must then not say that the call has not run.
+    ``part_ids`` are the parts of the prompt that other prompts may share.
     """
 
     gateway: state.Gateway
@@ -86,6 +88,11 @@
     runs: int = 0
     tried: frozenset[str] = frozenset()
     has_run: bool = False
+    part_ids: tuple[str, ...] = attrs.field(
+        default=attrs.Factory(
+            lambda out: prompt_parts.shared_part_ids(out.call), takes_self=True
+        )
+    )
 
     def remaining_ms(self) -> float:
         """Return the remaining time until the call's deadline."""
@@ -102,9 +109,9 @@
         chosen = self.gateway.choose(
             self.call, self.route, self.service, self.tried, model_name
         )
-        if chosen is None or not self._may_deliver():
+        if chosen is None or not self._may_send_prompt():
             return None
-        return chosen
+        return chosen if self._may_deliver() else None
 
     def may_run_again(self, *, after: int) -> bool:
         """Return whether the call may run again after ``after`` more runs."""
@@ -122,6 +129,14 @@
         )
         return other is not None
 
+    def prompt_hold_ms(self) -> float | None:
+        """Return for how long the prompt is held, ``None`` if it is not."""
+        if not self.part_ids:
+            return None
+        return self.gateway.crash_evidence.hold_ms(
+            self.service, self.part_ids, clocks.monotonic_ms()
+        )
+
     def take_retry(self, *, is_optional: bool = False) -> bool:
         """Return whether the retry budget grants one more delivery.
 
@@ -136,6 +151,12 @@
         self.allowed_deliveries += is_granted
         return is_granted
 
+    def _may_send_prompt(self) -> bool:
+        """Return whether the prompt is not suspected of crashing engines."""
+        return not self.part_ids or self.gateway.crash_evidence.may_send(
+            self.service, self.part_ids, clocks.monotonic_ms()
+        )
+
     def _may_deliver(self) -> bool:
         """Return whether one more delivery is allowed or can be granted."""
         return self.deliveries < self.allowed_deliveries or self.take_retry()
@@ -374,9 +395,19 @@
     )
 
 
+def record_proceeding(out: OutgoingCall, opened: OpenAnswer) -> None:
+    """Record an answer that goes on: its prompt crashes no engine."""
+    progress = opened.progress
+    if not progress.is_proven and progress.has_proceeded(clocks.monotonic_ms()):
+        progress.is_proven = True
+        _record_sound_prompt(out)
+
+
 def record_success(out: OutgoingCall, opened: OpenAnswer) -> None:
     """Record a complete answer."""
     opened.view.record_success()
+    if opened.head.status == _OK:
+        _record_sound_prompt(out)
     _record_session_version(out, opened.view)
     elapsed_ms = clocks.monotonic_ms() - opened.sent_ms
     is_slow = out.gateway.control.latencies.record_success(
@@ -408,6 +439,13 @@
     )
 
 
+def _record_sound_prompt(out: OutgoingCall) -> None:
+    if out.part_ids:
+        out.gateway.crash_evidence.record_answer(
+            out.service, out.part_ids, clocks.monotonic_ms()
+        )
+
+
 def _record_send(
     out: OutgoingCall, view: endpoints.EndpointView, now_ms: float
 ) -> None:
--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -11,6 +11,7 @@
 
 from yuccarouter.gateway import (
     connections,
+    crash_records,
     model,
     peers,
     ports,
@@ -90,6 +91,12 @@
             shared_state,
             functools.partial(_rank, self.gateway),
         )
+        stored_crashes = crash_records.CrashRecords(
+            self.gateway.crash_evidence,
+            store,
+            shared_state,
+            functools.partial(_rank, self.gateway),
+        )
         background: list[Callable[[], Coroutine[Any, Any, None]]] = [
             *(topic.follow for topic in replicas),
             gossip.run,
@@ -99,6 +106,7 @@
             functools.partial(self.gateway.control.run, store, shared_state),
             functools.partial(_register, self.gateway, store, shared_state),
             stored_limits.run,
+            stored_crashes.run,
         ]
         metrics_address = model.Address(conf.host, conf.metrics_port)
         for function in background:
@@ -111,6 +119,7 @@
             await self._start_server(server)
         await _wait_until_ready(self.gateway, shared_state)
         stored_limits.read()
+        stored_crashes.read()
         await self._start_server(self._callers_server)
 
     def run(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
@@ -304,6 +313,7 @@
     now_ms = clocks.monotonic_ms()
     gateway.failure_reports.merge(digest.get('lost', {}), now_ms)
     gateway.rate_limits.merge(digest.get('rate_limits', {}), now_ms)
+    gateway.crash_evidence.merge(digest.get('crashes', ()), now_ms)
 
 
 def _make_digest(
@@ -321,6 +331,7 @@
             len(gateway.directory), clocks.monotonic_ms()
         ),
         'rate_limits': gateway.rate_limits.message(),
+        'crashes': gateway.crash_evidence.message(clocks.monotonic_ms()),
     }
 
 
--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -36,6 +36,10 @@
     'Doubtful answers passed on as the budget for repeats was spent',
     ('service',),
 )
+HELD_PROMPT_PARTS: Final = prometheus_client.Gauge(
+    'yuccarouter_gateway_held_prompt_parts',
+    'Sets of prompt parts that are held back as engines crash on them',
+)
 RATE_LIMITED_ENDPOINTS: Final = prometheus_client.Gauge(
     'yuccarouter_gateway_rate_limited_endpoints',
     'Endpoints that state a rate limit',
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import contextlib
 import math
 from typing import TYPE_CHECKING, Any, Final, cast
 
@@ -22,6 +23,8 @@
     from yuccarouter.gateway import topics
 
 _GOSSIP_INTERVAL_S: Final = 0.4
+# News that come at the same time are sent together after this delay.
+_NEWS_DELAY_S: Final = 0.03
 # Number of registered peers that get each digest, in turn.
 _FANOUT: Final = 8
 _LIVE_TIMEOUT_MS: Final = 2500.0
@@ -82,7 +85,8 @@
     A digest holds totals, so that the next one makes up for a lost datagram.
     ``members`` are the addresses of the registered peers by name, ``names``
     their sorted names, and ``known_peers`` the senders of digests by name.
-    ``dependants`` returns the names of the peers that get every digest.
+    ``dependants`` returns the names of the peers that get every digest. While
+    ``has_news`` is set, the next digest does not wait for its interval.
     """
 
     def __init__(
@@ -99,6 +103,7 @@
         self.names: tuple[str, ...] = ()
         self.known_peers: dict[str, Peer] = {}
         self.dependants: Callable[[], list[str]] = list
+        self.has_news = asyncio.Event()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for sending."""
@@ -190,7 +195,11 @@
     async def run(self) -> None:
         """Send digests until cancelled."""
         while True:
-            await asyncio.sleep(_GOSSIP_INTERVAL_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_GOSSIP_INTERVAL_S):
+                    await self.has_news.wait()
+                    await asyncio.sleep(_NEWS_DELAY_S)
+            self.has_news.clear()
             self.send()
 
     def send(self) -> None:
--- a/packages/daemon/src/yuccarouter/gateway/refusal_responses.py
+++ b/packages/daemon/src/yuccarouter/gateway/refusal_responses.py
@@ -69,6 +69,15 @@
     )
 
 
+def prompt_held(hold_ms: float) -> refusals.RefusalError:
+    """Return the refusal of a prompt on which engines crash."""
+    return refusals.RefusalError(
+        'prompt_held',
+        'engines crash on a part of this prompt',
+        retry_after_ms=math.ceil(hold_ms),
+    )
+
+
 def after_failed_attempts(
     out: attempts.OutgoingCall, fault: attempts.AttemptError | None
 ) -> refusals.RefusalError:
@@ -86,6 +95,9 @@
             'no other endpoint answered' if fault is None else fault.message
         )
         return refusals.RefusalError(code, message, outcome=refusals.UNKNOWN)
+    hold_ms = out.prompt_hold_ms()
+    if hold_ms is not None:
+        return prompt_held(hold_ms)
     if fault is None and out.remaining_ms() > 0:
         return no_endpoint(
             out.service, out.gateway.rate_limit_wait_ms(out.service)
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -15,7 +15,7 @@
     bootstrap,
     choice,
     cold_limit,
-    crash_checks,
+    crash_evidence,
     endpoints,
     failure_reports,
     metrics,
@@ -77,6 +77,7 @@
     retry_budget: retry_budget.RetryBudget = attrs.field(init=False)
     failure_reports: failure_reports.FailureReports = attrs.field(init=False)
     rate_limits: rate_limits.RateLimits = attrs.field(init=False)
+    crash_evidence: crash_evidence.CrashEvidence = attrs.field(init=False)
     gossip: peers.Gossip | None = None
     orders_topic: topics.Topic | None = None
     process_id: int = attrs.field(factory=_random_id)
@@ -88,19 +89,21 @@
     first_event_timeouts: dict[
         tuple[str, str], stream_timeouts.FirstEventTimeout
     ] = attrs.field(factory=dict)
-    crash_checks: crash_checks.CrashChecks = attrs.field(
-        factory=crash_checks.CrashChecks
-    )
     busy_connections: set[object] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         """Build what depends on the settings."""
+
+        def sharing_names() -> tuple[str, ...]:
+            return self.gossip.sharing_names() if self.gossip else ()
+
         bounds = self.conf.bounds
         self.failure_reports = failure_reports.FailureReports(self.conf.name)
         self.rate_limits = rate_limits.RateLimits(
-            self.conf.name,
-            self.directory.started_ms,
-            lambda: self.gossip.sharing_names() if self.gossip else (),
+            self.conf.name, self.directory.started_ms, sharing_names
+        )
+        self.crash_evidence = crash_evidence.CrashEvidence(
+            self.conf.name, sharing_names
         )
         self.retry_budget = retry_budget.RetryBudget(
             bounds.retry_ratio,
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -320,7 +320,10 @@
         if not chunk:
             break
         complete = relay.buffer.feed(chunk)
-        opened.progress.events = relay.buffer.data_count - events_before
+        opened.progress.record_events(
+            relay.buffer.data_count - events_before, clocks.monotonic_ms()
+        )
+        attempts.record_proceeding(out, opened)
         if complete:
             await _write(relay, opened, complete)
     if not relay.buffer.is_at_event_end or relay.response is None:
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_crash_suspicions.py
@@ -0,0 +1,146 @@
+"""Tests of how the parts that crash engines are found."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from yuccarouter.gateway import crash_suspicions
+
+# Time from the send to the crash.
+RUN_MS = 100.0
+
+# An attempt in short: request, engine, time of the crash, suspects. Suspects in
+# capitals had been answered before.
+Row = tuple[int, str, float, str]
+
+
+def attempt(number: int, row: Row) -> crash_suspicions.CrashedAttempt:
+    request, engine, crashed_ms, suspects = row
+    names = frozenset(suspects.split())
+    return crash_suspicions.CrashedAttempt(
+        request=request,
+        number=number,
+        engine=engine,
+        service='engine',
+        sent_ms=crashed_ms - RUN_MS,
+        crashed_ms=crashed_ms,
+        suspects=names,
+        answered=frozenset(name for name in names if name.isupper()),
+        changed_ms=crashed_ms,
+    )
+
+
+def find(rows: list[Row]) -> set[str]:
+    attempts = itertools.starmap(attempt, enumerate(rows))
+    return {
+        ' '.join(sorted(found.parts))
+        for found in crash_suspicions.find_suspicions(attempts)
+    }
+
+
+@pytest.mark.parametrize(
+    ('rows', 'parts'),
+    [
+        pytest.param([], set(), id='no crash'),
+        pytest.param(
+            [(1, 'a', 100, 'x'), (2, 'b', 300, 'x')], set(), id='two crashes'
+        ),
+        pytest.param(
+            [(1, 'a', 100, 'x'), (1, 'b', 300, 'x'), (2, 'c', 500, 'x')],
+            {'x'},
+            id='three crashes in sequence',
+        ),
+        pytest.param(
+            [(1, 'a', 100, 'x'), (1, 'b', 300, 'x'), (1, 'c', 500, 'x')],
+            set(),
+            id='one request',
+        ),
+        pytest.param(
+            [(each, f'e{each}', 100 + each, 'x') for each in range(20)],
+            set(),
+            id='loss of power',
+        ),
+        pytest.param(
+            [
+                (1, 'a', 100, 'SYS x own1'),
+                (1, 'b', 300, 'SYS x own1'),
+                (2, 'c', 500, 'SYS x own2'),
+            ],
+            {'x'},
+            id='part that most prompts share',
+        ),
+        pytest.param(
+            [
+                (1, 'a', 100, 'SYS x'),
+                (1, 'b', 300, 'SYS x'),
+                (2, 'c', 500, 'SYS y'),
+                (2, 'd', 700, 'SYS y'),
+                (3, 'e', 900, 'SYS x'),
+                (4, 'f', 1100, 'SYS y'),
+            ],
+            {'x', 'y'},
+            id='two parts at once',
+        ),
+        pytest.param(
+            [
+                (1, 'a', 100, 'x'),
+                (1, 'b', 300, 'x'),
+                (9, 'b', 300, 'z'),
+                (2, 'c', 500, 'x'),
+                (9, 'c', 500, 'z'),
+                (3, 'd', 700, 'x'),
+                (8, 'd', 700, 'z'),
+            ],
+            {'x'},
+            id='prompt that met the same crashes',
+        ),
+        pytest.param(
+            [
+                (
+                    request,
+                    f'e{request}{each}',
+                    1000 * request + 200 * each,
+                    'OLD',
+                )
+                for request in (1, 2, 3)
+                for each in (0, 1)
+            ],
+            {'OLD'},
+            id='answered before and crashing now',
+        ),
+        pytest.param(
+            [
+                (
+                    request,
+                    f'e{request}{each}',
+                    1000 * request + 200 * each,
+                    f'OLD own{request}',
+                )
+                for request in (1, 2, 3)
+                for each in (0, 1, 2)
+            ],
+            {'OLD'},
+            id='answered before, beside new parts',
+        ),
+    ],
+)
+def test_parts_that_explain_the_crashes(
+    rows: list[Row], parts: set[str]
+) -> None:
+    """Guards against sound prompts that are held for a crashing part."""
+    assert find(rows) == parts
+
+
+@pytest.mark.parametrize(
+    ('crashes', 'hold_ms'),
+    [(3, 20_000), (4, 40_000), (6, 160_000), (9, 600_000)],
+)
+def test_hold_grows_with_each_crash(crashes: int, hold_ms: float) -> None:
+    """Guards against tries that crash engines again and again."""
+    rows = [(each, f'e{each}', 200.0 * each, 'x') for each in range(crashes)]
+    (found,) = crash_suspicions.find_suspicions(
+        itertools.starmap(attempt, enumerate(rows))
+    )
+    assert found.hold_until_ms() - rows[-1][2] == hold_ms
