Stop a request after two crashes if a part of its prompt is new

What callers saw: before its cause was known, one request crashed three of five engines within a second; the streams on them broke and other requests were refused. Cause: the evidence needs two requests, so that a single one was sent until its attempts were used up. Change: after two crashes a request is sent again only if all parts of its prompt had been answered before. A prompt that only met the crashes, as in the loss of a rack, still gets all its attempts. Ruled out: the same limit for all prompts, which would fail requests that a rack's loss meets twice. Evidence: test_crashes_by_one_request failed before (8 sends) and passes.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -37,6 +37,11 @@
 _FAILURE_RESERVE_SHARE: Final = 0.15
 
 
+# A request is not sent again after so many crashes if a part of its prompt was
+# never answered before. Others probably met the crashes by chance.
+_MAX_CRASHES: Final = 2
+
+
 class AttemptError(errors.RouterError):
     """Raised when an attempt ends without a usable answer.
 
@@ -70,7 +75,8 @@
     one for each retry taken from the budget. ``tried`` names the endpoints
     that are not chosen again. ``has_run`` is true once an answer was
     discarded; a refusal must then not say that the call has not run.
-    ``part_ids`` are the parts of the prompt that other prompts may share.
+    ``part_ids`` are the parts of the prompt that other prompts may share, and
+    ``crashes`` counts the crashes that a new one of them may have caused.
     """
 
     gateway: state.Gateway
@@ -88,6 +94,7 @@
     runs: int = 0
     tried: frozenset[str] = frozenset()
     has_run: bool = False
+    crashes: int = 0
     part_ids: tuple[str, ...] = attrs.field(
         default=attrs.Factory(
             lambda out: prompt_parts.shared_part_ids(out.call), takes_self=True
@@ -153,6 +160,8 @@
 
     def _may_send_prompt(self) -> bool:
         """Return whether the prompt is not suspected of crashing engines."""
+        if self.crashes >= _MAX_CRASHES:
+            return False
         return not self.part_ids or self.gateway.crash_evidence.may_send(
             self.service, self.part_ids, clocks.monotonic_ms()
         )
--- a/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
@@ -78,8 +78,11 @@
 
     def record_crash(
         self, attempt: crash_suspicions.CrashedAttempt, now_ms: float
-    ) -> None:
-        """Record an attempt of this daemon or of a peer."""
+    ) -> crash_suspicions.CrashedAttempt:
+        """Record an attempt of this daemon or of a peer, and return it.
+
+        The returned one has the suspects that remain.
+        """
         is_new = attempt.key not in self._attempts
         known = self._attempts.setdefault(attempt.key, attrs.evolve(attempt))
         suspects = frozenset(
@@ -101,6 +104,7 @@
             known.answered = answered
             known.changed_ms = now_ms
             self._update(now_ms)
+        return known
 
     def record_answer(
         self, service: str, parts: Collection[str], now_ms: float
@@ -305,7 +309,7 @@
             max(0, math.ceil(now_ms - attempt.crashed_ms)),
         ),
         (
-            sorted(attempt.suspects - attempt.answered),
+            sorted(attempt.new_suspects),
             sorted(attempt.suspects & attempt.answered),
         ),
     )
--- a/packages/daemon/src/yuccarouter/gateway/crash_suspicions.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_suspicions.py
@@ -68,6 +68,11 @@
         """Identifier of the attempt."""
         return (self.request, self.number)
 
+    @property
+    def new_suspects(self) -> frozenset[str]:
+        """The suspects that had never been answered before the crash."""
+        return self.suspects - self.answered
+
 
 @attrs.frozen
 class Suspicion:
@@ -173,7 +178,7 @@
 
 
 def _new_suspects(attempt: CrashedAttempt) -> frozenset[str]:
-    return attempt.suspects - attempt.answered
+    return attempt.new_suspects
 
 
 def _all_suspects(attempt: CrashedAttempt) -> frozenset[str]:
--- a/packages/daemon/src/yuccarouter/gateway/lost_answers.py
+++ b/packages/daemon/src/yuccarouter/gateway/lost_answers.py
@@ -36,7 +36,7 @@
     )
     if not has_crashed or progress.has_proceeded(crashed_ms):
         return
-    out.gateway.crash_evidence.record_crash(
+    recorded = out.gateway.crash_evidence.record_crash(
         crash_suspicions.CrashedAttempt(
             request=_request_number(out),
             number=out.sends,
@@ -50,6 +50,7 @@
         ),
         clocks.monotonic_ms(),
     )
+    out.crashes += bool(recorded.new_suspects)
     if out.gateway.gossip is not None:
         out.gateway.gossip.has_news.set()
 
--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import aiohttp
+import attrs
 import gateway_makers as make
 import pytest
 from aiohttp import client_reqrep
@@ -19,15 +20,18 @@
 from yuccarouter.gateway import (
     attempts,
     choice,
+    crash_checks,
+    crash_evidence,
     failure_reports,
     latency_judge,
     model,
     prefill_speeds,
     rate_limits,
+    retries,
     retry_budget,
     rollouts,
 )
-from yuccarouter_common import clocks
+from yuccarouter_common import clocks, refusals
 
 ROUTE = model.Route(
     name='r',
@@ -185,3 +189,49 @@
     assert out.gateway.failure_reports.message(100, now_ms) == {
         chosen.endpoint.name: {'d0': pytest.approx(0, abs=1000)}
     }
+
+
+def crashing_call(*results: Any) -> attempts.OutgoingCall:
+    """Return a call with the prompt parts ``sys`` and ``new``."""
+    out = outgoing(*results, allowed_retries=9)
+    evidence = crash_evidence.CrashEvidence('d0', tuple)
+    evidence.record_answer('engine', ('sys',), clocks.monotonic_ms() - 1000)
+    out.gateway.crash_evidence = evidence
+    out.gateway.process_id = 1
+    out.gateway.gossip = None
+    out.part_ids = ('sys', 'new')
+    out.route = attrs.evolve(ROUTE, max_attempts=9)
+    return out
+
+
+@pytest.mark.parametrize(
+    ('is_answered_before', 'sends'),
+    [(False, 2), (True, 9)],
+    ids=['never answered', 'answered before'],
+)
+async def test_crashes_by_one_request(
+    monkeypatch: pytest.MonkeyPatch, is_answered_before: bool, sends: int
+) -> None:
+    """Guards against a request that crashes an engine with each attempt.
+
+    A prompt whose parts were all answered before only met the crashes.
+    """
+
+    async def has_crashed(checks: Any, view: Any) -> bool:
+        return True
+
+    monkeypatch.setattr(crash_checks.CrashChecks, 'has_crashed', has_crashed)
+    out = crashing_call(*[aiohttp.ServerDisconnectedError()] * 9)
+    if is_answered_before:
+        out.part_ids = ('sys',)
+
+    async def attempt(chosen: choice.Choice) -> None:
+        async with attempts.open_attempt(out, chosen, '', '', 1000):
+            pytest.fail('the engine has crashed')
+
+    with pytest.raises(refusals.RefusalError) as refused:
+        await retries.until_answered(
+            out, lambda: out.next_endpoint(''), attempt
+        )
+    assert refused.value.status == 502
+    assert out.sends == min(sends, retries._MAX_SENDS)
