Withdraw prompts that wait at an engine when their part is held

Cause: only new sends were checked against what is held. Change: an attempt that waits for its head is ended when a part of its prompt is held, and the engine drops the closed connection. Parts that were answered before are held on weaker grounds; prompts with them keep waiting, as their answers may release the part. Ruled out: an end after the head has arrived; the engine then crashes whether or not the caller waits. Evidence: test_waiting_prompt_is_withdrawn failed before and passes.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -15,6 +15,7 @@
 
 from yuccarouter.gateway import (
     answer_progress,
+    crash_evidence,
     metrics,
     model,
     ports,
@@ -241,8 +242,11 @@
 ) -> aiohttp.ClientResponse:
     view = progress.view
     try:
-        async with asyncio.timeout(max(0, head_timeout_ms) / _MS_PER_S):
-            return await _send(out, view, progress.model, last_event_id)
+        async with asyncio.timeout(
+            max(0, head_timeout_ms) / _MS_PER_S
+        ) as timeout:
+            with _follow_waiting(out, timeout):
+                return await _send(out, view, progress.model, last_event_id)
     except (
         aiohttp.ConnectionTimeoutError,
         aiohttp.ClientConnectorError,
@@ -255,6 +259,13 @@
             'endpoint is unreachable', 'unreachable', may_have_run=False
         ) from fault
     except TimeoutError as fault:
+        if out.prompt_hold_ms() is not None:
+            _record_outcome(out, view, 'withdrawn')
+            raise AttemptError(
+                'engines crash on a part of this prompt',
+                'prompt_held',
+                may_have_run=True,
+            ) from fault
         _record_no_answer(out, view)
         raise AttemptError(
             'endpoint did not answer within the timeout',
@@ -273,6 +284,21 @@
         ) from fault
 
 
+def _follow_waiting(
+    out: OutgoingCall, timeout: asyncio.Timeout
+) -> contextlib.AbstractContextManager[None]:
+    """Let ``timeout`` expire if the prompt is held within the context."""
+    if not out.part_ids:
+        return contextlib.nullcontext()
+    return out.gateway.crash_evidence.follow(
+        crash_evidence.WaitingPrompt(
+            out.service,
+            out.part_ids,
+            lambda: timeout.reschedule(asyncio.get_running_loop().time()),
+        )
+    )
+
+
 async def _send(
     out: OutgoingCall,
     view: endpoints.EndpointView,
--- a/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
@@ -11,8 +11,9 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import math
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Iterator
 from typing import Any, Final
 
 import attrs
@@ -57,6 +58,18 @@
 _Times = collections.OrderedDict[tuple[str, str], float]
 
 
+@attrs.frozen(eq=False)
+class WaitingPrompt:
+    """A prompt that waits for its answer to start.
+
+    ``withdraw`` closes its connection, so that the engine drops it.
+    """
+
+    service: str
+    parts: Collection[str]
+    withdraw: Callable[[], None]
+
+
 @attrs.define
 class CrashEvidence:
     """Crashed attempts of all daemons, as known to the daemon ``name``.
@@ -75,6 +88,7 @@
     _answered_ms: _Times = attrs.field(factory=collections.OrderedDict)
     _suspicions: list[crash_suspicions.Suspicion] = attrs.field(factory=list)
     _tried_ms: dict[frozenset[str], float] = attrs.field(factory=dict)
+    _waiting: set[WaitingPrompt] = attrs.field(factory=set)
 
     def record_crash(
         self, attempt: crash_suspicions.CrashedAttempt, now_ms: float
@@ -150,6 +164,19 @@
         )
         return True
 
+    @contextlib.contextmanager
+    def follow(self, waiting: WaitingPrompt) -> Iterator[None]:
+        """Withdraw a prompt if it is held within the context.
+
+        A part that was answered before is held on weaker grounds: the answers
+        to waiting prompts may then release it.
+        """
+        self._waiting.add(waiting)
+        try:
+            yield
+        finally:
+            self._waiting.discard(waiting)
+
     def hold_ms(
         self, service: str, parts: Collection[str], now_ms: float
     ) -> float | None:
@@ -290,12 +317,22 @@
                     parts=sorted(suspicion.parts),
                     crashes=suspicion.crashes,
                 )
+                self._withdraw(suspicion)
         for service, parts in before - after:
             self._tried_ms.pop(parts, None)
             eliot.log_message(
                 'prompts_released', service=service, parts=sorted(parts)
             )
 
+    def _withdraw(self, suspicion: crash_suspicions.Suspicion) -> None:
+        if suspicion.threshold is not crash_suspicions.NEW_PART:
+            return
+        for waiting in self._waiting:
+            if waiting.service == suspicion.service and (
+                suspicion.parts.issubset(waiting.parts)
+            ):
+                waiting.withdraw()
+
 
 def encode_attempt(
     attempt: crash_suspicions.CrashedAttempt, now_ms: float
--- a/packages/daemon/src/yuccarouter/gateway/crash_suspicions.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_suspicions.py
@@ -86,7 +86,7 @@
     service: str
     parts: frozenset[str]
     crashes: int
-    min_crashes: int
+    threshold: Threshold
     newest_ms: float
     attempts: tuple[CrashedAttempt, ...]
 
@@ -103,7 +103,7 @@
 
     def hold_until_ms(self) -> float:
         """Return the time from which such a prompt may be tried again."""
-        doublings = min(self.crashes - self.min_crashes, _MAX_DOUBLINGS)
+        doublings = min(self.crashes - self.threshold.crashes, _MAX_DOUBLINGS)
         return self.newest_ms + min(
             _MAX_HOLD_MS, math.ldexp(_MIN_HOLD_MS, doublings)
         )
@@ -194,7 +194,7 @@
         service=evidence[0].service,
         parts=frozenset.intersection(*map(suspects_of, evidence)),
         crashes=_crashes_in_sequence(evidence),
-        min_crashes=threshold.crashes,
+        threshold=threshold,
         newest_ms=max(each.crashed_ms for each in evidence),
         attempts=tuple(evidence),
     )
--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import types
 from typing import Any
@@ -22,6 +23,7 @@
     choice,
     crash_checks,
     crash_evidence,
+    crash_suspicions,
     failure_reports,
     latency_judge,
     model,
@@ -235,3 +237,48 @@
         )
     assert refused.value.status == 502
     assert out.sends == min(sends, retries._MAX_SENDS)
+
+
+async def test_waiting_prompt_is_withdrawn() -> None:
+    """Guards against a prompt that crashes an engine after its part is held.
+
+    It may wait for seconds at an engine before its answer starts.
+    """
+    out = crashing_call()
+    started = asyncio.Event()
+
+    async def request(*args: Any, **fields: Any) -> None:
+        started.set()
+        await asyncio.sleep(3600)
+
+    out.gateway.session = types.SimpleNamespace(request=request)
+    chosen = out.next_endpoint('')
+    assert chosen is not None
+
+    async def attempt() -> None:
+        async with attempts.open_attempt(out, chosen, '', '', 60_000):
+            pytest.fail('the engine does not answer')
+
+    waiting = asyncio.create_task(attempt())
+    await started.wait()
+    for number in range(3):
+        now_ms = clocks.monotonic_ms() + 10 * number
+        out.gateway.crash_evidence.record_crash(
+            crash_suspicions.CrashedAttempt(
+                request=number,
+                number=1,
+                engine=f'other{number}',
+                service='engine',
+                sent_ms=now_ms - 5,
+                crashed_ms=now_ms,
+                suspects=frozenset(('new', f'own{number}')),
+                answered=frozenset(),
+                changed_ms=now_ms,
+            ),
+            now_ms,
+        )
+    with pytest.raises(attempts.AttemptError) as fault:
+        await asyncio.wait_for(waiting, 5)
+    assert fault.value.code == 'prompt_held'
+    assert fault.value.may_have_run
+    assert chosen.endpoint.consecutive_failures == 0
