Count answers that were dropped shortly before a crash as evidence

Cause: a daemon closes the connection when it asks a larger model, and the engine crashes on the dropped prompt 110 ms later. Only other answers are lost then. Change: attempts that ended before their answer had gone on are kept for a second and become evidence if their engine crashes, as seen by this daemon or a peer. Ruled out: reading dropped answers on until they have gone on, which would use the engines' time. Evidence: test_engine_crashes_after_an_answer_was_dropped failed before and passes.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -16,6 +16,7 @@
 from yuccarouter.gateway import (
     answer_progress,
     crash_evidence,
+    lost_answers,
     metrics,
     model,
     ports,
@@ -38,6 +39,8 @@
 _FAILURE_RESERVE_SHARE: Final = 0.15
 
 
+# Attempts that did not reach an engine, or that the engine ended.
+_NOT_DROPPED: Final = frozenset(('unreachable', 'answer_lost'))
 # A request is not sent again after so many crashes if a part of its prompt was
 # never answered before. Others probably met the crashes by chance.
 _MAX_CRASHES: Final = 2
@@ -218,8 +221,8 @@
             response = await _await_response(
                 out, progress, last_event_id, head_timeout_ms
             )
-        except BaseException:
-            view.in_flight -= 1
+        except BaseException as fault:
+            _end_attempt(out, progress, getattr(fault, 'code', ''))
             raise
         finally:
             view.pending_prefill_ms -= prefill_ms
@@ -230,8 +233,17 @@
                 speeds.record(model_name, first_token_ms, uncached_tokens)
             yield opened
         finally:
-            view.in_flight -= 1
             response.close()
+            _end_attempt(out, progress)
+
+
+def _end_attempt(
+    out: OutgoingCall, progress: answer_progress.Progress, code: str = ''
+) -> None:
+    """Count an attempt as ended; ``code`` is that of its error, if any."""
+    progress.view.in_flight -= 1
+    if code not in _NOT_DROPPED:
+        lost_answers.record_dropped(out, progress)
 
 
 async def _await_response(
@@ -255,6 +267,8 @@
         out.deliveries -= 1
         _record_unreachable(out, view)
         _record_outcome(out, view, 'unreachable')
+        if isinstance(fault.__cause__, ConnectionRefusedError):
+            lost_answers.record_refused_connection(out, view)
         raise AttemptError(
             'endpoint is unreachable', 'unreachable', may_have_run=False
         ) from fault
@@ -442,6 +456,7 @@
     """Record a complete answer."""
     opened.view.record_success()
     if opened.head.status == _OK:
+        opened.progress.is_proven = True
         _record_sound_prompt(out)
     _record_session_version(out, opened.view)
     elapsed_ms = clocks.monotonic_ms() - opened.sent_ms
--- a/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
@@ -22,6 +22,7 @@
 from yuccarouter.gateway import (
     crash_checks,
     crash_suspicions,
+    dropped_attempts,
     metrics,
     senders,
 )
@@ -82,6 +83,9 @@
     checks: crash_checks.CrashChecks = attrs.field(
         factory=crash_checks.CrashChecks
     )
+    dropped: dropped_attempts.DroppedAttempts = attrs.field(
+        factory=dropped_attempts.DroppedAttempts
+    )
     _attempts: dict[tuple[int, int], crash_suspicions.CrashedAttempt] = (
         attrs.field(factory=dict)
     )
@@ -118,8 +122,17 @@
             known.answered = answered
             known.changed_ms = now_ms
             self._update(now_ms)
+        if is_new:
+            self.record_engine_crash(known.engine, known.crashed_ms, now_ms)
         return known
 
+    def record_engine_crash(
+        self, engine: str, crashed_ms: float, now_ms: float
+    ) -> None:
+        """Record the dropped attempts that may have crashed an engine."""
+        for attempt in self.dropped.take(engine, crashed_ms):
+            self.record_crash(attempt, now_ms)
+
     def record_answer(
         self, service: str, parts: Collection[str], now_ms: float
     ) -> None:
--- a/packages/daemon/src/yuccarouter/gateway/lost_answers.py
+++ b/packages/daemon/src/yuccarouter/gateway/lost_answers.py
@@ -11,7 +11,7 @@
 from yuccarouter_common import clocks
 
 if TYPE_CHECKING:
-    from yuccarouter.gateway import answer_progress, attempts
+    from yuccarouter.gateway import answer_progress, attempts, endpoints
 
 
 async def investigate(
@@ -21,7 +21,6 @@
     if not out.part_ids:
         return
     crashed_ms = clocks.monotonic_ms()
-    started_ms = progress.view.announced.incarnation.started_ms
     has_crashed = await out.gateway.crash_evidence.checks.has_crashed(
         progress.view
     )
@@ -37,24 +36,60 @@
     if not has_crashed or progress.has_proceeded(crashed_ms):
         return
     recorded = out.gateway.crash_evidence.record_crash(
-        crash_suspicions.CrashedAttempt(
-            request=_request_number(out),
-            number=out.sends,
-            engine=f'{progress.view.name}/{started_ms}',
-            service=out.service,
-            sent_ms=progress.sent_ms,
-            crashed_ms=crashed_ms,
-            suspects=frozenset(out.part_ids),
-            answered=frozenset(),
-            changed_ms=crashed_ms,
-        ),
-        clocks.monotonic_ms(),
+        _crashed_attempt(out, progress, crashed_ms), clocks.monotonic_ms()
     )
     out.crashes += bool(recorded.new_suspects)
     if out.gateway.gossip is not None:
         out.gateway.gossip.has_news.set()
 
 
+def record_dropped(
+    out: attempts.OutgoingCall, progress: answer_progress.Progress
+) -> None:
+    """Record an attempt that this daemon ended, unless its answer went on.
+
+    The engine may still crash on the prompt a moment later.
+    """
+    if out.part_ids and not progress.is_proven:
+        out.gateway.crash_evidence.dropped.record(
+            _crashed_attempt(out, progress, clocks.monotonic_ms())
+        )
+
+
+def record_refused_connection(
+    out: attempts.OutgoingCall, view: endpoints.EndpointView
+) -> None:
+    """Record that an engine has crashed, as it refuses connections."""
+    now_ms = clocks.monotonic_ms()
+    if out.part_ids:
+        out.gateway.crash_evidence.record_engine_crash(
+            _engine(view), now_ms, now_ms
+        )
+
+
+def _crashed_attempt(
+    out: attempts.OutgoingCall,
+    progress: answer_progress.Progress,
+    crashed_ms: float,
+) -> crash_suspicions.CrashedAttempt:
+    return crash_suspicions.CrashedAttempt(
+        request=_request_number(out),
+        number=out.sends,
+        engine=_engine(progress.view),
+        service=out.service,
+        sent_ms=progress.sent_ms,
+        crashed_ms=crashed_ms,
+        suspects=frozenset(out.part_ids),
+        answered=frozenset(),
+        changed_ms=crashed_ms,
+    )
+
+
+def _engine(view: endpoints.EndpointView) -> str:
+    """Return a name of the engine from its start to its end."""
+    return f'{view.name}/{view.announced.incarnation.started_ms}'
+
+
 def _request_number(out: attempts.OutgoingCall) -> int:
     """Return a number that identifies the request among all daemons."""
     name = f'{out.gateway.process_id}/{out.call.request_id}'
--- a/packages/daemon/tests/gateway/test_crash_evidence.py
+++ b/packages/daemon/tests/gateway/test_crash_evidence.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any
 
+import attrs
 import orjson
 import pytest
 
@@ -154,3 +155,23 @@
     with pytest.raises((TypeError, ValueError)):
         evidence.merge(message, 1000)
     assert evidence.message(1000) == []
+
+
+@pytest.mark.parametrize(
+    ('closed_ms', 'engine', 'is_held'),
+    [(2900, 'e3/1', True), (1900, 'e3/1', False), (2900, 'e9/1', False)],
+    ids=['just before', 'long before', 'another engine'],
+)
+def test_engine_crashes_after_an_answer_was_dropped(
+    closed_ms: float, engine: str, is_held: bool
+) -> None:
+    """Guards against crashes that no evidence explains.
+
+    A daemon closes the connection of an answer when it asks a larger model, and
+    the engine crashes a moment later. Only a peer sees the crash.
+    """
+    evidence = record(evidence_of(), 'x', 'x')
+    dropped = attrs.evolve(attempt(9, 'x', crashed_ms=closed_ms), engine=engine)
+    evidence.dropped.record(dropped)
+    evidence.record_crash(attempt(3, 'other'), 3000)
+    assert (evidence.hold_ms(SERVICE, ('x',), 3100) is not None) is is_held
