Log restores of the store and records that are rejected as older

The incident restored could not be traced: no log line showed that the store had been restored, or that a record was read and ignored. The store counts its restores in a header of all its answers.

--- a/packages/common/src/yuccarouter_common/platform/exchanges.py
+++ b/packages/common/src/yuccarouter_common/platform/exchanges.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Final, TypeVar
+from typing import TYPE_CHECKING, Final, TypeVar
 
 import aiohttp
 import attrs
@@ -11,6 +11,9 @@
 from yuccarouter_common import records
 from yuccarouter_common.platform import errors
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 _HTTP_OK: Final = 200
 _HTTP_TOO_MANY_REQUESTS: Final = 429
 _HTTP_SERVER_ERROR: Final = 500
@@ -41,10 +44,11 @@
 
 @attrs.frozen
 class Answer:
-    """Status and body of an expected answer."""
+    """Status, body and headers of an expected answer."""
 
     status: int
     body: bytes
+    headers: Mapping[str, str]
 
 
 async def send(session: aiohttp.ClientSession, request: Request) -> bytes:
@@ -104,7 +108,7 @@
 ) -> Answer:
     answer = await response.read()
     if response.status in expected:
-        return Answer(response.status, answer)
+        return Answer(response.status, answer, response.headers)
     if response.status == _HTTP_TOO_MANY_REQUESTS:
         raise errors.RateLimitedError(
             f'{request.service} limits the request rate',
--- a/packages/daemon/src/yuccarouter/gateway/ports.py
+++ b/packages/daemon/src/yuccarouter/gateway/ports.py
@@ -26,10 +26,14 @@
 
 @attrs.frozen
 class Page:
-    """Records of a topic and the offset of the next read."""
+    """Records of a topic and the offset of the next read.
+
+    ``generation`` counts the restores of the store from older copies.
+    """
 
     entries: tuple[Entry, ...]
     next_offset: int
+    generation: int = 0
 
 
 class CompactedError(Exception):
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -47,6 +47,7 @@
     entries: dict[str, ports.Entry] = attrs.field(factory=dict)
     next_offset: int = 0
     newest_offset: int = -1
+    generation: int = -1
 
     def apply(self, entry: ports.Entry) -> bool:
         """Store a record if it is newer; return whether it was stored."""
@@ -164,6 +165,7 @@
         wait_ms = 0 if self.poll_interval_ms else self.long_poll_ms
         page = await self.store.read(self.name, self.table.next_offset, wait_ms)
         self._record_success()
+        self._log_generation(page)
         for entry in page.entries:
             self._apply(entry)
         self.table.next_offset = max(self.table.next_offset, page.next_offset)
@@ -174,6 +176,7 @@
     async def _load(self) -> None:
         page = await self.store.newest(self.name)
         self._record_success()
+        self._log_generation(page)
         present = frozenset(entry.key for entry in page.entries)
         for removal in self.table.removals(present):
             self.table.entries[removal.key] = removal
@@ -186,6 +189,27 @@
     def _apply(self, entry: ports.Entry) -> None:
         if self.table.apply(entry):
             self.on_record(entry)
+            return
+        known = self.table.entries[entry.key]
+        if known.value != entry.value:
+            eliot.log_message(
+                'record_ignored',
+                topic=self.name,
+                key=entry.key,
+                offset=entry.offset,
+                known_offset=known.offset,
+            )
+
+    def _log_generation(self, page: ports.Page) -> None:
+        if 0 <= self.table.generation < page.generation:
+            eliot.log_message(
+                'store_restored',
+                topic=self.name,
+                generation=page.generation,
+                newest_known=self.table.newest_offset,
+                next_offset=page.next_offset,
+            )
+        self.table.generation = page.generation
 
     def _is_waiting_for_probe(self) -> bool:
         if self.probe is None or not self.probe.is_failing:
