Order the store's records across its restores

Cause: a record counted as newer if its offset was higher, and a restored store gives out the numbers of the lost records again. The class: a replica that assumes that its source only grows. Change: an offset holds the generation of the store, which it states in all answers, before the number of the record, so that offsets only grow. A read from an offset of an older generation loads the topic anew, a conditional append to one conflicts, and an answer from before a restore is rejected. Peers tell the generation beside the number, so that daemons that can't reach the store follow; messages of daemons without the field still hold. Ruled out: to forget the replica at each restore, which would drop the configuration and endpoints.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -324,7 +324,7 @@
         'process': gateway.process_id,
         'data_centre': gateway.conf.data_centre,
         'reads': [topic.name for topic in replicas if topic.is_read_from_store],
-        'newest': {topic.name: topic.table.newest_offset for topic in replicas},
+        **peers.encode_newest(replicas),
         'rollouts': gateway.control.own_evidence(),
         'work': gateway.directory.own_backlog(),
         'lost': gateway.failure_reports.message(
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -14,7 +14,7 @@
 import orjson
 from aiohttp import web
 
-from yuccarouter.gateway import model, ports
+from yuccarouter.gateway import model, offsets, ports
 from yuccarouter_common import clocks, records
 
 if TYPE_CHECKING:
@@ -120,7 +120,9 @@
             self.known_peers[name] = Peer(
                 address=model.Address(sender[0], sender[1]),
                 received_ms=clocks.monotonic_ms(),
-                newest=_offsets(digest['newest']),
+                newest=_offsets(
+                    digest['newest'], digest.get('generations', {})
+                ),
                 data_centre=str(digest.get('data_centre', '')),
                 reads=tuple(digest.get('reads', ())),
             )
@@ -221,8 +223,41 @@
         self._next_index += _FANOUT
 
 
-def _offsets(newest: dict[str, Any]) -> dict[str, int]:
-    return {str(topic): int(offset) for topic, offset in newest.items()}
+def encode_newest(replicas: list[topics.Topic]) -> dict[str, dict[str, int]]:
+    """Return the fields of a digest that tell the newest known records."""
+    newest = {
+        topic.name: _generation_and_number(topic.table.newest_offset)
+        for topic in replicas
+    }
+    return {
+        'newest': {name: number for name, (_, number) in newest.items()},
+        'generations': {
+            name: generation for name, (generation, _) in newest.items()
+        },
+    }
+
+
+def _generation_and_number(offset: int) -> tuple[int, int]:
+    """Return what peers are sent for an offset; -1 is before all records."""
+    if offset < 0:
+        return (0, -1)
+    return (offsets.generation(offset), offsets.number(offset))
+
+
+def _offsets(
+    newest: dict[str, Any], generations: dict[str, Any]
+) -> dict[str, int]:
+    return {
+        str(topic): _offset(generations.get(topic, 0), number)
+        for topic, number in newest.items()
+    }
+
+
+def _offset(generation: Any, number: Any) -> int:
+    """Return an offset of a message, -1 for one before all records."""
+    if int(number) < 0:
+        return -1
+    return offsets.encode(int(generation), int(number))
 
 
 def records_app(replicas: list[topics.Topic]) -> web.Application:
@@ -231,15 +266,19 @@
 
     async def serve_records(request: web.Request) -> web.Response:
         topic = by_name[request.query['topic']]
+        generation, newest = _generation_and_number(topic.table.newest_offset)
         since = int(request.query['from'])
+        if int(request.query.get('generation', generation)) != generation:
+            since = 0
+        oldest = offsets.encode(generation, since)
         newer = [
             [
                 entry.key,
                 base64.b64encode(entry.value).decode(),
-                entry.offset,
+                offsets.number(entry.offset),
             ]
             for entry in topic.table.entries.values()
-            if entry.offset >= since
+            if entry.offset >= oldest
         ]
         present = [
             entry.key for entry in topic.table.entries.values() if entry.value
@@ -247,7 +286,8 @@
         document = {
             'records': newer,
             'present': present,
-            'newest': topic.table.newest_offset,
+            'newest': newest,
+            'generation': generation,
         }
         return web.Response(body=orjson.dumps(document))
 
@@ -380,20 +420,27 @@
 async def _fetch(
     session: aiohttp.ClientSession, peer: Peer, topic: topics.Topic
 ) -> None:
-    since = topic.table.newest_offset + 1
+    known_generation, number = _generation_and_number(topic.table.newest_offset)
     try:
         async with session.get(
             f'http://{peer.address}{_RECORDS_PATH}',
-            params={'topic': topic.name, 'from': str(since)},
+            params={
+                'topic': topic.name,
+                'from': str(number + 1),
+                'generation': str(known_generation),
+            },
             timeout=aiohttp.ClientTimeout(total=_RECORDS_TIMEOUT_S),
         ) as answer:
             document = records.loads(await answer.read())
+            generation = int(document.get('generation', known_generation))
             missing = [
-                ports.Entry(key, base64.b64decode(value), offset)
+                ports.Entry(
+                    key, base64.b64decode(value), _offset(generation, offset)
+                )
                 for key, value, offset in document['records']
             ]
             present = frozenset(document['present'])
-            newest = int(document['newest'])
+            newest = _offset(generation, document['newest'])
     except _FETCH_ERRORS as fault:
         eliot.log_message(
             'peer_fetch_failed', peer=str(peer.address), reason=str(fault)
--- a/packages/daemon/src/yuccarouter/gateway/ports.py
+++ b/packages/daemon/src/yuccarouter/gateway/ports.py
@@ -17,7 +17,10 @@
 
 @attrs.frozen
 class Entry:
-    """A record of a keyed topic; an empty ``value`` is a tombstone."""
+    """A record of a keyed topic; an empty ``value`` is a tombstone.
+
+    ``offset`` grows also across restores of the store, as in ``offsets``.
+    """
 
     key: str
     value: bytes
@@ -26,18 +29,16 @@
 
 @attrs.frozen
 class Page:
-    """Records of a topic and the offset of the next read.
-
-    ``generation`` counts the restores of the store from older copies.
-    """
+    """Records of a topic and the offset of the next read."""
 
     entries: tuple[Entry, ...]
     next_offset: int
-    generation: int = 0
 
 
 class CompactedError(Exception):
-    """The records at the requested offset were compacted.
+    """The records at the requested offset are not in the store.
+
+    They were compacted, or the store was restored from an older copy.
 
     The reader has to load the newest record of each key instead.
     """
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -10,7 +10,7 @@
 import attrs
 import eliot
 
-from yuccarouter.gateway import ports
+from yuccarouter.gateway import offsets, ports
 from yuccarouter_common import clocks
 from yuccarouter_common.platform import errors
 
@@ -47,7 +47,6 @@
     entries: dict[str, ports.Entry] = attrs.field(factory=dict)
     next_offset: int = 0
     newest_offset: int = -1
-    generation: int = -1
 
     def apply(self, entry: ports.Entry) -> bool:
         """Store a record if it is newer; return whether it was stored."""
@@ -145,6 +144,7 @@
         is the newest offset that it has read. Keys that are not in ``present``
         are removed unless their record is newer than ``newest_offset``.
         """
+        self._note_generation(newest_offset + 1)
         removals = [] if present is None else self.table.removals(present)
         for removal in removals:
             if removal.offset < newest_offset:
@@ -165,7 +165,6 @@
         wait_ms = 0 if self.poll_interval_ms else self.long_poll_ms
         page = await self.store.read(self.name, self.table.next_offset, wait_ms)
         self._record_success()
-        self._log_generation(page)
         for entry in page.entries:
             self._apply(entry)
         self.table.next_offset = max(self.table.next_offset, page.next_offset)
@@ -176,7 +175,7 @@
     async def _load(self) -> None:
         page = await self.store.newest(self.name)
         self._record_success()
-        self._log_generation(page)
+        self._note_generation(page.next_offset)
         present = frozenset(entry.key for entry in page.entries)
         for removal in self.table.removals(present):
             self.table.entries[removal.key] = removal
@@ -200,16 +199,18 @@
                 known_offset=known.offset,
             )
 
-    def _log_generation(self, page: ports.Page) -> None:
-        if 0 <= self.table.generation < page.generation:
+    def _note_generation(self, next_offset: int) -> None:
+        """Log a restore of the store since the last read."""
+        known = max(self.table.next_offset - 1, self.table.newest_offset)
+        generation = offsets.generation(next_offset)
+        if 0 <= offsets.generation(known) < generation:
             eliot.log_message(
                 'store_restored',
                 topic=self.name,
-                generation=page.generation,
-                newest_known=self.table.newest_offset,
-                next_offset=page.next_offset,
+                generation=generation,
+                newest_known=offsets.number(known),
+                next_offset=offsets.number(next_offset),
             )
-        self.table.generation = page.generation
 
     def _is_waiting_for_probe(self) -> bool:
         if self.probe is None or not self.probe.is_failing:
--- a/packages/daemon/tests/gateway/gateway_store.py
+++ b/packages/daemon/tests/gateway/gateway_store.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from yuccarouter.gateway import ports
+from yuccarouter.gateway import offsets, ports
 from yuccarouter_common.platform import errors
 
 
@@ -19,6 +19,7 @@
     effect, with ``lost`` it takes effect but its answer is lost.
     ``first_offset`` is the offset of the oldest record that is not compacted.
     ``newest`` leaves out the last ``hidden`` records, as a stale answer does.
+    ``generation`` counts the restores.
     """
 
     records: dict[str, list[ports.Entry]] = attrs.field(
@@ -28,11 +29,20 @@
     first_offset: int = 0
     hidden: int = 0
     appends: int = 0
+    generation: int = 0
 
     def write(self, topic: str, key: str, value: bytes) -> None:
         """Append a record as another daemon or an operator would."""
         rows = self.records[topic]
-        rows.append(ports.Entry(key, value, len(rows)))
+        rows.append(ports.Entry(key, value, self._offset(len(rows))))
+
+    def restore(self, topic: str, count: int) -> None:
+        """Restore a copy that holds the first ``count`` records of a topic."""
+        self.generation += 1
+        self.records[topic] = [
+            attrs.evolve(row, offset=self._offset(index))
+            for index, row in enumerate(self.records[topic][:count])
+        ]
 
     def latest(self, topic: str) -> dict[str, bytes]:
         """Return the newest value of each key."""
@@ -45,15 +55,17 @@
         visible = rows[: len(rows) - self.hidden]
         newest = {row.key: row for row in visible}
         return ports.Page(
-            tuple(row for row in newest.values() if row.value), len(visible)
+            tuple(row for row in newest.values() if row.value),
+            self._offset(len(visible)),
         )
 
     async def read(self, topic: str, offset: int, wait_ms: int) -> ports.Page:
         """Return the records from ``offset`` on without waiting."""
         self._next_fault()
-        if offset < self.first_offset:
+        number = offsets.number(offset)
+        if offset != self._offset(number) or number < self.first_offset:
             raise ports.CompactedError(topic)
-        rows = self.records[topic][offset:]
+        rows = self.records[topic][number:]
         return ports.Page(tuple(rows), offset + len(rows))
 
     async def append(
@@ -65,14 +77,18 @@
         """Append if the topic ends at ``expected_offset``."""
         fault = self._next_fault()
         rows = self.records[topic]
-        if expected_offset is not None and expected_offset != len(rows):
+        end_offset = self._offset(len(rows))
+        if expected_offset not in {None, end_offset}:
             raise ports.OffsetConflictError(topic)
         self.appends += 1
         for key, value in entries:
             self.write(topic, key, value)
         if fault == 'lost':
             raise errors.AnswerLostError('lost')
-        return len(rows)
+        return self._offset(len(rows))
+
+    def _offset(self, number: int) -> int:
+        return offsets.encode(self.generation, number)
 
     def _next_fault(self) -> str:
         fault = self.faults.pop(0) if self.faults else ''
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -16,6 +16,7 @@
     endpoints,
     failure_reports,
     model,
+    offsets,
     peers,
     rate_limits,
     topics,
@@ -152,6 +153,35 @@
     assert replica.table.entries['b'].value == b'{"x":1}'
 
 
+async def test_records_of_a_peer_after_a_restore() -> None:
+    """Guards against a daemon that keeps records which a restore has undone.
+
+    It can't reach the restored store, and its numbers are higher.
+    """
+    source = topic()
+    source.table.apply(make.entry('a', b'new', offsets.encode(2, 3)))
+    runner = web.AppRunner(peers.records_app([source]))
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    replica = topic()
+    for key in ('a', 'b'):
+        replica.table.apply(make.entry(key, b'old', offsets.encode(1, 90)))
+    gossip = peers.Gossip(dict, lambda name, digest: None)
+    digest = {'name': 'd2', **peers.encode_newest([source])}
+    gossip.datagram_received(
+        orjson.dumps(digest), ('127.0.0.1', runner.addresses[0][1])
+    )
+    peer = peers.most_advanced_peer(gossip, replica)
+    assert peer is not None
+    async with aiohttp.ClientSession() as session:
+        await peers._fetch(session, peer, replica)
+    await runner.cleanup()
+    values = {key: entry.value for key, entry in replica.table.entries.items()}
+    assert values == {'a': b'new', 'b': b''}
+    assert peers.most_advanced_peer(gossip, replica) is None
+
+
 @pytest.mark.parametrize(
     ('own', 'dependants'),
     [
--- a/packages/daemon/tests/gateway/test_topics.py
+++ b/packages/daemon/tests/gateway/test_topics.py
@@ -194,3 +194,21 @@
     topic.last_failure_ms = clock.now_ms - last_failure_age_ms
     await read(topic)
     assert (('a', b'1') in changes) is is_read
+
+
+async def test_restored_store() -> None:
+    """Guards against newer records that are ignored after a restore.
+
+    The restored store gives out the offsets of the lost records again.
+    """
+    store = gateway_store.MemoryStore()
+    for value in (b'1', b'2', b'3'):
+        store.write(TOPIC, 'a', value)
+    topic, changes = follow(store)
+    await read(topic)
+    store.restore(TOPIC, 1)
+    store.write(TOPIC, 'a', b'4')
+    await read(topic, 2)
+    store.write(TOPIC, 'a', b'5')
+    await read(topic)
+    assert [value for _, value in changes][-2:] == [b'4', b'5']
