Register daemons again after a restore of the store

Cause: a daemon checked its record of membership only until it had been written once. A restore that lost the record left the daemon unknown to those that start later, which then count too few daemons that share limits, and send it no evidence. Change: the check goes on; it costs no call while the record is there.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -42,7 +42,7 @@
 # The balancer sends new connections until two readiness checks have failed.
 _BALANCER_DELAY_S: Final = 2.6
 _DRAIN_CHECK_INTERVAL_S: Final = 0.05
-_ANNOUNCE_RETRY_S: Final = 1.0
+_ANNOUNCE_INTERVAL_S: Final = 1.0
 # Longest wait for the first load of the topics: callers give up a connection on
 # which nothing is read for a second. A configuration of 1,000 routes takes half
 # a second over a link of 5 Mbit/s.
@@ -338,15 +338,17 @@
 async def _register(
     gateway: state.Gateway, store: ports.Store, topic: topics.Topic
 ) -> None:
-    """Publish this daemon's peer address unless the store has it."""
+    """Publish this daemon's peer address whenever the store lacks it.
+
+    A restore of the store may lose the record.
+    """
     key, value = state.member_record(gateway.conf)
     while True:
         stored = topic.table.entries.get(key)
-        if topic.is_loaded and (stored is None or stored.value != value):
+        is_known = stored is not None and stored.value == value
+        if topic.is_loaded and not topic.is_failing and not is_known:
             try:
                 await store.append(topic.name, [(key, value)], None)
             except platform_errors.PlatformError as fault:
                 eliot.log_message('announcement_lost', code=fault.code)
-        elif topic.is_loaded:
-            return
-        await asyncio.sleep(_ANNOUNCE_RETRY_S)
+        await asyncio.sleep(_ANNOUNCE_INTERVAL_S)
