Keep the phase of a roll-out across a restore of the store

What callers saw: after a restore, a roll-out that had completed or was withdrawn began anew with its canary, so that a bad version got requests again; operators read no state or 'running'. Cause: the offset of the order's record identified a roll-out, and the repeated record has another one. The phase that the daemons had written was lost or an earlier one, and was applied without question. Change: an order of a newer generation with the same content goes on with what is known; its number and its phase are written again. An earlier phase than the known one is not applied, and a phase of another order that had the same number neither. Which sessions use the version depends on the version and not on the number, so that they stay. Ruled out: to identify orders by content alone: the same version may be ordered twice.

--- a/packages/daemon/src/yuccarouter/gateway/model.py
+++ b/packages/daemon/src/yuccarouter/gateway/model.py
@@ -140,14 +140,32 @@
 class RolloutOrder:
     """An operator's order to roll out another version of a service.
 
-    ``number`` is the offset of the order's record and identifies the order.
-    ``ramp_ms`` is the time in which the roll-out should complete.
+    ``number`` is that of the order's record in the ``generation`` of the store,
+    and identifies the order. ``ramp_ms`` is the time in which the roll-out
+    should complete.
     """
 
     number: int
     service: str
     target: str
     ramp_ms: float
+    generation: int = 0
+
+    def is_newer_than(self, other: RolloutOrder) -> bool:
+        """Return whether this order was written after ``other``."""
+        return (self.generation, self.number) > (
+            other.generation,
+            other.number,
+        )
+
+    def repeats(self, other: RolloutOrder) -> bool:
+        """Return whether this is ``other``, written again after a restore."""
+        return self.generation > other.generation and (
+            self
+            == attrs.evolve(
+                other, number=self.number, generation=self.generation
+            )
+        )
 
 
 @attrs.frozen
--- a/packages/daemon/src/yuccarouter/gateway/rollout_control.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollout_control.py
@@ -94,9 +94,18 @@
         self._started_ms = clocks.monotonic_ms()
 
     def apply_order(self, order: model.RolloutOrder) -> None:
-        """Start the roll-out of an operator's order, unless it is outdated."""
+        """Start the roll-out of an operator's order, unless it is outdated.
+
+        An order that is written again after a restore of the store goes on in
+        its phase.
+        """
         known = self._rollouts.get(order.service)
-        if known is not None and known.order.number >= order.number:
+        if known is not None and not order.is_newer_than(known.order):
+            return
+        if known is not None and order.repeats(known.order):
+            known.order = order
+            known.is_phase_written = False
+            self._apply_phase(known)
             return
         now_ms = clocks.monotonic_ms()
         rollout = Rollout(order, order_read_ms=now_ms, phase_read_ms=now_ms)
@@ -110,14 +119,21 @@
         self._apply_phase(rollout)
 
     def state_changed(self, entry: ports.Entry) -> None:
-        """Apply a phase that a daemon wrote."""
-        if not entry.key.startswith(_PHASE_PREFIX) or not entry.value:
+        """Apply a phase that a daemon wrote, or its loss in a restore."""
+        if not entry.key.startswith(_PHASE_PREFIX):
             return
         service = entry.key.removeprefix(_PHASE_PREFIX)
+        rollout = self._rollouts.get(service)
+        if not entry.value:
+            self._phases.pop(service, None)
+            if rollout is not None:
+                rollout.is_phase_written = False
+            return
         try:
             written = records.loads(entry.value)
             self._phases[service] = {
                 'order': int(written['order']),
+                'target': str(written.get('target', '')),
                 'phase': rollouts.Phase(written['phase']),
             }
         except (
@@ -128,7 +144,6 @@
         ) as fault:
             eliot.log_message('bad_phase', key=entry.key, reason=str(fault))
             return
-        rollout = self._rollouts.get(service)
         if rollout is not None:
             self._apply_phase(rollout)
 
@@ -140,7 +155,7 @@
     ) -> frozenset[str]:
         """Return the versions that a call of ``session`` may use.
 
-        The draw depends on the session alone and the new version's share only
+        The draw depends on the session and the version, and its share only
         grows, so that a session moves to it once and never back. During the
         canary, sessions in progress stay on their version.
         """
@@ -166,7 +181,7 @@
             )
             if version in present - {target}:
                 share = 0
-        if routes.hash_fraction(f'{rollout.order.number}/{session}') < share:
+        if routes.hash_fraction(f'{service}/{target}/{session}') < share:
             return frozenset((target,)) & present or _old_versions(
                 rollout, present
             )
@@ -246,7 +261,7 @@
                 await self._write_step(store, state, rollout)
 
     def _is_due(self, rollout: Rollout, now_ms: float) -> bool:
-        if rollout.phase.is_final:
+        if rollout.phase.is_final and rollout.is_phase_written:
             return False
         due_phase = rollouts.next_phase(
             rollout.phase,
@@ -317,10 +332,17 @@
         )
 
     def _apply_phase(self, rollout: Rollout) -> None:
-        written = self._phases.get(rollout.order.service)
-        if written is None or written['order'] != rollout.order.number:
+        order = rollout.order
+        written = self._phases.get(order.service)
+        if written is None or (written['order'], written['target']) != (
+            order.number,
+            order.target,
+        ):
+            return
+        # A restored store may hold an earlier phase.
+        rollout.is_phase_written = written['phase'].rank >= rollout.phase.rank
+        if not rollout.is_phase_written:
             return
-        rollout.is_phase_written = True
         if written['phase'] is not rollout.phase:
             rollout.phase = written['phase']
             rollout.phase_read_ms = clocks.monotonic_ms()
--- a/packages/daemon/src/yuccarouter/gateway/rollouts.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollouts.py
@@ -67,6 +67,13 @@
         """Whether the roll-out has ended."""
         return self in {Phase.COMPLETED, Phase.ROLLED_BACK}
 
+    @property
+    def rank(self) -> int:
+        """The place in the order of phases; the final ones share the last."""
+        if self.is_final:
+            return len(Phase)
+        return list(Phase).index(self)
+
     @property
     def status(self) -> str:
         """The state that is shown to operators."""
--- a/packages/daemon/tests/gateway/test_rollout_control.py
+++ b/packages/daemon/tests/gateway/test_rollout_control.py
@@ -400,3 +400,66 @@
         )
     clock.now_ms += idle_ms
     assert control.allowed_versions('engine', session, views) == expected, case
+
+
+def new_sessions(daemon: Daemon) -> set[int]:
+    """Return the sessions that use the new version."""
+    return {
+        number
+        for number in range(400)
+        if 'v2'
+        in daemon.control.allowed_versions(
+            'engine', f's{number}', both_versions()
+        )
+    }
+
+
+@pytest.mark.parametrize('phase', ['ramp', 'full', 'completed', 'rolled_back'])
+@pytest.mark.parametrize('kept', [0, 2], ids=['lost', 'an earlier phase'])
+async def test_phase_outlasts_a_restore(
+    clock: make.Clock, phase: str, kept: int
+) -> None:
+    """Guards against a roll-out that goes back to an earlier phase.
+
+    The order is written again with another number, and the store has lost the
+    phase, or holds the first one. Sessions stay on their version.
+    """
+    daemons = await start(clock)
+    store = daemons[0].store
+    while orjson.loads(store.latest(STATE)['phase/engine'])['phase'] != phase:
+        daemons[0].answers('v2', 3, bad=9 * (phase == 'rolled_back'))
+        daemons[0].answers('v1', 10)
+        await advance(clock, daemons, 400)
+    sessions = new_sessions(daemons[1])
+    store.restore(STATE, kept)
+    for daemon in daemons:
+        daemon.control.apply_order(make.order(9, generation=1))
+        daemon.topic.is_loaded = False
+        await daemon.read()
+    assert new_sessions(daemons[1]) == sessions
+    await advance(clock, daemons, 100)
+    await advance(clock, daemons, 1000)
+    assert new_sessions(daemons[1]) == sessions
+    written = orjson.loads(store.latest(STATE)['phase/engine'])
+    assert (written['phase'], written['order']) == (phase, 9)
+    assert state_of(store) == rollouts.Phase(phase).status
+
+
+async def test_another_order_after_a_restore(clock: make.Clock) -> None:
+    """Guards against an order that takes over the phase of a lost one.
+
+    It got the number of the lost order.
+    """
+    daemons = await start(clock, count=1)
+    while state_of(daemons[0].store) != 'rolled_back':
+        daemons[0].answers('v2', 1, bad=9)
+        daemons[0].answers('v1', 10)
+        await advance(clock, daemons, 400)
+    daemons[0].store.restore(STATE, 0)
+    daemons[0].control.apply_order(make.order(1, target='v3', generation=1))
+    views = [make.view('e1', version='v1'), make.view('e3', version='v3')]
+    allowed = [
+        daemons[0].control.allowed_versions('engine', f's{number}', views)
+        for number in range(400)
+    ]
+    assert 0 < sum('v3' in versions for versions in allowed) < 100
