Keep orders for a while that a restored store lacks

Cause: a record that the loaded topic lacked was taken as removed, so that the evacuation of a data centre ended with a restore, until the operator had written it again. Change: after a restore the records of operators that it has lost are kept for two seconds; then the topic is loaded once more, and what is still missing is removed. Ruled out: keeping them for ever, as an order may have been withdrawn meanwhile.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -33,6 +33,8 @@
     ['aiohttp.ClientSession', 'settings.GatewaySettings'], ports.Store
 ]
 
+# Time in which operators write the orders again that a restore has lost.
+_REWRITE_GRACE_MS: Final = 2000.0
 # Number of reads of the endpoints' topic within the limit on the time to drain
 # an endpoint. With two, the limit holds although one call fails.
 _ENDPOINT_READS_PER_DRAIN: Final = 2.2
@@ -237,7 +239,11 @@
 ) -> list[topics.Topic]:
     names = gateway.platform.topics
     orders = topics.Topic(
-        names.orders, store, gateway.apply_operator_record, _ignore
+        names.orders,
+        store,
+        gateway.apply_operator_record,
+        _ignore,
+        rewrite_grace_ms=_REWRITE_GRACE_MS,
     )
     gateway.orders_topic = orders
     poll_interval_ms = gateway.conf.bounds.drain_ms / _ENDPOINT_READS_PER_DRAIN
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -77,7 +77,9 @@
     order. ``on_reconnected`` gets the length of an outage in ms once the store
     answers again. The store is not called if ``read_from_peer`` returns true:
     a peer reads the topic for this daemon. ``probe`` is another topic: while
-    calls for both fail, only ``probe`` is retried, for a few seconds.
+    calls for both fail, only ``probe`` is retried, for a few seconds. Records
+    that a restored store lacks are kept for ``rewrite_grace_ms``, in which
+    their writers may write them again.
     """
 
     name: str
@@ -88,6 +90,7 @@
     long_poll_ms: int = 8000
     read_from_peer: Callable[[Topic], Awaitable[bool]] | None = None
     probe: Topic | None = None
+    rewrite_grace_ms: float = 0
     table: Table = attrs.field(factory=Table)
     started_ms: float = attrs.field(factory=clocks.monotonic_ms)
     last_answer_ms: float = -math.inf
@@ -96,6 +99,7 @@
     is_read_from_peer: bool = False
     consecutive_failures: int = 0
     last_failure_ms: float = -math.inf
+    grace_end_ms: float | None = None
 
     @property
     def is_read_from_store(self) -> bool:
@@ -145,7 +149,7 @@
         are removed unless their record is newer than ``newest_offset``.
         """
         self._note_generation(newest_offset + 1)
-        removals = [] if present is None else self.table.removals(present)
+        removals = [] if present is None else self._removals(present)
         for removal in removals:
             if removal.offset < newest_offset:
                 self.table.entries[removal.key] = removal
@@ -155,15 +159,16 @@
 
     async def _read_once(self) -> float:
         """Read new records once and return the delay before the next call."""
-        if not self.is_loaded:
+        if not self.is_loaded or self._grace_remaining_ms() == 0:
             await self._load()
             return self.poll_interval_ms
         read = self.read_from_peer
         self.is_read_from_peer = read is not None and await read(self)
         if self.is_read_from_peer:
             return _PEER_READ_INTERVAL_MS
-        wait_ms = 0 if self.poll_interval_ms else self.long_poll_ms
-        page = await self.store.read(self.name, self.table.next_offset, wait_ms)
+        page = await self.store.read(
+            self.name, self.table.next_offset, self._wait_ms()
+        )
         self._record_success()
         for entry in page.entries:
             self._apply(entry)
@@ -177,7 +182,7 @@
         self._record_success()
         self._note_generation(page.next_offset)
         present = frozenset(entry.key for entry in page.entries)
-        for removal in self.table.removals(present):
+        for removal in self._removals(present):
             self.table.entries[removal.key] = removal
             self.on_record(removal)
         for entry in sorted(page.entries, key=lambda item: item.offset):
@@ -199,8 +204,30 @@
                 known_offset=known.offset,
             )
 
+    def _wait_ms(self) -> int:
+        """Return how long a call may wait for the next record."""
+        if self.poll_interval_ms:
+            return 0
+        return math.ceil(min(self.long_poll_ms, self._grace_remaining_ms()))
+
+    def _grace_remaining_ms(self) -> float:
+        """Return the time until records are removed that a restore has lost.
+
+        It is infinite if there was no restore since the last load.
+        """
+        if self.grace_end_ms is None:
+            return math.inf
+        return max(0, self.grace_end_ms - clocks.monotonic_ms())
+
+    def _removals(self, present: frozenset[str]) -> list[ports.Entry]:
+        """Return tombstones for the records that the store lacks."""
+        if self.grace_end_ms is not None and self._grace_remaining_ms():
+            return []
+        self.grace_end_ms = None
+        return self.table.removals(present)
+
     def _note_generation(self, next_offset: int) -> None:
-        """Log a restore of the store since the last read."""
+        """Start the grace period if the store was restored."""
         known = max(self.table.next_offset - 1, self.table.newest_offset)
         generation = offsets.generation(next_offset)
         if 0 <= offsets.generation(known) < generation:
@@ -211,6 +238,10 @@
                 newest_known=offsets.number(known),
                 next_offset=offsets.number(next_offset),
             )
+            if self.rewrite_grace_ms:
+                self.grace_end_ms = (
+                    clocks.monotonic_ms() + self.rewrite_grace_ms
+                )
 
     def _is_waiting_for_probe(self) -> bool:
         if self.probe is None or not self.probe.is_failing:
--- a/packages/daemon/tests/gateway/test_topics.py
+++ b/packages/daemon/tests/gateway/test_topics.py
@@ -212,3 +212,26 @@
     store.write(TOPIC, 'a', b'5')
     await read(topic)
     assert [value for _, value in changes][-2:] == [b'4', b'5']
+
+
+async def test_lost_records_are_kept_for_a_while(clock: make.Clock) -> None:
+    """Guards against orders that end with a restore, and that stay for ever.
+
+    Their writers write them again a moment later; one of them does not.
+    """
+    store = gateway_store.MemoryStore()
+    for key in 'abc':
+        store.write(TOPIC, key, b'1')
+    topic, changes = follow(store)
+    topic.rewrite_grace_ms = 2000
+    await read(topic)
+    store.restore(TOPIC, 1)
+    await read(topic, 2)
+    store.write(TOPIC, 'b', b'1')
+    clock.now_ms += 1900
+    await read(topic)
+    assert ('c', b'') not in changes
+    clock.now_ms += 200
+    await read(topic, 2)
+    assert [change for change in changes if not change[1]] == [('c', b'')]
+    assert topic.grace_end_ms is None
