Keep endpoints for a while that a restored store lacks

Cause: after a restore without an outage of a second, endpoints whose announcement was lost were removed at once, and callers were refused until the next heartbeat. Change: the announcements get the same grace period as operators' records, in which endpoints announce themselves again. Endpoints that had left stay away: their older announcements are rejected as before.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -33,8 +33,9 @@
     ['aiohttp.ClientSession', 'settings.GatewaySettings'], ports.Store
 ]
 
-# Time in which operators write the orders again that a restore has lost.
-_REWRITE_GRACE_MS: Final = 2000.0
+# Time in which operators and endpoints write the records again that a restore
+# has lost. Endpoints announce themselves within about two seconds.
+_REWRITE_GRACE_MS: Final = 2200.0
 # Number of reads of the endpoints' topic within the limit on the time to drain
 # an endpoint. With two, the limit holds although one call fails.
 _ENDPOINT_READS_PER_DRAIN: Final = 2.2
@@ -256,6 +257,7 @@
             gateway.directory.on_store_reconnected,
             poll_interval_ms=poll_interval_ms,
             probe=orders,
+            rewrite_grace_ms=_REWRITE_GRACE_MS,
         ),
         topics.Topic(
             names.state,
