Load orders anew when another topic shows a restore

Cause: a call that waits for the next order may have been sent before the restore, and then waits up to eight seconds for a record of the lost ones. Change: the topics of endpoints and of shared state, which are read more often, end that call. Failed try: a task for the call beside one that waits for an event; it took further steps of the event loop, and a unit test of topics did not end.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -248,8 +248,7 @@
     )
     gateway.orders_topic = orders
     poll_interval_ms = gateway.conf.bounds.drain_ms / _ENDPOINT_READS_PER_DRAIN
-    return [
-        orders,
+    others = [
         topics.Topic(
             names.endpoints,
             store,
@@ -267,6 +266,10 @@
             probe=orders,
         ),
     ]
+    for topic in others:
+        # A waiting call for orders may not notice the restore.
+        topic.on_restored = orders.reload
+    return [orders, *others]
 
 
 def _ignore(outage_ms: float) -> None:
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -36,6 +36,10 @@
 _RELOAD_AFTER_MS: Final = 1000.0
 
 
+def _ignore() -> None:
+    """Ignore a restore."""
+
+
 @attrs.define
 class Table:
     """The newest record of each key, by offset.
@@ -79,7 +83,8 @@
     a peer reads the topic for this daemon. ``probe`` is another topic: while
     calls for both fail, only ``probe`` is retried, for a few seconds. Records
     that a restored store lacks are kept for ``rewrite_grace_ms``, in which
-    their writers may write them again.
+    their writers may write them again. ``on_restored`` is called once for each
+    restore that this topic learns of.
     """
 
     name: str
@@ -91,6 +96,7 @@
     read_from_peer: Callable[[Topic], Awaitable[bool]] | None = None
     probe: Topic | None = None
     rewrite_grace_ms: float = 0
+    on_restored: Callable[[], None] = _ignore
     table: Table = attrs.field(factory=Table)
     started_ms: float = attrs.field(factory=clocks.monotonic_ms)
     last_answer_ms: float = -math.inf
@@ -100,6 +106,7 @@
     consecutive_failures: int = 0
     last_failure_ms: float = -math.inf
     grace_end_ms: float | None = None
+    _call: asyncio.Timeout | None = None
 
     @property
     def is_read_from_store(self) -> bool:
@@ -166,9 +173,17 @@
         self.is_read_from_peer = read is not None and await read(self)
         if self.is_read_from_peer:
             return _PEER_READ_INTERVAL_MS
-        page = await self.store.read(
-            self.name, self.table.next_offset, self._wait_ms()
-        )
+        call = asyncio.timeout(None)
+        self._call = call
+        try:
+            async with call:
+                page = await self.store.read(
+                    self.name, self.table.next_offset, self._wait_ms()
+                )
+        except TimeoutError:
+            return 0
+        finally:
+            self._call = None
         self._record_success()
         for entry in page.entries:
             self._apply(entry)
@@ -177,6 +192,15 @@
             self.poll_interval_ms, _BATCH_DELAY_MS if page.entries else 0
         )
 
+    def reload(self) -> None:
+        """Load the topic anew, also if a call waits for the next record.
+
+        A call from before a restore may wait for a record of the lost ones.
+        """
+        self.is_loaded = False
+        if self._call is not None and not self._call.expired():
+            self._call.reschedule(asyncio.get_running_loop().time())
+
     async def _load(self) -> None:
         page = await self.store.newest(self.name)
         self._record_success()
@@ -238,6 +262,7 @@
                 newest_known=offsets.number(known),
                 next_offset=offsets.number(next_offset),
             )
+            self.on_restored()
             if self.rewrite_grace_ms:
                 self.grace_end_ms = (
                     clocks.monotonic_ms() + self.rewrite_grace_ms
