Withdraw a prompt whose attempt has just expired without an error

Found by reading the code: an attempt's timeout that has expired, but not yet ended the attempt, can't be changed. A prompt that was held in that moment raised RuntimeError in the exchange with peers. Evidence: test_withdrawal_of_an_expired_attempt failed before and passes.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -302,14 +302,16 @@
     out: OutgoingCall, timeout: asyncio.Timeout
 ) -> contextlib.AbstractContextManager[None]:
     """Let ``timeout`` expire if the prompt is held within the context."""
+
+    def withdraw() -> None:
+        # A timeout that has just expired can't be changed any more.
+        if not timeout.expired():
+            timeout.reschedule(asyncio.get_running_loop().time())
+
     if not out.part_ids:
         return contextlib.nullcontext()
     return out.gateway.crash_evidence.follow(
-        crash_evidence.WaitingPrompt(
-            out.service,
-            out.part_ids,
-            lambda: timeout.reschedule(asyncio.get_running_loop().time()),
-        )
+        crash_evidence.WaitingPrompt(out.service, out.part_ids, withdraw)
     )
 
 
--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -282,3 +282,32 @@
     assert fault.value.code == 'prompt_held'
     assert fault.value.may_have_run
     assert chosen.endpoint.consecutive_failures == 0
+
+
+async def test_withdrawal_of_an_expired_attempt() -> None:
+    """Guards against an error that ends the exchange with peers.
+
+    The attempt's own timeout expires just before its prompt is held.
+    """
+    out = crashing_call()
+    loop = asyncio.get_running_loop()
+    failures: list[Exception] = []
+
+    async def wait() -> None:
+        async with asyncio.timeout(0) as timeout:
+            with attempts._follow_waiting(out, timeout):
+                (waiting,) = out.gateway.crash_evidence._waiting
+                timeout.reschedule(loop.time())
+                loop.call_soon(try_withdrawal, waiting)
+                await asyncio.sleep(3600)
+
+    def try_withdrawal(waiting: crash_evidence.WaitingPrompt) -> None:
+        try:
+            waiting.withdraw()
+            waiting.withdraw()
+        except RuntimeError as fault:
+            failures.append(fault)
+
+    with pytest.raises(TimeoutError):
+        await asyncio.wait_for(wait(), 5)
+    assert failures == []
