Ignore cleared attempts that a daemon does not know

Found by reading the code: a daemon that had forgotten a cleared attempt took it from a peer that still had it, for another ten seconds, and so on. Such attempts could go round for half an hour and fill the messages, in which newer evidence has no room. Evidence: test_cleared_attempts_are_forgotten failed before and passes. A daemon whose own answers clear an attempt still keeps and tells it (test_late_message_about_a_cleared_attempt, which passed before).

--- a/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
@@ -102,6 +102,9 @@
         The returned one has the suspects that remain.
         """
         is_new = attempt.key not in self._attempts
+        if is_new and not attempt.suspects:
+            # A peer has cleared it before this daemon learned of it.
+            return attempt
         known = self._attempts.setdefault(attempt.key, attrs.evolve(attempt))
         suspects = frozenset(
             part
--- a/packages/daemon/tests/gateway/test_crash_evidence.py
+++ b/packages/daemon/tests/gateway/test_crash_evidence.py
@@ -175,3 +175,30 @@
     evidence.dropped.record(dropped)
     evidence.record_crash(attempt(3, 'other'), 3000)
     assert (evidence.hold_ms(SERVICE, ('x',), 3100) is not None) is is_held
+
+
+def test_cleared_attempts_are_forgotten() -> None:
+    """Guards against cleared attempts that daemons send each other for ever.
+
+    They would fill the messages, in which newer evidence then has no room.
+    """
+    sender, receiver = evidence_of('d1'), evidence_of('d2')
+    sender.record_crash(attempt(1), 1000)
+    sender.record_answer(SERVICE, ('x',), 1100)
+    message = sender.message(1200)
+    assert message
+    receiver.merge(message, 1200)
+    assert receiver.message(1200) == []
+
+
+def test_late_message_about_a_cleared_attempt() -> None:
+    """Guards against a suspicion that returns with a peer's older message."""
+    daemon, late = evidence_of('d1'), evidence_of('d2')
+    for evidence in (daemon, late):
+        record(evidence, 'x', 'x', 'x')
+    daemon.record_answer(SERVICE, ('x',), 3100)
+    daemon.message(20_000)
+    daemon.merge(late.message(20_000), 20_000)
+    assert daemon.hold_ms(SERVICE, ('x',), 20_000) is None
+    late.merge(daemon.message(20_000), 20_000)
+    assert late.hold_ms(SERVICE, ('x',), 20_000) is None
