Hash the names of engines in messages about crashes

Found by reading the code: a name of over 200 characters in a digest made all peers reject its end, as the endpoint's id is not bounded. Change: an engine's incarnation is named by a hash, which also shortens messages; only the ids of parts have a limit. Two tests share the factory of calls. Evidence: test_evidence_about_an_engine_with_a_long_name failed before and passes.

--- a/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
@@ -43,7 +43,7 @@
 _MAX_SENT_ATTEMPTS: Final = 12
 _MAX_SENT_PER_SUSPICION: Final = 4
 _MAX_SENT_PARTS: Final = 60
-_MAX_TEXT_LENGTH: Final = 200
+_MAX_PART_LENGTH: Final = 16
 # Larger numbers can't be serialised.
 _MAX_INTEGER: Final = 2**53
 
@@ -382,11 +382,10 @@
         for each in (*key, *ages_ms)
     ):
         raise ValueError('an attempt needs four integers')
-    if not all(
-        isinstance(text, str) and len(text) <= _MAX_TEXT_LENGTH
-        for text in (*names, *new, *answered)
-    ):
+    if not all(isinstance(text, str) for text in (*names, *new, *answered)):
         raise ValueError('an attempt needs names and parts')
+    if any(len(part) > _MAX_PART_LENGTH for part in (*new, *answered)):
+        raise ValueError('parts have short ids')
     return crash_suspicions.CrashedAttempt(
         request=request,
         number=number,
--- a/packages/daemon/src/yuccarouter/gateway/lost_answers.py
+++ b/packages/daemon/src/yuccarouter/gateway/lost_answers.py
@@ -86,8 +86,9 @@
 
 
 def _engine(view: endpoints.EndpointView) -> str:
-    """Return a name of the engine from its start to its end."""
-    return f'{view.name}/{view.announced.incarnation.started_ms}'
+    """Return a short name of the engine from its start to its end."""
+    started_ms = view.announced.incarnation.started_ms
+    return xxhash.xxh3_64_hexdigest(f'{view.name}/{started_ms}'.encode())
 
 
 def _request_number(out: attempts.OutgoingCall) -> int:
--- a/packages/daemon/tests/gateway/gateway_makers.py
+++ b/packages/daemon/tests/gateway/gateway_makers.py
@@ -55,6 +55,24 @@
     return choice.Requirements(**values)
 
 
+def call(**fields: Any) -> model.Call:
+    values = {
+        'request_id': 'r1',
+        'method': 'GET',
+        'target': '/x',
+        'host': 'h',
+        'path': '/x',
+        'headers': (),
+        'key': '',
+        'caller_deadline_ms': None,
+        'generation': None,
+        'last_event_id': '',
+        'session': '',
+        **fields,
+    }
+    return model.Call(**values)
+
+
 def order(number: int = 1, **fields: Any) -> model.RolloutOrder:
     values = {'service': 'engine', 'target': 'v2', 'ramp_ms': 24_000, **fields}
     return model.RolloutOrder(number=number, **values)
--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -26,6 +26,7 @@
     crash_suspicions,
     failure_reports,
     latency_judge,
+    lost_answers,
     model,
     prefill_speeds,
     rate_limits,
@@ -47,19 +48,7 @@
     max_attempts=2,
     shares=(model.ServiceShare('engine', 1),),
 )
-CALL = model.Call(
-    request_id='r1',
-    method='GET',
-    target='/x',
-    host='h',
-    path='/x',
-    headers=(),
-    key='',
-    caller_deadline_ms=None,
-    generation=None,
-    last_event_id='',
-    session='',
-)
+CALL = make.call()
 NO_CONNECTION = aiohttp.ClientConnectorError(
     client_reqrep.ConnectionKey('h', 80, False, True, None, None, None),
     OSError('refused'),
@@ -311,3 +300,26 @@
     with pytest.raises(TimeoutError):
         await asyncio.wait_for(wait(), 5)
     assert failures == []
+
+
+async def test_evidence_about_an_engine_with_a_long_name(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against digests that all peers reject for a long name in them."""
+
+    async def has_crashed(checks: Any, view: Any) -> bool:
+        return True
+
+    monkeypatch.setattr(crash_checks.CrashChecks, 'has_crashed', has_crashed)
+    out = crashing_call(aiohttp.ServerDisconnectedError())
+    view = make.view('e' * 250)
+    chosen = choice.Choice(view, 0, 1, 0)
+    with pytest.raises(attempts.AttemptError) as fault:
+        async with attempts.open_attempt(out, chosen, '', '', 1000):
+            pytest.fail('the engine has crashed')
+    assert fault.value.lost is not None
+    await lost_answers.investigate(out, fault.value.lost)
+    peer = crash_evidence.CrashEvidence('d1', tuple)
+    now_ms = clocks.monotonic_ms()
+    peer.merge(out.gateway.crash_evidence.message(now_ms), now_ms)
+    assert len(peer.message(now_ms)) == 1
--- a/packages/daemon/tests/gateway/test_crash_checks.py
+++ b/packages/daemon/tests/gateway/test_crash_checks.py
@@ -7,27 +7,12 @@
 import socket
 from collections.abc import Iterator
 
-import attrs
 import gateway_makers as make
 import pytest
 import xxhash
 
 from yuccarouter.gateway import crash_checks, endpoints, model, prompt_parts
 
-CALL = model.Call(
-    request_id='r1',
-    method='POST',
-    target='/x',
-    host='h',
-    path='/x',
-    headers=(),
-    key='',
-    caller_deadline_ms=None,
-    generation=None,
-    last_event_id='',
-    session='',
-)
-
 
 @contextlib.contextmanager
 def listening(backlog: int) -> Iterator[int]:
@@ -110,5 +95,5 @@
     """Guards against names of parts that break messages, records or logs."""
     parts = tuple(model.PromptPart(name, 10) for name in names)
     generation = model.Generation('m', 100, 10, parts)
-    call = attrs.evolve(CALL, generation=generation)
+    call = make.call(generation=generation)
     assert prompt_parts.shared_part_ids(call) == ids
