Read what arrived in a suspension before a stream counts as silent

What callers saw: streams that were in progress while a daemon was suspended were cut, asked for again at another endpoint, and broken off where no attempt was left. Cause: when the process runs again, the timeout for the next event expires before the event loop has read the socket, so that the endpoint counts as silent although it has sent the rest of the stream. Change: after the timeout, what the socket has received is read first. Ruled out: reading without giving the event loop time; it runs timers before sockets (tried, failed). Evidence: test_stream_outlasts_a_suspension_of_the_gateway failed before (8 runs for 4 requests) and passes.

--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -28,6 +28,8 @@
 
 _MS_PER_S: Final = 1000
 _OK: Final = 200
+# Time in which the event loop reads what a socket has received.
+_SOCKET_READ_S: Final = 0.005
 # Longest gap between events that is on time, for routes that set none.
 _DEFAULT_GAP_OBJECTIVE_MS: Final = 2000.0
 
@@ -331,12 +333,19 @@
 
 
 async def _next_chunk(opened: attempts.OpenAnswer, timeout_ms: float) -> bytes:
+    content = opened.response.content
     try:
         async with asyncio.timeout(max(0, timeout_ms) / _MS_PER_S):
-            return await opened.response.content.readany()
+            return await content.readany()
+    except TimeoutError:
+        # After a suspension of this process, the timeout expires before what
+        # was sent meanwhile has been read from the socket.
+        await asyncio.sleep(_SOCKET_READ_S)
+        chunk = content.read_nowait()
+        if chunk or content.at_eof():
+            return chunk
+        raise
     except OSError as fault:
-        if isinstance(fault, TimeoutError):
-            raise
         raise EndpointDisconnectedError(str(fault)) from fault
 
 
