Serialise integers beyond 64 bits in the test of engines' answers

make test failed on arm64 in test_chat.py::test_any_answer, the same each time: its strategy draws an integer beyond 64 bits, and orjson, which the test used to build the answer, raises "Integer exceeds 64-bit range". The code under test was never reached. The examples that Hypothesis draws depend on the modules that were loaded, so that the test passes when its file is run alone.

The test now builds answers with json, which serialises such integers, rather than drawing fewer values; an endpoint may send them. An explicit example keeps the case: with orjson it can't even be built, as shown by orjson.dumps(2**64).

--- a/packages/daemon/tests/request_path/test_chat.py
+++ b/packages/daemon/tests/request_path/test_chat.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import orjson
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from yuccarouter.admission import errors as admission_errors
@@ -108,7 +109,16 @@
 )
 
 
-@given(body=st.binary(max_size=80) | (_JSON_VALUES | _EVENTS).map(orjson.dumps))
+def _to_json(document: Any) -> bytes:
+    """Serialise with integers beyond 64 bits, which orjson rejects."""
+    return json.dumps(document).encode()
+
+
+_LONG_INTEGER = _to_json({'usage': {'prompt_tokens': 2**64}, 'choices': []})
+
+
+@example(body=_LONG_INTEGER)
+@given(body=st.binary(max_size=80) | (_JSON_VALUES | _EVENTS).map(_to_json))
 def test_any_answer(body: bytes) -> None:
     """Guards against an engine's answer that raises an error in the agent."""
     done = router_pb2.Done()
@@ -118,7 +128,8 @@
         assert not done.finish_reason
 
 
-@given(data=st.binary(max_size=80) | (_JSON_VALUES | _EVENTS).map(orjson.dumps))
+@example(data=_LONG_INTEGER)
+@given(data=st.binary(max_size=80) | (_JSON_VALUES | _EVENTS).map(_to_json))
 def test_any_event(data: bytes) -> None:
     """Guards against an engine's event that the agent or entry fails on."""
     reader = stream.EventReader(hide_usage=True)
