Log a digest of each request whose answer is lost

The logs named a lost request by its id alone, which differs whenever the request comes again, and said nothing of requests without shared parts of a prompt. So they couldn't tell a request that crashes each endpoint from endpoints that crash for another cause. Now each lost answer is logged, with a digest of the method, host, path, organisation and body. No decision is changed.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 from typing import TYPE_CHECKING, Final
 
 import aiohttp
@@ -21,6 +22,7 @@
     model,
     ports,
     prompt_parts,
+    request_digests,
     rollouts,
 )
 from yuccarouter_common import clocks, errors
@@ -105,6 +107,13 @@
         )
     )
 
+    @functools.cached_property
+    def digest(self) -> str:
+        """Identifier of the request when it comes again under another id."""
+        return request_digests.request_digest(
+            self.call, self.organisation, self.body
+        )
+
     def remaining_ms(self) -> float:
         """Return the remaining time until the call's deadline."""
         return self.deadline_ms - clocks.monotonic_ms()
--- a/packages/daemon/src/yuccarouter/gateway/lost_answers.py
+++ b/packages/daemon/src/yuccarouter/gateway/lost_answers.py
@@ -1,4 +1,4 @@
-"""Investigation of answers to prompts whose connection was lost."""
+"""Investigation of answers whose connection was lost."""
 
 from __future__ import annotations
 
@@ -17,16 +17,15 @@
 async def investigate(
     out: attempts.OutgoingCall, progress: answer_progress.Progress
 ) -> None:
-    """Record a lost answer to a prompt if its endpoint has crashed."""
-    if not out.part_ids:
-        return
+    """Record a lost answer if its endpoint has crashed."""
     crashed_ms = clocks.monotonic_ms()
     has_crashed = await out.gateway.crash_evidence.checks.has_crashed(
         progress.view
     )
     eliot.log_message(
-        'prompt_answer_lost',
+        'answer_lost',
         request=out.call.request_id,
+        digest=out.digest,
         attempt=out.sends,
         endpoint=progress.view.name,
         has_crashed=has_crashed,
@@ -35,6 +34,8 @@
     )
     if not has_crashed or progress.has_proceeded(crashed_ms):
         return
+    if not out.part_ids:
+        return
     recorded = out.gateway.crash_evidence.record_crash(
         _crashed_attempt(out, progress, crashed_ms), clocks.monotonic_ms()
     )
