Send a request with an idempotent method once

Callers of lookups whose endpoint had crashed got 503, which promises that the request has not run, and crashes of endpoints by such requests were recorded by no daemon. aiohttp sends requests with the methods GET, PUT, DELETE and others again, whatever the kind of their route, if a connection is lost. The endpoint had crashed by then and refused the connection, so that the attempt counted as unreachable and not run. An endpoint that only dropped the connection got the request twice, unseen by the retry budget; on a route that is not idempotent it may have run twice.

The repeats are switched off; retries are the gateway's own. The test failed before for GET, PUT and DELETE (2 requests received), not for POST.

--- a/packages/daemon/src/yuccarouter/gateway/connections.py
+++ b/packages/daemon/src/yuccarouter/gateway/connections.py
@@ -83,7 +83,7 @@
 
 
 def make_session() -> aiohttp.ClientSession:
-    """Return a session that opens a new connection for each request.
+    """Return a session that sends each request once, on a new connection.
 
     On a reused connection, a second or late answer would be taken for the
     answer to the next request, be it from an endpoint, the store or a peer. If
@@ -101,7 +101,7 @@
     factory = functools.partial(_Connection, loop=asyncio.get_running_loop())
     # aiohttp has no public way to set the class of its connections.
     connector._factory = factory  # type: ignore[assignment]  # noqa: WPS437
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
@@ -112,3 +112,7 @@
             total=None, sock_connect=CONNECT_TIMEOUT_S
         ),
     )
+    # aiohttp sends requests with idempotent methods again if their connection
+    # is lost, and then reports only that the second one could not be opened.
+    session._retry_connection = False  # noqa: WPS437
+    return session
