Hold requests that crash the endpoints which run them

Callers of a service with three endpoints were refused for seconds, again and again, while one request crashed all of them. Cause: only shared parts of prompts were suspected, so that a request without them was sent on after each crash, and again whenever it came. The class is that of work which harms whoever takes it, spread by retries; the fix for parts of prompts had left out the request itself, which is the narrowest cause.

A request is now a suspect like a part, by a digest of its method, host, path, organisation and body. It needs two crashes, or three if it was answered before; a request is preferred to a part that explains no more crashes, and copies of one request count as one for its parts. Sound requests that were lost in the same two crashes tie with it, and are told apart by the next crash or answer. Nothing grows with the number of requests: 64 attempts and 2,048 answered digests are kept; only held requests are stored.

--- a/packages/common/src/yuccarouter_common/refusals.py
+++ b/packages/common/src/yuccarouter_common/refusals.py
@@ -34,6 +34,7 @@
     'organisation_limit': 429,
     'no_endpoint': 503,
     'prompt_held': 503,
+    'request_held': 503,
     'log_unavailable': 503,
     'session_version_withdrawn': 409,
     'configuration_stale': 503,
--- a/packages/daemon/src/yuccarouter/gateway/answer_progress.py
+++ b/packages/daemon/src/yuccarouter/gateway/answer_progress.py
@@ -24,7 +24,10 @@
     ``model`` is empty for plain services. ``events`` are those received so
     far and ``first_event_ms`` is when the first one arrived. ``is_judged`` is
     true once the answer has been counted as slow, and ``is_proven`` once it
-    has shown that its prompt crashes no engine.
+    has shown that its request crashes no engine. ``has_ended`` is true once the
+    endpoint has refused the request or ended its answer, and
+    ``was_withdrawn`` once this daemon has decided to end the attempt because
+    endpoints crash on the request.
     """
 
     view: endpoints.EndpointView
@@ -36,6 +39,8 @@
     first_event_ms: float = math.inf
     is_judged: bool = False
     is_proven: bool = False
+    has_ended: bool = False
+    was_withdrawn: bool = False
 
     def record_events(self, events: int, now_ms: float) -> None:
         """Record the number of events received so far."""
--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -43,8 +43,8 @@
 
 # Attempts that did not reach an engine, or that the engine ended.
 _NOT_DROPPED: Final = frozenset(('unreachable', 'answer_lost'))
-# A request is not sent again after so many crashes if a part of its prompt was
-# never answered before. Others probably met the crashes by chance.
+# A request is not sent again after so many crashes if it, or a part of its
+# prompt, was never answered before. Others probably met the crashes by chance.
 _MAX_CRASHES: Final = 2
 
 
@@ -81,8 +81,9 @@
     one for each retry taken from the budget. ``tried`` names the endpoints
     that are not chosen again. ``has_run`` is true once an answer was
     discarded; a refusal must then not say that the call has not run.
-    ``part_ids`` are the parts of the prompt that other prompts may share, and
-    ``crashes`` counts the crashes that a new one of them may have caused.
+    ``part_ids`` are the parts of the prompt that other prompts may share.
+    ``crashes`` counts the crashes that a new one of them, or the request as a
+    whole, may have caused.
     """
 
     gateway: state.Gateway
@@ -114,6 +115,11 @@
             self.call, self.organisation, self.body
         )
 
+    @property
+    def suspects(self) -> tuple[str, ...]:
+        """What of the request may be the cause if endpoints crash on it."""
+        return (self.digest, *self.part_ids)
+
     def remaining_ms(self) -> float:
         """Return the remaining time until the call's deadline."""
         return self.deadline_ms - clocks.monotonic_ms()
@@ -129,7 +135,7 @@
         chosen = self.gateway.choose(
             self.call, self.route, self.service, self.tried, model_name
         )
-        if chosen is None or not self._may_send_prompt():
+        if chosen is None or not self._is_safe_to_send():
             return None
         return chosen if self._may_deliver() else None
 
@@ -149,12 +155,10 @@
         )
         return other is not None
 
-    def prompt_hold_ms(self) -> float | None:
-        """Return for how long the prompt is held, ``None`` if it is not."""
-        if not self.part_ids:
-            return None
-        return self.gateway.crash_evidence.hold_ms(
-            self.service, self.part_ids, clocks.monotonic_ms()
+    def hold(self) -> crash_evidence.Hold | None:
+        """Return how the request is held, ``None`` if it is not."""
+        return self.gateway.crash_evidence.hold(
+            self.service, self.suspects, clocks.monotonic_ms()
         )
 
     def take_retry(self, *, is_optional: bool = False) -> bool:
@@ -171,12 +175,12 @@
         self.allowed_deliveries += is_granted
         return is_granted
 
-    def _may_send_prompt(self) -> bool:
-        """Return whether the prompt is not suspected of crashing engines."""
+    def _is_safe_to_send(self) -> bool:
+        """Return whether the request is not suspected of crashing endpoints."""
         if self.crashes >= _MAX_CRASHES:
             return False
-        return not self.part_ids or self.gateway.crash_evidence.may_send(
-            self.service, self.part_ids, clocks.monotonic_ms()
+        return self.gateway.crash_evidence.may_send(
+            self.service, self.suspects, clocks.monotonic_ms()
         )
 
     def _may_deliver(self) -> bool:
@@ -266,7 +270,7 @@
         async with asyncio.timeout(
             max(0, head_timeout_ms) / _MS_PER_S
         ) as timeout:
-            with _follow_waiting(out, timeout):
+            with _follow_waiting(out, progress, timeout):
                 return await _send(out, view, progress.model, last_event_id)
     except (
         aiohttp.ConnectionTimeoutError,
@@ -282,11 +286,11 @@
             'endpoint is unreachable', 'unreachable', may_have_run=False
         ) from fault
     except TimeoutError as fault:
-        if out.prompt_hold_ms() is not None:
+        if progress.was_withdrawn:
             _record_outcome(out, view, 'withdrawn')
             raise AttemptError(
-                'engines crash on a part of this prompt',
-                'prompt_held',
+                'endpoints crash on this request, or on a part of its prompt',
+                'withdrawn',
                 may_have_run=True,
             ) from fault
         _record_no_answer(out, view)
@@ -308,19 +312,20 @@
 
 
 def _follow_waiting(
-    out: OutgoingCall, timeout: asyncio.Timeout
+    out: OutgoingCall,
+    progress: answer_progress.Progress,
+    timeout: asyncio.Timeout,
 ) -> contextlib.AbstractContextManager[None]:
-    """Let ``timeout`` expire if the prompt is held within the context."""
+    """Let ``timeout`` expire if the request is held within the context."""
 
     def withdraw() -> None:
         # A timeout that has just expired can't be changed any more.
         if not timeout.expired():
+            progress.was_withdrawn = True
             timeout.reschedule(asyncio.get_running_loop().time())
 
-    if not out.part_ids:
-        return contextlib.nullcontext()
     return out.gateway.crash_evidence.follow(
-        crash_evidence.WaitingPrompt(out.service, out.part_ids, withdraw)
+        crash_evidence.WaitingRequest(out.service, out.suspects, withdraw)
     )
 
 
@@ -377,6 +382,7 @@
         if head.is_misdirected:
             _record_unreachable(out, view)
         _record_outcome(out, view, 'refused', status=head.status)
+        progress.has_ended = True
         out.runs -= 1
         raise AttemptError(
             'endpoint refused the request', 'refused', may_have_run=False
@@ -428,6 +434,7 @@
         raise AttemptError(
             'answer exceeds the size limit', 'endless_answer', may_have_run=True
         )
+    opened.progress.has_ended = True
     return body
 
 
@@ -456,11 +463,11 @@
 
 
 def record_proceeding(out: OutgoingCall, opened: OpenAnswer) -> None:
-    """Record an answer that goes on: its prompt crashes no engine."""
+    """Record an answer that goes on: its request crashes no endpoint."""
     progress = opened.progress
     if not progress.is_proven and progress.has_proceeded(clocks.monotonic_ms()):
         progress.is_proven = True
-        _record_sound_prompt(out)
+        _record_sound_request(out)
 
 
 def record_success(out: OutgoingCall, opened: OpenAnswer) -> None:
@@ -468,7 +475,7 @@
     opened.view.record_success()
     if opened.head.status == _OK:
         opened.progress.is_proven = True
-        _record_sound_prompt(out)
+        _record_sound_request(out)
     _record_session_version(out, opened.view)
     elapsed_ms = clocks.monotonic_ms() - opened.sent_ms
     is_slow = out.gateway.control.latencies.record_success(
@@ -500,11 +507,10 @@
     )
 
 
-def _record_sound_prompt(out: OutgoingCall) -> None:
-    if out.part_ids:
-        out.gateway.crash_evidence.record_answer(
-            out.service, out.part_ids, clocks.monotonic_ms()
-        )
+def _record_sound_request(out: OutgoingCall) -> None:
+    out.gateway.crash_evidence.record_answer(
+        out.service, out.suspects, clocks.monotonic_ms()
+    )
 
 
 def _record_send(
--- a/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
@@ -1,16 +1,18 @@
-"""Evidence that a part of a prompt crashes each engine that answers it.
+"""Evidence that a request, or a part of prompts, crashes each engine.
 
-The daemons exchange the attempts whose engines crashed, and hold prompts that
-contain the parts which explain the crashes:
+The daemons exchange the attempts whose engines crashed, and hold the requests
+that explain the crashes, or prompts with the parts that do:
 
     evidence.record_crash(attempt, now_ms=2000)
     evidence.record_answer('engine', ('aa', 'bb'), now_ms=2100)
-    evidence.hold_ms('engine', ('aa', 'cc'), now_ms=2200)   # None or a time
+    evidence.hold('engine', ('aa', 'cc'), now_ms=2200)   # None or a hold
+
+A request is described by its suspects: its digest and the shared parts of its
+prompt.
 """
 
 from __future__ import annotations
 
-import collections
 import contextlib
 import math
 from collections.abc import Callable, Collection, Iterable, Iterator
@@ -20,14 +22,17 @@
 import eliot
 
 from yuccarouter.gateway import (
+    answer_times,
+    crash_caution,
     crash_checks,
     crash_suspicions,
     dropped_attempts,
     metrics,
+    request_digests,
     senders,
 )
 
-# A single daemon tries a prompt first; with each such interval without result,
+# A single daemon tries a request first; with each such interval without result,
 # twice as many may.
 _TRIAL_INTERVAL_MS: Final = 10_000.0
 _MAX_DOUBLINGS: Final = 8
@@ -38,7 +43,6 @@
 _CLEARED_AGE_MS: Final = 10_000.0
 _MAX_ATTEMPTS: Final = 64
 _MAX_ATTEMPTS_PER_SUSPICION: Final = 8
-_MAX_ANSWERED_PARTS: Final = 2048
 # Bounds of a message, which must fit a datagram together with others.
 _MAX_SENT_ATTEMPTS: Final = 12
 _MAX_SENT_PER_SUSPICION: Final = 4
@@ -55,31 +59,48 @@
 ]
 
 
-# By service and part.
-_Times = collections.OrderedDict[tuple[str, str], float]
-
-
 @attrs.frozen(eq=False)
-class WaitingPrompt:
-    """A prompt that waits for its answer to start.
+class WaitingRequest:
+    """A request that waits for its answer to start.
 
     ``withdraw`` closes its connection, so that the engine drops it.
     """
 
     service: str
-    parts: Collection[str]
+    suspects: Collection[str]
     withdraw: Callable[[], None]
 
+    @property
+    def requests(self) -> frozenset[str]:
+        """Its digest, as a set of suspects."""
+        return frozenset(
+            filter(request_digests.is_request_digest, self.suspects)
+        )
+
+
+@attrs.frozen
+class Hold:
+    """For how long a request is held.
+
+    ``is_request`` is true if the request itself is the cause, and not a part
+    of its prompt.
+    """
+
+    remaining_ms: float
+    is_request: bool
+
 
 @attrs.define
 class CrashEvidence:
     """Crashed attempts of all daemons, as known to the daemon ``name``.
 
-    ``others`` returns the sorted names of the other daemons.
+    ``others`` returns the sorted names of the other daemons, and
+    ``engine_count`` the number of engines of a service.
     """
 
     name: str
     others: Callable[[], tuple[str, ...]]
+    engine_count: Callable[[str], int]
     checks: crash_checks.CrashChecks = attrs.field(
         factory=crash_checks.CrashChecks
     )
@@ -89,10 +110,12 @@
     _attempts: dict[tuple[int, int], crash_suspicions.CrashedAttempt] = (
         attrs.field(factory=dict)
     )
-    _answered_ms: _Times = attrs.field(factory=collections.OrderedDict)
+    _answered: answer_times.AnswerTimes = attrs.field(
+        factory=answer_times.AnswerTimes
+    )
     _suspicions: list[crash_suspicions.Suspicion] = attrs.field(factory=list)
     _tried_ms: dict[frozenset[str], float] = attrs.field(factory=dict)
-    _waiting: set[WaitingPrompt] = attrs.field(factory=set)
+    _waiting: set[WaitingRequest] = attrs.field(factory=set)
 
     def record_crash(
         self, attempt: crash_suspicions.CrashedAttempt, now_ms: float
@@ -109,13 +132,14 @@
         suspects = frozenset(
             part
             for part in known.suspects & attempt.suspects
-            if self._last_answer_ms(attempt, part) <= attempt.crashed_ms
+            if self._answered.last_ms(attempt.service, part)
+            <= attempt.crashed_ms
         )
         answered = known.answered | frozenset(
             part
             for part in attempt.suspects
             if part in attempt.answered
-            or self._last_answer_ms(attempt, part) > -math.inf
+            or self._answered.last_ms(attempt.service, part) > -math.inf
         )
         if is_new or (suspects, answered) != (
             known.suspects,
@@ -137,43 +161,44 @@
             self.record_crash(attempt, now_ms)
 
     def record_answer(
-        self, service: str, parts: Collection[str], now_ms: float
+        self, service: str, suspects: Collection[str], now_ms: float
     ) -> None:
-        """Record an answer that went on: its parts caused no earlier crash."""
-        for part in parts:
-            self._answered_ms[service, part] = now_ms
-            self._answered_ms.move_to_end((service, part))
-        while len(self._answered_ms) > _MAX_ANSWERED_PARTS:
-            self._answered_ms.popitem(last=False)
+        """Record an answer that went on: its request caused no crash before."""
+        for suspect in suspects:
+            self._answered.record(service, suspect, now_ms)
         changed = [
             attempt
             for attempt in self._attempts.values()
             if attempt.service == service
-            and not attempt.suspects.isdisjoint(parts)
+            and not attempt.suspects.isdisjoint(suspects)
         ]
         for attempt in changed:
-            attempt.suspects -= frozenset(parts)
+            attempt.suspects -= frozenset(suspects)
             attempt.changed_ms = now_ms
         if changed:
             self._update(now_ms)
 
     def may_send(
-        self, service: str, parts: Collection[str], now_ms: float
+        self, service: str, suspects: Collection[str], now_ms: float
     ) -> bool:
-        """Return whether a prompt may be sent to an engine.
+        """Return whether a request may be sent to an engine.
 
-        A prompt that was held back for long enough is tried once more: only an
-        answer shows that engines can answer it again. One try counts for all
-        prompts with the same suspected parts.
+        A request that was held back for long enough is tried once more: only
+        an answer shows that engines can answer it again. One try counts for
+        all requests with the same suspects.
         """
-        suspicion = self._matching(service, parts)
-        if suspicion is None:
+        if not self._attempts:
             return True
+        suspicion = self._matching(service, suspects)
+        if suspicion is None:
+            return not self._caution_ms(service, suspects, now_ms)
         if not self._may_try(suspicion, now_ms):
             return False
         self._tried_ms[suspicion.parts] = now_ms
         eliot.log_message(
-            'suspected_prompt_tried',
+            'suspected_request_tried'
+            if suspicion.is_request
+            else 'suspected_prompt_tried',
             service=service,
             parts=sorted(suspicion.parts),
             crashes=suspicion.crashes,
@@ -181,11 +206,11 @@
         return True
 
     @contextlib.contextmanager
-    def follow(self, waiting: WaitingPrompt) -> Iterator[None]:
-        """Withdraw a prompt if it is held within the context.
+    def follow(self, waiting: WaitingRequest) -> Iterator[None]:
+        """Withdraw a request if it is held within the context.
 
-        A part that was answered before is held on weaker grounds: the answers
-        to waiting prompts may then release it.
+        What was answered before is held on weaker grounds: the answers to
+        waiting requests may then release it.
         """
         self._waiting.add(waiting)
         try:
@@ -193,14 +218,18 @@
         finally:
             self._waiting.discard(waiting)
 
-    def hold_ms(
-        self, service: str, parts: Collection[str], now_ms: float
-    ) -> float | None:
-        """Return for how long a prompt is held back, ``None`` if it is not."""
-        suspicion = self._matching(service, parts)
-        if suspicion is None:
-            return None
-        return max(_TRIAL_INTERVAL_MS, suspicion.hold_until_ms() - now_ms)
+    def hold(
+        self, service: str, suspects: Collection[str], now_ms: float
+    ) -> Hold | None:
+        """Return how a request is held back, ``None`` if it is not."""
+        suspicion = self._matching(service, suspects)
+        if suspicion is not None:
+            remaining_ms = max(
+                _TRIAL_INTERVAL_MS, suspicion.hold_until_ms() - now_ms
+            )
+            return Hold(remaining_ms, suspicion.is_request)
+        caution_ms = self._caution_ms(service, suspects, now_ms)
+        return Hold(caution_ms, is_request=True) if caution_ms else None
 
     def message(self, now_ms: float) -> list[Fields]:
         """Return the most important attempts, for peers."""
@@ -228,33 +257,55 @@
         """Return the attempts to keep across restarts, oldest first.
 
         Answers after a crash clear most prompts that only met it by chance.
+        A single request is kept only once it is held: most of those that are
+        lost never come again.
         """
         self._update(now_ms)
+        held = {
+            attempt.key
+            for suspicion in self._suspicions
+            for attempt in suspicion.attempts
+        }
         return sorted(
             (
                 attempt
                 for attempt in self._attempts.values()
-                if attempt.suspects
+                if (attempt.key in held or _has_suspected_part(attempt))
                 and now_ms - attempt.crashed_ms >= _CLEARING_TIME_MS
             ),
             key=lambda each: each.crashed_ms,
         )
 
-    def _last_answer_ms(
-        self, attempt: crash_suspicions.CrashedAttempt, part: str
+    def _caution_ms(
+        self, service: str, suspects: Collection[str], now_ms: float
     ) -> float:
-        return self._answered_ms.get((attempt.service, part), -math.inf)
+        """Return for how long a request that met one crash is not sent."""
+        return crash_caution.remaining_ms(
+            (
+                each
+                for each in self._attempts.values()
+                if each.service == service
+            ),
+            suspects,
+            self.engine_count(service),
+            now_ms,
+            is_running=any(
+                waiting.service == service
+                and not waiting.requests.isdisjoint(suspects)
+                for waiting in self._waiting
+            ),
+        )
 
     def _matching(
-        self, service: str, parts: Collection[str]
+        self, service: str, suspects: Collection[str]
     ) -> crash_suspicions.Suspicion | None:
-        """Return the suspicion against a prompt that is held back longest."""
+        """Return the suspicion that holds a request back longest."""
         return max(
             (
                 suspicion
                 for suspicion in self._suspicions
                 if suspicion.service == service
-                and suspicion.parts.issubset(parts)
+                and suspicion.parts.issubset(suspects)
             ),
             key=lambda each: each.hold_until_ms(),
             default=None,
@@ -324,32 +375,43 @@
     ) -> None:
         before = {(each.service, each.parts) for each in self._suspicions}
         after = {(each.service, each.parts) for each in suspicions}
-        metrics.HELD_PROMPT_PARTS.set(len(after))
+        held_requests = sum(each.is_request for each in suspicions)
+        metrics.HELD_REQUESTS.set(held_requests)
+        metrics.HELD_PROMPT_PARTS.set(len(after) - held_requests)
         for suspicion in suspicions:
             if (suspicion.service, suspicion.parts) not in before:
                 eliot.log_message(
-                    'prompts_held',
+                    'request_held' if suspicion.is_request else 'prompts_held',
                     service=suspicion.service,
                     parts=sorted(suspicion.parts),
                     crashes=suspicion.crashes,
                 )
                 self._withdraw(suspicion)
-        for service, parts in before - after:
-            self._tried_ms.pop(parts, None)
-            eliot.log_message(
-                'prompts_released', service=service, parts=sorted(parts)
-            )
+        for suspicion in self._suspicions:
+            if (suspicion.service, suspicion.parts) not in after:
+                self._tried_ms.pop(suspicion.parts, None)
+                eliot.log_message(
+                    'request_released'
+                    if suspicion.is_request
+                    else 'prompts_released',
+                    service=suspicion.service,
+                    parts=sorted(suspicion.parts),
+                )
 
     def _withdraw(self, suspicion: crash_suspicions.Suspicion) -> None:
-        if suspicion.threshold is not crash_suspicions.NEW_PART:
+        if not suspicion.threshold.is_certain:
             return
         for waiting in self._waiting:
             if waiting.service == suspicion.service and (
-                suspicion.parts.issubset(waiting.parts)
+                suspicion.parts.issubset(waiting.suspects)
             ):
                 waiting.withdraw()
 
 
+def _has_suspected_part(attempt: crash_suspicions.CrashedAttempt) -> bool:
+    return not all(map(request_digests.is_request_digest, attempt.suspects))
+
+
 def encode_attempt(
     attempt: crash_suspicions.CrashedAttempt, now_ms: float
 ) -> Fields:
--- a/packages/daemon/src/yuccarouter/gateway/crash_suspicions.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_suspicions.py
@@ -1,8 +1,9 @@
-"""Finds the parts of prompts that explain the crashes of engines.
+"""Finds the requests and parts of prompts that explain crashes of engines.
 
 An attempt is evidence if its engine crashed before the answer had gone on for a
-while. All shared parts of its prompt are suspects at first. A part that was
-never answered before is suspected before one that was.
+while. The whole request, by its digest, and all shared parts of its prompt are
+suspects at first. A suspect that was never answered before is suspected before
+one that was, and a request before a part that explains no more crashes.
 """
 
 from __future__ import annotations
@@ -14,33 +15,43 @@
 
 import attrs
 
+from yuccarouter.gateway import request_digests
+
 # Tolerance for the times of other daemons' attempts.
 _ORDER_TOLERANCE_MS: Final = 50.0
 # Prompts are held for this time after a crash, which doubles with each one.
 _MIN_HOLD_MS: Final = 20_000.0
 _MAX_HOLD_MS: Final = 600_000.0
 _MAX_DOUBLINGS: Final = 8
+_MAX_AMBIGUOUS_CRASHES: Final = 2
 
 
 @attrs.frozen
 class Threshold:
-    """The evidence from which on prompts are held.
+    """The evidence from which on requests are held.
 
     ``crashes`` counts crashes one after the other, and ``requests`` the
-    different requests that met them.
+    different requests that met them. With ``is_certain``, requests that wait
+    for an answer are withdrawn too.
     """
 
     crashes: int
     requests: int
+    is_certain: bool = False
 
 
 # A sound prompt rarely meets three crashes without an answer in between. The
 # repetitions of a single request would not tell which of its parts they show.
-NEW_PART: Final = Threshold(crashes=3, requests=2)
+NEW_PART: Final = Threshold(crashes=3, requests=2, is_certain=True)
 # Two new parts that crash engines at the same time, in prompts with a common
 # part, explain two of three requests. Only further ones are held against the
 # common part, which most prompts may share.
 ANSWERED_PART: Final = Threshold(crashes=5, requests=3)
+# Services may have only three endpoints. A sound request that was lost at the
+# same two engines is told apart by the next crash or answer.
+NEW_REQUEST: Final = Threshold(crashes=2, requests=1, is_certain=True)
+# A request that many callers repeat meets crashes with other causes more often.
+ANSWERED_REQUEST: Final = Threshold(crashes=3, requests=1)
 
 
 @attrs.define
@@ -48,9 +59,10 @@
     """An attempt whose engine crashed before its answer had gone on.
 
     ``request`` and ``number`` identify it, and ``engine`` the engine from its
-    start to its crash. ``suspects`` are the parts of the prompt that may be the
-    cause; parts are only ever removed. Those in ``answered`` had been answered
-    before the crash. ``changed_ms`` is the time of the latest change.
+    start to its crash. ``suspects`` may be the cause: the request, by its
+    digest, and the parts of its prompt. They are only ever removed. Those in
+    ``answered`` had been answered before the crash. ``changed_ms`` is the time
+    of the latest change.
     """
 
     request: int
@@ -73,14 +85,20 @@
         """The suspects that had never been answered before the crash."""
         return self.suspects - self.answered
 
+    @property
+    def repeated_request(self) -> str | int:
+        """What the attempts of a request have in common when it comes again."""
+        digests = filter(request_digests.is_request_digest, self.suspects)
+        return next(digests, self.request)
+
 
 @attrs.frozen
 class Suspicion:
-    """Parts of prompts on which engines crash if all of them are present.
+    """What engines crash on: a request, or parts of a prompt together.
 
-    ``crashes`` counts the crashes one after the other, ``attempts`` are the
-    evidence, and ``newest_ms`` is the time of the newest crash. ``engines``
-    have crashed with such a prompt.
+    ``parts`` holds only the digest if it is a request. ``crashes`` is their
+    number as counted for ``threshold``, ``attempts`` are the evidence, and
+    ``newest_ms`` is the time of the newest crash.
     """
 
     service: str
@@ -92,14 +110,23 @@
 
     @property
     def engines(self) -> frozenset[str]:
-        """The engines that crashed with such a prompt."""
+        """The engines that crashed with such a request."""
         return frozenset(attempt.engine for attempt in self.attempts)
 
     @property
-    def weight(self) -> tuple[int, int]:
-        """The number of engines that crashed, and of requests that met it."""
-        requests = {attempt.request for attempt in self.attempts}
-        return (len(self.engines), len(requests))
+    def is_request(self) -> bool:
+        """Whether it is against a whole request."""
+        return any(map(request_digests.is_request_digest, self.parts))
+
+    @property
+    def weight(self) -> tuple[int, bool, int]:
+        """The order of suspicions: which explains more, and more narrowly.
+
+        That is the number of engines that crashed, whether it is against a
+        single request, and the number of requests that met it.
+        """
+        requests = {attempt.repeated_request for attempt in self.attempts}
+        return (len(self.engines), self.is_request, len(requests))
 
     def hold_until_ms(self) -> float:
         """Return the time from which such a prompt may be tried again."""
@@ -110,24 +137,40 @@
 
 
 def find_suspicions(attempts: Iterable[CrashedAttempt]) -> list[Suspicion]:
-    """Return the parts that explain the crashes, new ones before others.
+    """Return what explains the crashes, new suspects before others.
 
-    Crashes that new parts explain don't count against other parts.
+    Crashes that new suspects explain don't count against other ones.
     """
     remaining = [attempt for attempt in attempts if attempt.suspects]
-    new = _explanations(remaining, _new_suspects, NEW_PART)
+    new = _explanations(remaining, _new_suspects, _NEW)
     remaining = _unexplained(remaining, new)
-    return new + _explanations(remaining, _all_suspects, ANSWERED_PART)
+    return new + _explanations(remaining, _all_suspects, _ANSWERED)
+
+
+@attrs.frozen
+class _Thresholds:
+    part: Threshold
+    request: Threshold
+
+    def of(self, suspect: str) -> Threshold:
+        """Return the threshold for one suspect."""
+        if request_digests.is_request_digest(suspect):
+            return self.request
+        return self.part
+
+
+_NEW: Final = _Thresholds(NEW_PART, NEW_REQUEST)
+_ANSWERED: Final = _Thresholds(ANSWERED_PART, ANSWERED_REQUEST)
 
 
 def _explanations(
     attempts: list[CrashedAttempt],
     suspects_of: Callable[[CrashedAttempt], frozenset[str]],
-    threshold: Threshold,
+    thresholds: _Thresholds,
 ) -> list[Suspicion]:
-    """Return the smallest sets of parts that explain the crashes.
+    """Return the fewest suspects that explain the crashes.
 
-    The part that explains most crashes is taken first, with all parts that
+    What explains most crashes is taken first; a part with all parts that
     stand beside it in each of its attempts. These crashes don't count against
     other parts: those of the same prompts, and those of other prompts that the
     engines were working on.
@@ -135,7 +178,7 @@
     found: list[Suspicion] = []
     remaining = attempts
     while True:
-        best = _best_explanations(remaining, suspects_of, threshold)
+        best = _best_explanations(remaining, suspects_of, thresholds)
         if not best:
             return found
         found.extend(best)
@@ -145,23 +188,24 @@
 def _best_explanations(
     attempts: list[CrashedAttempt],
     suspects_of: Callable[[CrashedAttempt], frozenset[str]],
-    threshold: Threshold,
+    thresholds: _Thresholds,
 ) -> list[Suspicion]:
     """Return the suspicions that explain the most crashes.
 
     Different ones that share a crash are left out until further crashes or
-    answers distinguish them.
+    answers distinguish them. Requests that share three are held together: any
+    more crashes would cost more than a sound request.
     """
-    by_part: dict[tuple[str, str], list[CrashedAttempt]] = {}
+    by_suspect: dict[tuple[str, str], list[CrashedAttempt]] = {}
     for attempt in attempts:
-        for part in suspects_of(attempt):
-            by_part.setdefault((attempt.service, part), []).append(attempt)
+        for name in suspects_of(attempt):
+            by_suspect.setdefault((attempt.service, name), []).append(attempt)
     suspicions = [
-        _suspicion(evidence, suspects_of, threshold)
-        for evidence in by_part.values()
-        if _reaches(evidence, threshold)
+        _suspicion(evidence, suspects_of, thresholds.of(suspect))
+        for (_, suspect), evidence in by_suspect.items()
+        if _reaches(evidence, thresholds.of(suspect))
     ]
-    most = max((each.weight for each in suspicions), default=(0, 0))
+    most = max((each.weight for each in suspicions), default=None)
     best = {
         (each.service, each.parts): each
         for each in suspicions
@@ -174,6 +218,7 @@
         each
         for each in best.values()
         if all(uses[engine] == 1 for engine in each.engines)
+        or (each.is_request and each.crashes > _MAX_AMBIGUOUS_CRASHES)
     ]
 
 
@@ -190,10 +235,12 @@
     suspects_of: Callable[[CrashedAttempt], frozenset[str]],
     threshold: Threshold,
 ) -> Suspicion:
+    common = frozenset.intersection(*map(suspects_of, evidence))
+    digests = frozenset(filter(request_digests.is_request_digest, common))
     return Suspicion(
         service=evidence[0].service,
-        parts=frozenset.intersection(*map(suspects_of, evidence)),
-        crashes=_crashes_in_sequence(evidence),
+        parts=digests or common,
+        crashes=_crashes(evidence, threshold),
         threshold=threshold,
         newest_ms=max(each.crashed_ms for each in evidence),
         attempts=tuple(evidence),
@@ -201,13 +248,23 @@
 
 
 def _reaches(attempts: list[CrashedAttempt], threshold: Threshold) -> bool:
-    requests = {attempt.request for attempt in attempts}
+    requests = {attempt.repeated_request for attempt in attempts}
     return (
         len(requests) >= threshold.requests
-        and _crashes_in_sequence(attempts) >= threshold.crashes
+        and _crashes(attempts, threshold) >= threshold.crashes
     )
 
 
+def _crashes(attempts: list[CrashedAttempt], threshold: Threshold) -> int:
+    """Return the number of crashes that count as evidence.
+
+    Copies of a request may run at the same time and crash several engines.
+    """
+    if threshold is NEW_REQUEST:
+        return len({attempt.engine for attempt in attempts})
+    return _crashes_in_sequence(attempts)
+
+
 def _crashes_in_sequence(attempts: list[CrashedAttempt]) -> int:
     """Return the number of crashes of which each followed the one before.
 
--- a/packages/daemon/src/yuccarouter/gateway/endpoints.py
+++ b/packages/daemon/src/yuccarouter/gateway/endpoints.py
@@ -177,6 +177,13 @@
         view = self._views.get(endpoint)
         return None if view is None else view.announced.incarnation.started_ms
 
+    def endpoint_count(self, service: str) -> int:
+        """Return the number of endpoints of a service that do not drain."""
+        return sum(
+            view.announced.service == service and not view.announced.is_draining
+            for view in self._views.values()
+        )
+
     def own_backlog(self) -> dict[str, list[int]]:
         """Return this daemon's requests and their prefill time, for peers.
 
--- a/packages/daemon/src/yuccarouter/gateway/lost_answers.py
+++ b/packages/daemon/src/yuccarouter/gateway/lost_answers.py
@@ -34,8 +34,6 @@
     )
     if not has_crashed or progress.has_proceeded(crashed_ms):
         return
-    if not out.part_ids:
-        return
     recorded = out.gateway.crash_evidence.record_crash(
         _crashed_attempt(out, progress, crashed_ms), clocks.monotonic_ms()
     )
@@ -47,11 +45,11 @@
 def record_dropped(
     out: attempts.OutgoingCall, progress: answer_progress.Progress
 ) -> None:
-    """Record an attempt that this daemon ended, unless its answer went on.
+    """Record an attempt that this daemon ended before its answer went on.
 
-    The engine may still crash on the prompt a moment later.
+    The engine may still crash on the request a moment later.
     """
-    if out.part_ids and not progress.is_proven:
+    if not (progress.is_proven or progress.has_ended):
         out.gateway.crash_evidence.dropped.record(
             _crashed_attempt(out, progress, clocks.monotonic_ms())
         )
@@ -62,10 +60,9 @@
 ) -> None:
     """Record that an engine has crashed, as it refuses connections."""
     now_ms = clocks.monotonic_ms()
-    if out.part_ids:
-        out.gateway.crash_evidence.record_engine_crash(
-            _engine(view), now_ms, now_ms
-        )
+    out.gateway.crash_evidence.record_engine_crash(
+        _engine(view), now_ms, now_ms
+    )
 
 
 def _crashed_attempt(
@@ -80,7 +77,7 @@
         service=out.service,
         sent_ms=progress.sent_ms,
         crashed_ms=crashed_ms,
-        suspects=frozenset(out.part_ids),
+        suspects=frozenset(out.suspects),
         answered=frozenset(),
         changed_ms=crashed_ms,
     )
--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -40,6 +40,10 @@
     'yuccarouter_gateway_held_prompt_parts',
     'Sets of prompt parts that are held back as engines crash on them',
 )
+HELD_REQUESTS: Final = prometheus_client.Gauge(
+    'yuccarouter_gateway_held_requests',
+    'Requests that are held back as endpoints crash on them',
+)
 RATE_LIMITED_ENDPOINTS: Final = prometheus_client.Gauge(
     'yuccarouter_gateway_rate_limited_endpoints',
     'Endpoints that state a rate limit',
--- a/packages/daemon/src/yuccarouter/gateway/refusal_responses.py
+++ b/packages/daemon/src/yuccarouter/gateway/refusal_responses.py
@@ -12,7 +12,7 @@
 from yuccarouter_common import records, refusals
 
 if TYPE_CHECKING:
-    from yuccarouter.gateway import attempts
+    from yuccarouter.gateway import attempts, crash_evidence
 
 # Jitter is added, so that refused callers don't all retry at the same time.
 _SHORT_RETRY_AFTER_MS: Final = 300.0
@@ -69,12 +69,13 @@
     )
 
 
-def prompt_held(hold_ms: float) -> refusals.RefusalError:
-    """Return the refusal of a prompt on which engines crash."""
+def held(hold: crash_evidence.Hold) -> refusals.RefusalError:
+    """Return the refusal of a request on which endpoints crash."""
+    code, message = 'prompt_held', 'engines crash on a part of this prompt'
+    if hold.is_request:
+        code, message = 'request_held', 'endpoints crash on this request'
     return refusals.RefusalError(
-        'prompt_held',
-        'engines crash on a part of this prompt',
-        retry_after_ms=math.ceil(hold_ms),
+        code, message, retry_after_ms=math.ceil(hold.remaining_ms)
     )
 
 
@@ -95,9 +96,9 @@
             'no other endpoint answered' if fault is None else fault.message
         )
         return refusals.RefusalError(code, message, outcome=refusals.UNKNOWN)
-    hold_ms = out.prompt_hold_ms()
-    if hold_ms is not None:
-        return prompt_held(hold_ms)
+    hold = out.hold()
+    if hold is not None:
+        return held(hold)
     if fault is None and out.remaining_ms() > 0:
         return no_endpoint(
             out.service, out.gateway.rate_limit_wait_ms(out.service)
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -103,7 +103,7 @@
             self.conf.name, self.directory.started_ms, sharing_names
         )
         self.crash_evidence = crash_evidence.CrashEvidence(
-            self.conf.name, sharing_names
+            self.conf.name, sharing_names, self.directory.endpoint_count
         )
         self.retry_budget = retry_budget.RetryBudget(
             bounds.retry_ratio,
--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -19,6 +19,7 @@
 from aiohttp import client_reqrep
 
 from yuccarouter.gateway import (
+    answer_progress,
     attempts,
     choice,
     crash_checks,
@@ -101,6 +102,11 @@
             record_answers=_count,
             latencies=latency_judge.LatencyJudge(bool, _count),
         ),
+        crash_evidence=crash_evidence.CrashEvidence(
+            'd0', tuple, lambda service: 9
+        ),
+        process_id=1,
+        gossip=None,
         session=Session(*results),
         platform=types.SimpleNamespace(
             encode_attempt=lambda call, attempt: (),
@@ -185,11 +191,9 @@
 def crashing_call(*results: Any) -> attempts.OutgoingCall:
     """Return a call with the prompt parts ``sys`` and ``new``."""
     out = outgoing(*results, allowed_retries=9)
-    evidence = crash_evidence.CrashEvidence('d0', tuple)
-    evidence.record_answer('engine', ('sys',), clocks.monotonic_ms() - 1000)
-    out.gateway.crash_evidence = evidence
-    out.gateway.process_id = 1
-    out.gateway.gossip = None
+    out.gateway.crash_evidence.record_answer(
+        'engine', ('sys',), clocks.monotonic_ms() - 1000
+    )
     out.part_ids = ('sys', 'new')
     out.route = attrs.evolve(ROUTE, max_attempts=9)
     return out
@@ -197,7 +201,7 @@
 
 @pytest.mark.parametrize(
     ('is_answered_before', 'sends'),
-    [(False, 2), (True, 9)],
+    [(False, 2), (True, 3)],
     ids=['never answered', 'answered before'],
 )
 async def test_crashes_by_one_request(
@@ -205,7 +209,7 @@
 ) -> None:
     """Guards against a request that crashes an engine with each attempt.
 
-    A prompt whose parts were all answered before only met the crashes.
+    One that was answered before may only have met the crashes.
     """
 
     async def has_crashed(checks: Any, view: Any) -> bool:
@@ -215,6 +219,9 @@
     out = crashing_call(*[aiohttp.ServerDisconnectedError()] * 9)
     if is_answered_before:
         out.part_ids = ('sys',)
+        out.gateway.crash_evidence.record_answer(
+            'engine', out.suspects, clocks.monotonic_ms() - 1000
+        )
 
     async def attempt(chosen: choice.Choice) -> None:
         async with attempts.open_attempt(out, chosen, '', '', 1000):
@@ -225,7 +232,7 @@
             out, lambda: out.next_endpoint(''), attempt
         )
     assert refused.value.status == 502
-    assert out.sends == min(sends, retries._MAX_SENDS)
+    assert out.sends == sends
 
 
 async def test_waiting_prompt_is_withdrawn() -> None:
@@ -268,7 +275,7 @@
         )
     with pytest.raises(attempts.AttemptError) as fault:
         await asyncio.wait_for(waiting, 5)
-    assert fault.value.code == 'prompt_held'
+    assert fault.value.code == 'withdrawn'
     assert fault.value.may_have_run
     assert chosen.endpoint.consecutive_failures == 0
 
@@ -280,17 +287,18 @@
     """
     out = crashing_call()
     loop = asyncio.get_running_loop()
+    progress = answer_progress.Progress(make.view(), 'r', '', 0, 0)
     failures: list[Exception] = []
 
     async def wait() -> None:
         async with asyncio.timeout(0) as timeout:
-            with attempts._follow_waiting(out, timeout):
+            with attempts._follow_waiting(out, progress, timeout):
                 (waiting,) = out.gateway.crash_evidence._waiting
                 timeout.reschedule(loop.time())
                 loop.call_soon(try_withdrawal, waiting)
                 await asyncio.sleep(3600)
 
-    def try_withdrawal(waiting: crash_evidence.WaitingPrompt) -> None:
+    def try_withdrawal(waiting: crash_evidence.WaitingRequest) -> None:
         try:
             waiting.withdraw()
             waiting.withdraw()
@@ -319,7 +327,7 @@
             pytest.fail('the engine has crashed')
     assert fault.value.lost is not None
     await lost_answers.investigate(out, fault.value.lost)
-    peer = crash_evidence.CrashEvidence('d1', tuple)
+    peer = crash_evidence.CrashEvidence('d1', tuple, lambda service: 9)
     now_ms = clocks.monotonic_ms()
     peer.merge(out.gateway.crash_evidence.message(now_ms), now_ms)
     assert len(peer.message(now_ms)) == 1
--- a/packages/daemon/tests/gateway/test_crash_evidence.py
+++ b/packages/daemon/tests/gateway/test_crash_evidence.py
@@ -21,7 +21,7 @@
 def evidence_of(
     name: str = 'd1', others: tuple[str, ...] = ()
 ) -> crash_evidence.CrashEvidence:
-    return crash_evidence.CrashEvidence(name, lambda: others)
+    return crash_evidence.CrashEvidence(name, lambda: others, lambda service: 9)
 
 
 def attempt(
@@ -55,7 +55,9 @@
     evidence = record(evidence_of(), 'sys x', 'sys x', 'sys x')
     evidence.record_answer(SERVICE, ('sys', 'y'), 3100)
     assert not evidence.may_send(SERVICE, ('sys', 'x'), 3200)
-    assert evidence.hold_ms(SERVICE, ('sys', 'x'), 3200) == HOLD_MS - 200
+    assert evidence.hold(SERVICE, ('sys', 'x'), 3200) == crash_evidence.Hold(
+        HOLD_MS - 200, is_request=False
+    )
     assert evidence.may_send(SERVICE, ('sys', 'y'), 3200)
     assert evidence.may_send('other', ('sys', 'x'), 3200)
 
@@ -65,7 +67,7 @@
     evidence = record(evidence_of(), 'x', 'x', 'x')
     evidence.record_answer(SERVICE, ('x',), 3100)
     assert evidence.may_send(SERVICE, ('x',), 3200)
-    assert evidence.hold_ms(SERVICE, ('x',), 3200) is None
+    assert evidence.hold(SERVICE, ('x',), 3200) is None
 
 
 def test_a_held_prompt_is_tried_again_once() -> None:
@@ -109,7 +111,7 @@
         for receiver in daemons:
             receiver.merge(sender.message(8000), 8000)
     held = [
-        [each.hold_ms(SERVICE, (part,), 8100) for part in 'xyz']
+        [each.hold(SERVICE, (part,), 8100) for part in 'xyz']
         for each in daemons
     ]
     assert held[0] == held[1] == held[2]
@@ -127,7 +129,8 @@
             SERVICE, [f'a{number}-{each}' for each in range(9)], 0
         )
     assert len(evidence._attempts) <= 64
-    assert len(evidence._answered_ms) <= 2048
+    assert len(evidence._answered._parts_ms) <= 2048
+    assert len(evidence._answered._requests_ms) <= 2048
     message = orjson.dumps(evidence.message(2_000_000))
     assert len(message) <= BYTES_PER_MESSAGE
 
@@ -174,7 +177,7 @@
     dropped = attrs.evolve(attempt(9, 'x', crashed_ms=closed_ms), engine=engine)
     evidence.dropped.record(dropped)
     evidence.record_crash(attempt(3, 'other'), 3000)
-    assert (evidence.hold_ms(SERVICE, ('x',), 3100) is not None) is is_held
+    assert (evidence.hold(SERVICE, ('x',), 3100) is not None) is is_held
 
 
 def test_cleared_attempts_are_forgotten() -> None:
@@ -199,6 +202,6 @@
     daemon.record_answer(SERVICE, ('x',), 3100)
     daemon.message(20_000)
     daemon.merge(late.message(20_000), 20_000)
-    assert daemon.hold_ms(SERVICE, ('x',), 20_000) is None
+    assert daemon.hold(SERVICE, ('x',), 20_000) is None
     late.merge(daemon.message(20_000), 20_000)
-    assert late.hold_ms(SERVICE, ('x',), 20_000) is None
+    assert late.hold(SERVICE, ('x',), 20_000) is None
--- a/packages/daemon/tests/gateway/test_crash_records.py
+++ b/packages/daemon/tests/gateway/test_crash_records.py
@@ -30,7 +30,9 @@
 
     def __attrs_post_init__(self) -> None:
         """Build the parts."""
-        self.evidence = crash_evidence.CrashEvidence(f'd{self.rank}', tuple)
+        self.evidence = crash_evidence.CrashEvidence(
+            f'd{self.rank}', tuple, lambda service: 9
+        )
         self.topic = topics.Topic(
             'state', self.store, lambda entry: None, lambda outage_ms: None
         )
@@ -97,8 +99,8 @@
     await restarted.step()
     restarted.meet_crash(3, clock.now_ms + 100, 'sys', 'x')
     now_ms = clock.now_ms + 200
-    assert restarted.evidence.hold_ms(SERVICE, ('x',), now_ms) is not None
-    assert restarted.evidence.hold_ms(SERVICE, ('sys',), now_ms) is None
+    assert restarted.evidence.hold(SERVICE, ('x',), now_ms) is not None
+    assert restarted.evidence.hold(SERVICE, ('sys',), now_ms) is None
 
 
 async def test_record_is_written_once_and_removed(clock: make.Clock) -> None:
@@ -127,6 +129,22 @@
     assert store.appends == 0
 
 
+@pytest.mark.parametrize(('crashes', 'appends'), [(1, 0), (2, 1)])
+async def test_only_held_requests_are_stored(
+    clock: make.Clock, crashes: int, appends: int
+) -> None:
+    """Guards against a call to the store for each request lost in a crash.
+
+    Most of them never come again, so that no answer would clear them.
+    """
+    store = gateway_store.MemoryStore()
+    daemon = Daemon(store)
+    for number in range(crashes):
+        daemon.meet_crash(number, clock.now_ms, '/d')
+    await advance(clock, [daemon], 5000)
+    assert store.appends == appends
+
+
 @pytest.mark.parametrize(
     'value', [b'5', b'{', b'[[1]]', b'[[[1,1],["e","s"],["a",1],[[],[]]]]']
 )
--- a/packages/daemon/tests/gateway/test_crash_suspicions.py
+++ b/packages/daemon/tests/gateway/test_crash_suspicions.py
@@ -124,12 +124,91 @@
             {'OLD'},
             id='answered before, beside new parts',
         ),
+        pytest.param(
+            [(1, 'a', 100, 'x /d'), (2, 'b', 300, 'x /d')],
+            {'/d'},
+            id='request that comes again',
+        ),
+        pytest.param(
+            [(1, 'a', 100, '/d'), (2, 'b', 110, '/d')],
+            {'/d'},
+            id='copies of a request at the same time',
+        ),
+        pytest.param(
+            [
+                (1, 'a', 100, 'x /d'),
+                (2, 'b', 300, 'x /d'),
+                (3, 'c', 500, 'x /d'),
+                (4, 'c', 500, 'x /s'),
+            ],
+            {'/d'},
+            id='part that one request brought several times',
+        ),
+        pytest.param(
+            [
+                (1, 'a', 100, 'x /d1'),
+                (1, 'b', 300, 'x /d1'),
+                (2, 'c', 500, 'x /d2'),
+            ],
+            {'x'},
+            id='part that several requests brought',
+        ),
+        pytest.param(
+            [
+                (1, 'a', 100, '/d'),
+                (2, 'a', 100, '/s'),
+                (1, 'b', 300, '/d'),
+                (2, 'b', 300, '/s'),
+            ],
+            set(),
+            id='two requests lost in the same crashes',
+        ),
+        pytest.param(
+            [
+                (1, 'a', 100, '/d'),
+                (2, 'a', 100, '/s'),
+                (1, 'b', 300, '/d'),
+                (2, 'b', 300, '/s'),
+                (3, 'c', 500, '/d'),
+            ],
+            {'/d'},
+            id='two requests told apart by a third crash',
+        ),
+        pytest.param(
+            [
+                (request, engine, 100 * step, name)
+                for step, engine in enumerate('abc')
+                for request, name in ((1, '/d'), (2, '/s'))
+            ],
+            {'/d', '/s'},
+            id='two requests lost in the same three crashes',
+        ),
+        pytest.param(
+            [(1, 'a', 100, '/D'), (2, 'b', 300, '/D')],
+            set(),
+            id='request that was answered before, two crashes',
+        ),
+        pytest.param(
+            [(1, 'a', 100, '/D'), (2, 'b', 300, '/D'), (3, 'c', 500, '/D')],
+            {'/D'},
+            id='request that was answered before, three crashes',
+        ),
+        pytest.param(
+            [
+                (1, 'a', 100, '/d1'),
+                (2, 'b', 150, '/d2'),
+                (1, 'c', 300, '/d1'),
+                (2, 'd', 350, '/d2'),
+            ],
+            {'/d1', '/d2'},
+            id='two requests at once',
+        ),
     ],
 )
 def test_parts_that_explain_the_crashes(
     rows: list[Row], parts: set[str]
 ) -> None:
-    """Guards against sound prompts that are held for a crashing part."""
+    """Guards against sound requests that are held for crashes of others."""
     assert find(rows) == parts
 
 
