Wait for the evidence of peers before a retry where endpoints are few

All three endpoints were down.

A request that was lost in a crash, and may run again, now waits 80 ms before its retry if its service has at most three endpoints. Requests that were answered before are retried at once.

--- a/packages/daemon/src/yuccarouter/gateway/lost_answers.py
+++ b/packages/daemon/src/yuccarouter/gateway/lost_answers.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import asyncio
+from typing import TYPE_CHECKING, Final
 
 import eliot
 import xxhash
@@ -13,11 +14,21 @@
 if TYPE_CHECKING:
     from yuccarouter.gateway import answer_progress, attempts, endpoints
 
+# A copy of the request may just have crashed another endpoint. Peers tell of
+# that within this time.
+_PEER_EVIDENCE_DELAY_S: Final = 0.08
+# A second crash leaves one endpoint of such a service.
+_SMALL_SERVICE_ENDPOINTS: Final = 3
+
 
 async def investigate(
     out: attempts.OutgoingCall, progress: answer_progress.Progress
 ) -> None:
-    """Record a lost answer if its endpoint has crashed."""
+    """Record a lost answer if its endpoint has crashed.
+
+    Where endpoints are few, it returns only once peers may have told of other
+    crashes on the same request.
+    """
     crashed_ms = clocks.monotonic_ms()
     has_crashed = await out.gateway.crash_evidence.checks.has_crashed(
         progress.view
@@ -40,6 +51,13 @@
     out.crashes += bool(recorded.new_suspects)
     if out.gateway.gossip is not None:
         out.gateway.gossip.has_news.set()
+    if (
+        out.digest in recorded.new_suspects
+        and out.may_run_again(after=0)
+        and out.gateway.crash_evidence.engine_count(out.service)
+        <= _SMALL_SERVICE_ENDPOINTS
+    ):
+        await asyncio.sleep(_PEER_EVIDENCE_DELAY_S)
 
 
 def record_dropped(
--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -235,6 +235,53 @@
     assert out.sends == sends
 
 
+async def test_retry_waits_for_the_evidence_of_peers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against copies of a request that crash all of three endpoints.
+
+    Two daemons send one copy each at the same time; both would be sent again
+    before either daemon learns of the other crash.
+    """
+    out = crashing_call(*[aiohttp.ServerDisconnectedError()] * 3)
+    evidence = out.gateway.crash_evidence
+    evidence.engine_count = lambda service: 3
+
+    def merge_peer_evidence() -> None:
+        now_ms = clocks.monotonic_ms()
+        evidence.record_crash(
+            crash_suspicions.CrashedAttempt(
+                request=2,
+                number=1,
+                engine='other',
+                service='engine',
+                sent_ms=now_ms - 60,
+                crashed_ms=now_ms - 40,
+                suspects=frozenset(out.suspects),
+                answered=frozenset(),
+                changed_ms=now_ms,
+            ),
+            now_ms,
+        )
+
+    async def has_crashed(checks: Any, view: Any) -> bool:
+        asyncio.get_running_loop().call_later(0.04, merge_peer_evidence)
+        return True
+
+    monkeypatch.setattr(crash_checks.CrashChecks, 'has_crashed', has_crashed)
+
+    async def attempt(chosen: choice.Choice) -> None:
+        async with attempts.open_attempt(out, chosen, '', '', 1000):
+            pytest.fail('the engine has crashed')
+
+    with pytest.raises(refusals.RefusalError) as refused:
+        await retries.until_answered(
+            out, lambda: out.next_endpoint(''), attempt
+        )
+    assert refused.value.status == 502
+    assert out.sends == 1
+
+
 async def test_waiting_prompt_is_withdrawn() -> None:
     """Guards against a prompt that crashes an engine after its part is held.
 
