Send nothing to endpoints whose answers say that they are leaving

An endpoint that leaves says so in all its answers (Server-Leaving: 1); the gateway did not read the header, so that a daemon whose store was unavailable, or whose copy of the record was old, went on sending to it until it stopped, and callers lost answers.

The header of an answer to this request now takes the endpoint out at once, until its next start, whatever its record says. That is kept apart from the directory, as a record that lapses during an outage of the store may return. Answers of other requests and 421 do not count.

test_leaving_endpoint_gets_no_requests: 9 cases (served, refused or failed answers of three kinds of requests), which all failed before; the last three of these failed then already in their set-up, whose prompts all went to one endpoint, and pass with prompts that differ.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -368,16 +368,8 @@
     if head.load is not None:
         view.record_load(head.load, now_ms)
     is_for_other_request = head.request_id not in {'', out.call.request_id}
-    is_from_endpoint = not (is_for_other_request or head.is_misdirected)
-    if is_from_endpoint and (
-        head.is_signed or head.rate_limit_per_s is not None
-    ):
-        out.gateway.rate_limits.record_answer(
-            view.name,
-            per_s=head.rate_limit_per_s,
-            sent_ms=progress.sent_ms,
-            now_ms=now_ms,
-        )
+    if not (is_for_other_request or head.is_misdirected):
+        _record_notices(out, head, progress, now_ms)
     if head.not_run:
         if head.is_misdirected:
             _record_unreachable(out, view)
@@ -403,6 +395,25 @@
     return OpenAnswer(response, head, view, progress)
 
 
+def _record_notices(
+    out: OutgoingCall,
+    head: model.AnswerHead,
+    progress: answer_progress.Progress,
+    now_ms: float,
+) -> None:
+    """Record what an endpoint asks for in its answer to this request."""
+    view = progress.view
+    if head.is_signed or head.rate_limit_per_s is not None:
+        out.gateway.rate_limits.record_answer(
+            view.name,
+            per_s=head.rate_limit_per_s,
+            sent_ms=progress.sent_ms,
+            now_ms=now_ms,
+        )
+    if head.is_leaving:
+        out.gateway.directory.record_leaving(view)
+
+
 async def read_body(
     out: OutgoingCall, opened: OpenAnswer, until_ms: float
 ) -> bytes:
--- a/packages/daemon/src/yuccarouter/gateway/endpoints.py
+++ b/packages/daemon/src/yuccarouter/gateway/endpoints.py
@@ -9,7 +9,7 @@
 import attrs
 import eliot
 
-from yuccarouter.gateway import model
+from yuccarouter.gateway import endpoint_notices, model
 from yuccarouter_common import clocks
 
 if TYPE_CHECKING:
@@ -158,6 +158,7 @@
         self._removed: collections.OrderedDict[str, model.Incarnation] = (
             collections.OrderedDict()
         )
+        self._notices = endpoint_notices.EndpointNotices()
         self._reannouncement_grace_until_ms = -math.inf
 
     def __iter__(self) -> Iterator[EndpointView]:
@@ -238,6 +239,20 @@
         known.remove_at_ms = math.inf
         self._update(known, announced)
 
+    def record_leaving(self, view: EndpointView) -> None:
+        """Record an answer of an endpoint that says that it is leaving.
+
+        It holds until the endpoint starts again, whatever its record says.
+        """
+        self._notices.record_leaving(view.announced)
+        current = self._views.get(view.name)
+        if current is not None:
+            _replace_announced(
+                current,
+                current.announced,
+                is_leaving=self._notices.of(current.announced).is_leaving,
+            )
+
     def remove(self, endpoint: str) -> None:
         """Remove an endpoint, after the grace period if one is in effect."""
         view = self._views.get(endpoint)
@@ -265,6 +280,8 @@
             and announced.incarnation <= last_incarnation
         ):
             return
+        if self._notices.of(announced).is_leaving:
+            announced = attrs.evolve(announced, is_draining=True)
         cold_ms = announced.cold_remaining_ms
         self._views[announced.endpoint] = EndpointView(
             announced, cold_until_ms=clocks.monotonic_ms() + cold_ms
@@ -282,16 +299,9 @@
     def _update(
         self, view: EndpointView, announced: model.Announcement
     ) -> None:
-        was_draining = view.announced.is_draining
-        if was_draining and not announced.is_draining:
-            announced = attrs.evolve(announced, is_draining=True)
-        if announced.is_draining and not was_draining:
-            eliot.log_message(
-                'endpoint_draining',
-                endpoint=announced.endpoint,
-                sequence=announced.incarnation.sequence,
-            )
-        view.announced = announced
+        _replace_announced(
+            view, announced, is_leaving=self._notices.of(announced).is_leaving
+        )
         cold_until_ms = clocks.monotonic_ms() + announced.cold_remaining_ms
         view.cold_until_ms = (
             cold_until_ms if announced.cold_remaining_ms else -math.inf
@@ -306,5 +316,21 @@
         eliot.log_message('endpoint_removed', endpoint=view.name)
 
 
+def _replace_announced(
+    view: EndpointView, announced: model.Announcement, *, is_leaving: bool
+) -> None:
+    """Replace a view's record; an endpoint that drains keeps draining."""
+    was_draining = view.announced.is_draining
+    if was_draining or is_leaving:
+        announced = attrs.evolve(announced, is_draining=True)
+    if announced.is_draining and not was_draining:
+        eliot.log_message(
+            'endpoint_draining',
+            endpoint=announced.endpoint,
+            sequence=announced.incarnation.sequence,
+        )
+    view.announced = announced
+
+
 def _backlog_size(view: EndpointView) -> tuple[float, int]:
     return (view.pending_prefill_ms, view.in_flight)
--- a/packages/daemon/src/yuccarouter/gateway/model.py
+++ b/packages/daemon/src/yuccarouter/gateway/model.py
@@ -233,7 +233,8 @@
     not run, and ``is_misdirected`` if another endpoint than the addressed one
     answered. ``confidence`` is the model's confidence in its answer, 0 to 100.
     ``rate_limit_per_s`` is the rate of requests that the endpoint accepts from
-    all daemons together, ``None`` if it states none.
+    all daemons together, ``None`` if it states none. ``is_leaving`` is true if
+    the endpoint is about to stop.
     """
 
     status: int
@@ -246,6 +247,7 @@
     is_encoded: bool
     is_misdirected: bool = False
     rate_limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 def prompt_tokens(call: Call) -> int:
