Keep the pauses that endpoints ask for

An endpoint that turns a request away with 503 may say for how long it wants nothing from this daemon (Retry-After). The header was not read: an endpoint in trouble was asked again at once and for each new request, and callers lost time with attempts that could only be refused.

A pause now takes the endpoint out for this daemon until it ends or the endpoint starts again; a shorter one does not end it, and it outlasts a record that lapses and returns. Where all endpoints of a service have asked for one, callers are refused at once, with the time of the first that returns.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -410,8 +410,12 @@
             sent_ms=progress.sent_ms,
             now_ms=now_ms,
         )
-    if head.is_leaving:
-        out.gateway.directory.record_leaving(view)
+    if head.is_leaving or head.pause_ms is not None:
+        out.gateway.directory.record_notice(
+            view,
+            is_leaving=head.is_leaving,
+            paused_until_ms=now_ms + (head.pause_ms or 0),
+        )
 
 
 async def read_body(
--- a/packages/daemon/src/yuccarouter/gateway/choice.py
+++ b/packages/daemon/src/yuccarouter/gateway/choice.py
@@ -140,7 +140,10 @@
         return False
     if announced.endpoint in requirements.tried:
         return False
-    if announced.endpoint in requirements.rate_limited:
+    if (
+        announced.endpoint in requirements.rate_limited
+        or now_ms < view.paused_until_ms
+    ):
         return False
     if announced.data_centre in requirements.out_of_service:
         return False
--- a/packages/daemon/src/yuccarouter/gateway/endpoint_notices.py
+++ b/packages/daemon/src/yuccarouter/gateway/endpoint_notices.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from typing import Final
 
 import attrs
@@ -16,11 +17,13 @@
 class Notice:
     """What an endpoint that started at ``started_ms`` asks for.
 
-    With ``is_leaving`` it wants no more requests.
+    With ``is_leaving`` it wants no more requests at all, and none from this
+    daemon until ``paused_until_ms``.
     """
 
     started_ms: int
     is_leaving: bool = False
+    paused_until_ms: float = -math.inf
 
 
 @attrs.define
@@ -43,13 +46,23 @@
             return Notice(started_ms)
         return notice
 
-    def record_leaving(self, announced: model.Announcement) -> None:
-        """Record that an endpoint is leaving."""
-        self._record(
-            announced, attrs.evolve(self.of(announced), is_leaving=True)
+    def record(
+        self,
+        announced: model.Announcement,
+        *,
+        is_leaving: bool,
+        paused_until_ms: float,
+    ) -> None:
+        """Record what an answer asks for.
+
+        It neither revokes a departure nor shortens a pause.
+        """
+        known = self.of(announced)
+        notice = attrs.evolve(
+            known,
+            is_leaving=is_leaving or known.is_leaving,
+            paused_until_ms=max(paused_until_ms, known.paused_until_ms),
         )
-
-    def _record(self, announced: model.Announcement, notice: Notice) -> None:
         self._notices[announced.endpoint] = notice
         self._notices.move_to_end(announced.endpoint)
         if len(self._notices) > _MAX_ENDPOINTS:
--- a/packages/daemon/src/yuccarouter/gateway/endpoints.py
+++ b/packages/daemon/src/yuccarouter/gateway/endpoints.py
@@ -64,6 +64,7 @@
     failure_share: float = 0
     consecutive_failures: int = 0
     avoid_until_ms: float = -math.inf
+    paused_until_ms: float = -math.inf
     remove_at_ms: float = math.inf
     peer_backlog: dict[str, PeerBacklog] = attrs.field(factory=dict)
     cold_send_times_ms: collections.deque[float] = attrs.field(
@@ -239,18 +240,24 @@
         known.remove_at_ms = math.inf
         self._update(known, announced)
 
-    def record_leaving(self, view: EndpointView) -> None:
-        """Record an answer of an endpoint that says that it is leaving.
+    def record_notice(
+        self, view: EndpointView, *, is_leaving: bool, paused_until_ms: float
+    ) -> None:
+        """Record that an endpoint wants no more requests, or none for a while.
 
         It holds until the endpoint starts again, whatever its record says.
         """
-        self._notices.record_leaving(view.announced)
+        self._notices.record(
+            view.announced,
+            is_leaving=is_leaving,
+            paused_until_ms=paused_until_ms,
+        )
         current = self._views.get(view.name)
         if current is not None:
+            notice = self._notices.of(current.announced)
+            current.paused_until_ms = notice.paused_until_ms
             _replace_announced(
-                current,
-                current.announced,
-                is_leaving=self._notices.of(current.announced).is_leaving,
+                current, current.announced, is_leaving=notice.is_leaving
             )
 
     def remove(self, endpoint: str) -> None:
@@ -280,11 +287,14 @@
             and announced.incarnation <= last_incarnation
         ):
             return
-        if self._notices.of(announced).is_leaving:
+        notice = self._notices.of(announced)
+        if notice.is_leaving:
             announced = attrs.evolve(announced, is_draining=True)
         cold_ms = announced.cold_remaining_ms
         self._views[announced.endpoint] = EndpointView(
-            announced, cold_until_ms=clocks.monotonic_ms() + cold_ms
+            announced,
+            cold_until_ms=clocks.monotonic_ms() + cold_ms,
+            paused_until_ms=notice.paused_until_ms,
         )
         eliot.log_message(
             'endpoint_added',
--- a/packages/daemon/src/yuccarouter/gateway/model.py
+++ b/packages/daemon/src/yuccarouter/gateway/model.py
@@ -234,7 +234,8 @@
     answered. ``confidence`` is the model's confidence in its answer, 0 to 100.
     ``rate_limit_per_s`` is the rate of requests that the endpoint accepts from
     all daemons together, ``None`` if it states none. ``is_leaving`` is true if
-    the endpoint is about to stop.
+    the endpoint is about to stop. ``pause_ms`` is the time in which it wants no
+    request from this daemon, ``None`` if it states none.
     """
 
     status: int
@@ -248,6 +249,7 @@
     is_misdirected: bool = False
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
+    pause_ms: float | None = None
 
 
 def prompt_tokens(call: Call) -> int:
--- a/packages/daemon/src/yuccarouter/gateway/refusal_responses.py
+++ b/packages/daemon/src/yuccarouter/gateway/refusal_responses.py
@@ -17,9 +17,9 @@
 # Jitter is added, so that refused callers don't all retry at the same time.
 _SHORT_RETRY_AFTER_MS: Final = 300.0
 _LONG_RETRY_AFTER_MS: Final = 800.0
-# Longest wait for an endpoint's rate limit that callers are told. Another
-# daemon may be able to send earlier.
-_MAX_RATE_LIMIT_RETRY_AFTER_MS: Final = 2000.0
+# Longest wait for an endpoint's rate limit or pause that callers are told.
+# Another daemon may be able to send earlier.
+_MAX_ENDPOINT_RETRY_AFTER_MS: Final = 2000.0
 # A store that is unavailable when a daemon starts mostly stays so for another
 # second, and most callers retry only once.
 _STARTUP_RETRY_AFTER_MS: Final = 1000.0
@@ -49,19 +49,16 @@
 
 
 def no_endpoint(
-    service: str, rate_limit_wait_ms: float | None = None
+    service: str, endpoint_wait_ms: float | None = None
 ) -> refusals.RefusalError:
     """Return the refusal when no endpoint of the service may be used.
 
-    ``rate_limit_wait_ms`` is the time until an endpoint's rate limit allows a
-    request, ``None`` if no limit is the cause.
+    ``endpoint_wait_ms`` is the time until an endpoint's rate limit or pause
+    allows a request, ``None`` if neither is the cause.
     """
     retry_after_ms = _LONG_RETRY_AFTER_MS
-    if rate_limit_wait_ms is not None:
-        retry_after_ms = min(
-            _MAX_RATE_LIMIT_RETRY_AFTER_MS,
-            max(_SHORT_RETRY_AFTER_MS, rate_limit_wait_ms),
-        )
+    if endpoint_wait_ms is not None:
+        retry_after_ms = _bounded(endpoint_wait_ms)
     return refusals.RefusalError(
         'no_endpoint',
         f'no endpoint of {service} can take the request now',
@@ -99,14 +96,15 @@
     hold = out.hold()
     if hold is not None:
         return held(hold)
+    waits_ms = out.gateway.endpoint_waits_ms(out.service)
     if fault is None and out.remaining_ms() > 0:
         return no_endpoint(
-            out.service, out.gateway.rate_limit_wait_ms(out.service)
+            out.service, min(filter(None, waits_ms), default=None)
         )
     return refusals.RefusalError(
         'overloaded',
         'no endpoint took the request',
-        retry_after_ms=_with_jitter(_SHORT_RETRY_AFTER_MS),
+        retry_after_ms=_with_jitter(_bounded(min(waits_ms, default=0))),
     )
 
 
@@ -124,5 +122,11 @@
     )
 
 
+def _bounded(wait_ms: float) -> float:
+    return min(
+        _MAX_ENDPOINT_RETRY_AFTER_MS, max(_SHORT_RETRY_AFTER_MS, wait_ms)
+    )
+
+
 def _with_jitter(retry_after_ms: float) -> int:
     return math.ceil(retry_after_ms * (0.75 + random.random() / 2))
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -287,20 +287,20 @@
                 chosen = choice.choose(self.directory, requirements, now_ms)
         return chosen
 
-    def rate_limit_wait_ms(self, service: str) -> float | None:
-        """Return the time until an endpoint's rate limit allows a request.
+    def endpoint_waits_ms(self, service: str) -> list[float]:
+        """Return the time until each endpoint may get a request.
 
-        It is ``None`` if no endpoint of ``service`` is held back by its limit.
+        It is 0 unless the endpoint has asked for a pause or states a rate
+        limit. Endpoints that drain are left out.
         """
-        waits_ms = self.rate_limits.exhausted(clocks.monotonic_ms())
-        return min(
-            (
-                waits_ms[view.name]
-                for view in self.directory
-                if view.announced.service == service and view.name in waits_ms
-            ),
-            default=None,
-        )
+        now_ms = clocks.monotonic_ms()
+        limits_ms = self.rate_limits.exhausted(now_ms)
+        return [
+            max(0, view.paused_until_ms - now_ms, limits_ms.get(view.name, 0))
+            for view in self.directory
+            if view.announced.service == service
+            and not view.announced.is_draining
+        ]
 
     def _apply_configuration(self, configuration: model.Configuration) -> None:
         current_version = self.table.configuration.version if self.table else -1
