Break a stream off instead of appending another endpoint's error

Callers found the whole head and body of an error in the middle of their stream, and the connection then looked usable. The newest error of an endpoint is kept to be passed on when no attempt is left. It was passed on also if another endpoint's stream had begun since: error, broken stream, and no attempt left.

Such a stream is now broken off, so that its caller resumes it.

test_error_after_the_start_of_a_stream: of its six cases, the two in which an error comes before the stream failed before; those with the error after it passed, as _forward_failure raises there. test_head_that_breaks_off (six places in the head, four kinds of requests) passed before: such answers already end as 502.

--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -125,20 +125,27 @@
         return _next_endpoint(relay)
 
     try:
-        return await retries.until_answered(out, choose, attempt)
+        answer = await retries.until_answered(out, choose, attempt)
     except refusals.RefusalError as refusal:
         if relay.response is None:
             raise
-        eliot.log_message(
-            'stream_broken',
-            request=out.call.request_id,
-            events=relay.buffer.count,
-            attempts=out.sends,
-            left_ms=round(out.remaining_ms()),
-        )
-        raise StreamBrokenError(
-            'stream ended before its last event'
-        ) from refusal
+        raise _broken(relay) from refusal
+    # An error of another endpoint can't follow the events.
+    if relay.response is not None and answer is not relay.response:
+        raise _broken(relay)
+    return answer
+
+
+def _broken(relay: Relay) -> StreamBrokenError:
+    """Log that a stream has broken off and return the error."""
+    eliot.log_message(
+        'stream_broken',
+        request=relay.out.call.request_id,
+        events=relay.buffer.count,
+        attempts=relay.out.sends,
+        left_ms=round(relay.out.remaining_ms()),
+    )
+    return StreamBrokenError('stream ended before its last event')
 
 
 def _model_plan(out: attempts.OutgoingCall) -> model_escalation.Plan:
