Take the refusal of another request as an answer of unknown outcome

Callers were told 503, which promises that their request has not run, while an endpoint had run it; and a request that is not idempotent ran at three endpoints. An endpoint that sends an earlier refusal once more, in place of the answer, was believed: the header that says that nothing ran was checked before the id of the request. Connections are not reused, so that only the endpoint itself can mix answers up.

The id is now checked first. A refusal without an id counts as before: endpoints send those to requests whose id they could not read.

test_refusal_of_another_request: four of four kinds failed before (503 instead of 502; ran 3 times where it may not be repeated), and pass.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -370,7 +370,8 @@
     is_for_other_request = head.request_id not in {'', out.call.request_id}
     if not (is_for_other_request or head.is_misdirected):
         _record_notices(out, head, progress, now_ms)
-    if head.not_run:
+    # An endpoint may send the refusal of another request, and run this one.
+    if head.not_run and not is_for_other_request:
         if head.is_misdirected:
             _record_unreachable(out, view)
         _record_outcome(out, view, 'refused', status=head.status)
