Count crashes of held requests against answered parts

A part of prompts that had been answered before, and on which engines crash now, would never have been held since requests are: each request that brought it was held after two crashes, and these crashes then no longer counted against the part. Each new request with it could crash two more engines.

Crashes that single requests explain now count against answered parts as well; those that new parts explain do not, as before. The new case of test_parts_that_explain_the_crashes failed before: the part was missing.

--- a/packages/daemon/src/yuccarouter/gateway/crash_suspicions.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_suspicions.py
@@ -139,12 +139,19 @@
 def find_suspicions(attempts: Iterable[CrashedAttempt]) -> list[Suspicion]:
     """Return what explains the crashes, new suspects before others.
 
-    Crashes that new suspects explain don't count against other ones.
+    Crashes that new parts explain don't count against other suspects. Those
+    that single requests explain do: a part that was answered before may crash
+    engines now, in many requests that are each held.
     """
     remaining = [attempt for attempt in attempts if attempt.suspects]
     new = _explanations(remaining, _new_suspects, _NEW)
-    remaining = _unexplained(remaining, new)
-    return new + _explanations(remaining, _all_suspects, _ANSWERED)
+    new_parts = [each for each in new if not each.is_request]
+    remaining = _unexplained(remaining, new_parts)
+    known = {(each.service, each.parts) for each in new}
+    answered = _explanations(remaining, _all_suspects, _ANSWERED)
+    return new + [
+        each for each in answered if (each.service, each.parts) not in known
+    ]
 
 
 @attrs.frozen
--- a/packages/daemon/tests/gateway/test_crash_suspicions.py
+++ b/packages/daemon/tests/gateway/test_crash_suspicions.py
@@ -193,6 +193,20 @@
             {'/D'},
             id='request that was answered before, three crashes',
         ),
+        pytest.param(
+            [
+                (
+                    request,
+                    f'e{request}{each}',
+                    1000 * request + 200 * each,
+                    f'OLD /d{request}',
+                )
+                for request in (1, 2, 3)
+                for each in (0, 1)
+            ],
+            {'OLD', '/d1', '/d2', '/d3'},
+            id='answered before, in requests that are held too',
+        ),
         pytest.param(
             [
                 (1, 'a', 100, '/d1'),
