--- a/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
@@ -280,12 +280,15 @@
         self, service: str, suspects: Collection[str], now_ms: float
     ) -> float:
         """Return for how long a request that met one crash is not sent."""
+        attempts = [
+            attempt
+            for attempt in self._attempts.values()
+            if attempt.service == service
+        ]
+        if not any(each.repeated_request in suspects for each in attempts):
+            return 0
         return crash_caution.remaining_ms(
-            (
-                each
-                for each in self._attempts.values()
-                if each.service == service
-            ),
+            attempts,
             suspects,
             self.engine_count(service),
             now_ms,
--- a/packages/daemon/src/yuccarouter/gateway/refusal_responses.py
+++ b/packages/daemon/src/yuccarouter/gateway/refusal_responses.py
@@ -70,7 +70,7 @@
     """Return the refusal of a request on which endpoints crash."""
     code, message = 'prompt_held', 'engines crash on a part of this prompt'
     if hold.is_request:
-        code, message = 'request_held', 'endpoints crash on this request'
+        code, message = 'request_held', 'endpoints have crashed on this request'
     return refusals.RefusalError(
         code, message, retry_after_ms=math.ceil(hold.remaining_ms)
     )
