--- a/packages/daemon/src/yuccarouter/gateway/lost_answers.py
+++ b/packages/daemon/src/yuccarouter/gateway/lost_answers.py
@@ -51,15 +51,19 @@
     out.crashes += bool(recorded.new_suspects)
     if out.gateway.gossip is not None:
         out.gateway.gossip.has_news.set()
-    if (
-        out.digest in recorded.new_suspects
-        and out.may_run_again(after=0)
-        and out.gateway.crash_evidence.engine_count(out.service)
-        <= _SMALL_SERVICE_ENDPOINTS
-    ):
+    if out.digest in recorded.new_suspects and _would_retry_at_few(out):
         await asyncio.sleep(_PEER_EVIDENCE_DELAY_S)
 
 
+def _would_retry_at_few(out: attempts.OutgoingCall) -> bool:
+    """Return whether a request may run again, in a service of few endpoints."""
+    endpoint_count = out.gateway.crash_evidence.engine_count(out.service)
+    return (
+        out.may_run_again(after=0)
+        and endpoint_count <= _SMALL_SERVICE_ENDPOINTS
+    )
+
+
 def record_dropped(
     out: attempts.OutgoingCall, progress: answer_progress.Progress
 ) -> None:
