Give each call of the agent a connection of its own

Callers got the answer, error or refusal of an earlier call: an engine or service that sent a second answer, or other bytes, on a kept connection had it taken for the answer to the next call. Nothing in an answer shows to which call it belongs, and surplus bytes may come when the next call has been sent, so that checking an idle connection is not enough. The agent's connections are now closed after each call.

--- a/packages/daemon/src/yuccarouter/admission/calls.py
+++ b/packages/daemon/src/yuccarouter/admission/calls.py
@@ -18,9 +18,6 @@
 # Ends calls without a deadline when the endpoint hangs.
 _READ_TIMEOUT_S: Final = 300.0
 _CANCEL_TIMEOUT_S: Final = 2.0
-# Shorter than the idle timeout of common HTTP servers, so that a call is
-# rarely sent on a connection that the endpoint is closing.
-_KEEPALIVE_S: Final = 4.0
 _COMPLETIONS_PATH: Final = '/v1/chat/completions'
 _JSON: Final = 'application/json'
 
@@ -40,15 +37,15 @@
 def new_session() -> aiohttp.ClientSession:
     """Return the session that all calls to the endpoint share.
 
-    The agent's concurrency limiter bounds the calls, so the connector has no
-    limit.
+    Each call has a connection of its own: on a reused one, a second or late
+    answer would be taken for the answer to the next call. The agent's
+    concurrency limiter bounds the calls, so the connector has no limit.
     """
     trace_config = aiohttp.TraceConfig()
     trace_config.on_connection_create_start.append(_on_connection)
-    trace_config.on_connection_reuseconn.append(_on_connection)
     trace_config.on_request_headers_sent.append(_on_headers_sent)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=_KEEPALIVE_S),
+        connector=aiohttp.TCPConnector(limit=0, force_close=True),
         trace_configs=[trace_config],
         timeout=aiohttp.ClientTimeout(
             total=None,
@@ -123,8 +120,8 @@
     session: aiohttp.ClientSession, context: SimpleNamespace, details: Any
 ) -> None:
     progress: CallProgress | None = context.trace_request_ctx
-    # aiohttp repeats GET, PUT and DELETE calls on a new connection when a
-    # kept-alive one breaks. A repeat could run a non-idempotent call twice.
+    # aiohttp repeats GET, PUT and DELETE calls on a new connection when the
+    # first one breaks. A repeat could run a non-idempotent call twice.
     if progress is not None and progress.sent:
         raise aiohttp.ClientConnectionError('connection lost')
 
--- a/packages/daemon/tests/admission/test_run.py
+++ b/packages/daemon/tests/admission/test_run.py
@@ -398,7 +398,7 @@
 ) -> None:
     """Guards against the HTTP client repeating a call on a new connection.
 
-    The kept-alive connection closes after the call was sent.
+    The connection closes after the call was sent.
     """
     await agent.events(plain_request(method=method))
     endpoint.break_mode = 'close'
--- /dev/null
+++ b/packages/daemon/tests/admission/test_second_answers.py
@@ -0,0 +1,119 @@
+"""Tests of calls to endpoints that send more than one answer to a call."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import orjson
+import pytest
+
+from yuccarouter_common.proto import router_pb2
+from yuccarouter_testkit import raw_server
+
+_AT_ONCE = raw_server.Timing.AT_ONCE
+_LATE = raw_server.Timing.LATE
+_NEXT = raw_server.Timing.NEXT
+_STREAM = 'stream'
+_WHOLE = 'whole'
+_SERVICE = 'service'
+_KINDS = (_STREAM, _WHOLE, _SERVICE)
+_ERROR = b'{"error": "x"}'
+_SURPLUS = {
+    'error': raw_server.framed(_ERROR, status='503 Service Unavailable'),
+    'refusal': raw_server.framed(_ERROR, status='429 Too Many Requests'),
+    'no answer': b'\x00\xffno answer\r\n\r\n',
+}
+_SECOND_ANSWERS = ('same', 'other', 'error', 'refusal')
+
+
+def _body(kind: str, text: str) -> bytes:
+    """Return what an endpoint answers to a request of a kind."""
+    usage = {'prompt_tokens': 5, 'completion_tokens': 1}
+    if kind == _SERVICE:
+        return f'paid {text}'.encode()
+    if kind == _WHOLE:
+        choice: Any = {'message': {'content': text}, 'finish_reason': 'stop'}
+        return orjson.dumps({'choices': [choice], 'usage': usage})
+    choice = {'delta': {'content': text}, 'finish_reason': 'stop'}
+    event = orjson.dumps({'id': text, 'choices': [choice], 'usage': usage})
+    return b'data: %b\n\ndata: [DONE]\n\n' % event
+
+
+def _server(
+    kind: str, framing: str, surplus: str, timing: raw_server.Timing
+) -> raw_server.RawServer:
+    """Return an endpoint whose answers contain the id of their attempt."""
+
+    def answer(request: raw_server.Request) -> bytes:
+        text = request.headers.get('x-attempt-id', '')
+        return raw_server.framed(_body(kind, text), framing=framing)
+
+    def send_more(request: raw_server.Request) -> bytes:
+        if surplus == 'same':
+            return answer(request)
+        other = raw_server.framed(_body(kind, 'other'), framing=framing)
+        return _SURPLUS.get(surplus, other)
+
+    return raw_server.RawServer(
+        answer, send_more, timing, closes=framing == 'none'
+    )
+
+
+async def _run(
+    agent: Any, url: str, request: router_pb2.RunRequest
+) -> tuple[str, bytes]:
+    """Return how an attempt ended and the body that the entry received."""
+    events: list[router_pb2.RunEvent] = []
+
+    async def write(event: router_pb2.RunEvent) -> None:
+        events.append(event)
+
+    location = attrs.evolve(agent.runner.client.location, url=url)
+    client = attrs.evolve(agent.runner.client, location=location)
+    await attrs.evolve(agent.runner, client=client).run(request, write)
+    body = b''.join(event.chunk.data for event in events)
+    return str(events[-1].WhichOneof('event')), body
+
+
+@pytest.fixture
+def call(agent: Any, engine_request: Any, plain_request: Any) -> Any:
+    """Return a function that runs an attempt of a kind at a server."""
+
+    async def run(kind: str, url: str, **fields: Any) -> tuple[str, bytes]:
+        build = plain_request if kind == _SERVICE else engine_request
+        request = build(stream=kind == _STREAM, deadline_ms=2000, **fields)
+        return await _run(agent, url, request)
+
+    return run
+
+
+@pytest.mark.parametrize('kind', _KINDS)
+@pytest.mark.parametrize('framing', ['length', 'chunks'])
+@pytest.mark.parametrize(
+    ('surplus', 'timing'),
+    [
+        *[(surplus, _AT_ONCE) for surplus in _SECOND_ANSWERS],
+        *[(surplus, _LATE) for surplus in (*_SECOND_ANSWERS, 'no answer')],
+        *[(surplus, _NEXT) for surplus in (*_SECOND_ANSWERS, 'no answer')],
+    ],
+)
+async def test_calls_in_succession(
+    call: Any, kind: str, framing: str, surplus: str, timing: raw_server.Timing
+) -> None:
+    """Guards against an answer that is taken for that of a later call.
+
+    The endpoint sends surplus bytes after the answer to the first call, on a
+    connection that stays open.
+    """
+    server = _server(kind, framing, surplus, timing)
+    answers = {}
+    async with raw_server.running(server):
+        for attempt_id in ('a1', 'a2', 'a3'):
+            answers[attempt_id] = await call(
+                kind, server.url, attempt_id=attempt_id
+            )
+            await server.surplus_sent.wait()
+    assert answers == {
+        attempt_id: ('done', _body(kind, attempt_id)) for attempt_id in answers
+    }
