Give each request to the platform a connection of its own

Processes took a late second answer of the log, VM list, rating service or weight store for the answer to their next request on the same kept connection. A refused append then counted as written, so that bill rows and changes could be lost, and a read could return the records of another stream. Answers bear no id, and the append's answer is only an offset. Entries, agents and yuccactl now use sessions that close the connection after each request; a second answer finds no reader.

A request costs a round trip more.

--- a/packages/common/src/yuccarouter_common/platform/exchanges.py
+++ b/packages/common/src/yuccarouter_common/platform/exchanges.py
@@ -51,6 +51,17 @@
     headers: Mapping[str, str]
 
 
+def new_session() -> aiohttp.ClientSession:
+    """Return a session for requests to platform services.
+
+    Each request has a connection of its own: on a reused one, a second or late
+    answer would be taken for the answer to the next request, so that a refused
+    append counted as written.
+    """
+    connector = aiohttp.TCPConnector(force_close=True)
+    return aiohttp.ClientSession(connector=connector)
+
+
 async def send(session: aiohttp.ClientSession, request: Request) -> bytes:
     """Return the body of a 200 answer; raises as ``send_expecting``."""
     answer = await send_expecting(session, request, _ONLY_OK)
--- a/packages/daemon/src/yuccarouter/roles/agent.py
+++ b/packages/daemon/src/yuccarouter/roles/agent.py
@@ -6,7 +6,6 @@
 import time
 from typing import TYPE_CHECKING, Any, Final
 
-import aiohttp
 import eliot
 import mode
 
@@ -18,10 +17,11 @@
 from yuccarouter.roles import admin, peering, servers
 from yuccarouter.rollout import fencing
 from yuccarouter_common import errors
-from yuccarouter_common.platform import log, vms
+from yuccarouter_common.platform import exchanges, log, vms
 from yuccarouter_common.proto import router_pb2_grpc
 
 if TYPE_CHECKING:
+    import aiohttp
     from grpc import aio
 
     from yuccarouter_common import billing_rows, model, settings, telemetry
@@ -55,7 +55,7 @@
         conf = self._conf
         if conf.endpoint is None:
             raise errors.RouterError('an agent needs an endpoint')
-        session = aiohttp.ClientSession()
+        session = exchanges.new_session()
         self._session = session
         client = log.Client(session, conf.platform.log_url)
         self._ledger = ledger.Ledger(
--- a/packages/daemon/src/yuccarouter/roles/entry.py
+++ b/packages/daemon/src/yuccarouter/roles/entry.py
@@ -6,7 +6,6 @@
 import functools
 from typing import TYPE_CHECKING, Any, Final
 
-import aiohttp
 import attrs
 import eliot
 import mode
@@ -14,8 +13,11 @@
 from yuccarouter.request_path import entry_state, http_app
 from yuccarouter.roles import admin, entry_parts, peering, servers
 from yuccarouter_common import clocks
+from yuccarouter_common.platform import exchanges
 
 if TYPE_CHECKING:
+    import aiohttp
+
     from yuccarouter.membership import peer_service
     from yuccarouter.routing import views
     from yuccarouter_common import settings, telemetry
@@ -38,7 +40,7 @@
 
     async def on_start(self) -> None:
         """Create and start the services, the callers' server last."""
-        session = aiohttp.ClientSession()
+        session = exchanges.new_session()
         self._session = session
         parts = entry_parts.build(self._conf, session)
         shared = parts.shared
--- a/packages/yuccactl/src/yuccactl/main.py
+++ b/packages/yuccactl/src/yuccactl/main.py
@@ -8,7 +8,6 @@
 import sys
 from typing import Final
 
-import aiohttp
 import attrs
 from absl import flags
 
@@ -22,6 +21,7 @@
     sources,
     statements,
 )
+from yuccarouter_common.platform import exchanges
 
 _COMMENT_PREFIX: Final = '#'
 _USAGE: Final = 'usage: yuccactl [flags] [statement]\n'
@@ -154,7 +154,7 @@
     if not options.settings_path:
         raise errors.UsageError('--settings FILE is needed')
     loaded = settings.load(options.settings_path)
-    async with aiohttp.ClientSession() as session:
+    async with exchanges.new_session() as session:
         context = sources.Context(
             loaded, session, _progress, wait_ms=options.wait_ms
         )
