End an engine's stream at its last event

Callers of streams got the head and events of a second answer as part of their stream, which still ended with [DONE] and looked complete. A stream with neither a length nor chunks ends with its connection, and the agent passed on all that came before; it also took a second answer for the rest of a stream that had stopped. The agent now stops at [DONE], the last event of the engines' protocol, and doesn't wait for the end of the connection. A line that is no field of an event, as in an answer's head, breaks the attempt, so that the stream is resumed elsewhere with the text sent so far.

--- a/packages/common/src/yuccarouter_common/stream_events.py
+++ b/packages/common/src/yuccarouter_common/stream_events.py
@@ -10,6 +10,8 @@
 
 END_OF_EVENT: Final = b'\n\n'
 _DATA: Final = b'data:'
+# The empty name is that of comments.
+_FIELDS: Final = frozenset((b'', b'data', b'event', b'id', b'retry'))
 _DONE: Final = b'[DONE]'
 
 
@@ -18,7 +20,9 @@
     """One event of a stream.
 
     ``document`` is ``None`` for the final ``[DONE]``, for comments and for
-    data that is not a JSON object. ``is_valid`` is false only for such data.
+    invalid events. ``is_valid`` is false for data that is not a JSON object,
+    and for events with a line that is no field, such as the head of another
+    answer.
     """
 
     raw: bytes
@@ -97,7 +101,11 @@
 def parse(event: bytes) -> StreamEvent:
     """Parse one event without the empty line that ends it."""
     raw = event + END_OF_EVENT
-    for line in event.split(b'\n'):
+    lines = event.split(b'\n')
+    names = {line.partition(b':')[0].strip() for line in lines}
+    if not names <= _FIELDS:
+        return StreamEvent(raw, is_valid=False)
+    for line in lines:
         if not line.startswith(_DATA):
             continue
         text = line[len(_DATA) :].strip()
--- a/packages/daemon/src/yuccarouter/admission/relay.py
+++ b/packages/daemon/src/yuccarouter/admission/relay.py
@@ -55,6 +55,9 @@
             slot.mark_first_token()
         if payload:
             await writer.send_chunk(payload, is_last=reader.done)
+        if reader.done:
+            # The rest may be a second answer, or never end.
+            break
     if not reader.done:
         raise errors.BrokenCallError('the stream ended before its last event')
     return Answer(
--- a/packages/daemon/src/yuccarouter/admission/stream.py
+++ b/packages/daemon/src/yuccarouter/admission/stream.py
@@ -26,6 +26,8 @@
 class EventReader:
     """Splits a stream into events and keeps its usage and finish reason.
 
+    ``done`` is set at the stream's last event. What follows does not belong to
+    the stream, such as a second answer on the same connection, and is dropped.
     ``usage.completion_tokens`` counts events with text until the engine's own
     usage arrives. ``hide_usage`` drops the usage event for callers that did
     not ask for it.
@@ -41,19 +43,26 @@
     def feed(self, received: bytes) -> bytes:
         """Return the events that are complete with the received bytes.
 
-        Raises ``BrokenCallError`` when an event is too large or not JSON.
+        Raises ``BrokenCallError`` when an event is too large or invalid.
         """
         parts = (self._incomplete + received).split(stream_events.END_OF_EVENT)
         self._incomplete = parts.pop()
         if len(self._incomplete) > _MAX_EVENT_BYTES:
             raise errors.BrokenCallError('the engine sent an oversized event')
-        events = [stream_events.parse(part) for part in parts]
-        return b''.join([event.raw for event in events if self._keep(event)])
+        kept = []
+        for part in parts:
+            if self.done:
+                break
+            event = stream_events.parse(part)
+            if self._keep(event):
+                kept.append(event.raw)
+        return b''.join(kept)
 
     def _keep(self, event: stream_events.StreamEvent) -> bool:
         if not event.is_valid:
             raise errors.BrokenCallError(
-                'the engine sent data that is not a JSON object'
+                'the engine sent a line that is no field of an event, or data '
+                'that is not a JSON object'
             )
         if event.is_done:
             self.done = True
--- a/packages/daemon/tests/admission/test_second_answers.py
+++ b/packages/daemon/tests/admission/test_second_answers.py
@@ -117,3 +117,56 @@
     assert answers == {
         attempt_id: ('done', _body(kind, attempt_id)) for attempt_id in answers
     }
+
+
+@pytest.mark.parametrize('surplus', (*_SECOND_ANSWERS, 'no answer'))
+@pytest.mark.parametrize('timing', [_AT_ONCE, _LATE])
+async def test_stream_that_ends_with_its_connection(
+    call: Any, surplus: str, timing: raw_server.Timing
+) -> None:
+    """Guards against a second answer that is passed on as part of a stream.
+
+    The stream has neither a length nor chunks, so that only its last event
+    shows where it ends.
+    """
+    server = _server(_STREAM, 'none', surplus, timing)
+    async with raw_server.running(server):
+        answer = await call(_STREAM, server.url)
+    assert answer == ('done', _body(_STREAM, 'a1'))
+
+
+async def test_stream_that_never_ends(call: Any) -> None:
+    """Guards against waiting for the end of a connection that stays open.
+
+    The engine sends surplus bytes after its last event and then nothing more.
+    """
+    server = _server(_STREAM, 'none', 'same', _AT_ONCE)
+    server.closes = False
+    async with raw_server.running(server):
+        answer = await call(_STREAM, server.url)
+    assert answer == ('done', _body(_STREAM, 'a1'))
+
+
+@pytest.mark.parametrize('surplus', _SECOND_ANSWERS)
+@pytest.mark.parametrize(
+    'cut',
+    [b'da', b'data: {"id"', b'}}\n', b'}}\n\n', b'\ndata:', b'[DO'],
+)
+async def test_second_answer_within_a_stream(
+    call: Any, surplus: str, cut: bytes
+) -> None:
+    """Guards against another answer that takes the place of a stream's rest.
+
+    The engine stops within its stream and then sends a whole answer.
+    """
+    server = _server(_STREAM, 'none', surplus, _AT_ONCE)
+    whole = server.answer
+
+    def stop_early(request: raw_server.Request) -> bytes:
+        return b''.join(whole(request).partition(cut)[:2])
+
+    server.answer = stop_early
+    async with raw_server.running(server):
+        ending, received = await call(_STREAM, server.url)
+    assert ending == 'failed'
+    assert _body(_STREAM, 'a1').startswith(received)
