Treat a switch of protocols by an endpoint as a broken call

A caller of a plain service that answered 101 got this status as its answer and would wait for the final one, which was dropped. aiohttp skips interim answers except 101, for which it expects the program to take the connection over; the agent relayed it as complete. No call asks for another protocol, so that the call now counts as broken and is sent again if it is idempotent; otherwise its outcome is unknown.

--- a/packages/daemon/src/yuccarouter/admission/relay.py
+++ b/packages/daemon/src/yuccarouter/admission/relay.py
@@ -75,9 +75,13 @@
 ) -> Answer:
     """Read an answer to its end.
 
-    Raises ``BrokenCallError`` for an answer that is too large, and for an
-    engine's statuses that mean that it can't serve the request.
+    Raises ``BrokenCallError`` for an answer that is too large, for one that is
+    not final, and for an engine's statuses that mean that it can't serve the
+    request.
     """
+    if response.status < _OK:
+        # aiohttp skips interim answers, but not a switch to another protocol.
+        raise errors.BrokenCallError('the endpoint switched protocols')
     body = bytearray()
     async for part in response.content.iter_chunked(_CHUNK_BYTES):
         body += part
--- a/packages/daemon/tests/admission/test_second_answers.py
+++ b/packages/daemon/tests/admission/test_second_answers.py
@@ -170,3 +170,21 @@
         ending, received = await call(_STREAM, server.url)
     assert ending == 'failed'
     assert _body(_STREAM, 'a1').startswith(received)
+
+
+@pytest.mark.parametrize('kind', _KINDS)
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+async def test_protocol_switch(call: Any, kind: str, method: str) -> None:
+    """Guards against an interim answer that is passed on as the final one.
+
+    No call asks for another protocol, and a caller would wait for a final
+    answer after the status 101.
+    """
+    switch = b'HTTP/1.1 101 X\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n'
+    server = raw_server.RawServer(
+        lambda _: switch + raw_server.framed(_body(kind, 'a1')),
+        lambda _: b'',
+    )
+    async with raw_server.running(server):
+        ending, received = await call(kind, server.url, method=method)
+    assert (ending, received) == ('failed', b'')
