Keep no cookies of endpoints

A cookie that an engine or service set in the answer to one caller was sent with the calls of all other callers of the agent, where the endpoint's address is a name: a service that keeps its state in cookies could answer one caller with another's data. The session kept a cookie jar by default.

--- a/packages/daemon/src/yuccarouter/admission/calls.py
+++ b/packages/daemon/src/yuccarouter/admission/calls.py
@@ -46,6 +46,8 @@
     trace_config.on_request_headers_sent.append(_on_headers_sent)
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        # The calls of different callers must not share cookies.
+        cookie_jar=aiohttp.DummyCookieJar(),
         trace_configs=[trace_config],
         timeout=aiohttp.ClientTimeout(
             total=None,
--- a/packages/daemon/tests/admission/test_second_answers.py
+++ b/packages/daemon/tests/admission/test_second_answers.py
@@ -188,3 +188,22 @@
     async with raw_server.running(server):
         ending, received = await call(kind, server.url, method=method)
     assert (ending, received) == ('failed', b'')
+
+
+@pytest.mark.parametrize('kind', _KINDS)
+async def test_cookies(call: Any, kind: str) -> None:
+    """Guards against a cookie of one caller's answer in another's call.
+
+    The endpoint is addressed by a name, for which cookies are kept.
+    """
+    body = _body(kind, 'a1')
+    answer = raw_server.framed(body).replace(
+        b'Content-Length', b'Set-Cookie: account=1\r\nContent-Length'
+    )
+    server = raw_server.RawServer(lambda _: answer, lambda _: b'')
+    async with raw_server.running(server):
+        url = server.url.replace('127.0.0.1', 'localhost')
+        for attempt_id in ('a1', 'a2'):
+            await call(kind, url, attempt_id=attempt_id)
+    assert len(server.requests) == 2
+    assert not any('cookie' in sent.headers for sent in server.requests)
