Bound the size of load reports and cache events

An endpoint in trouble that answers a poll with bytes without end made the agent hold all that arrived in the second that a poll may take, and every call at the agent shares its memory. The polls read the whole answer; only answers to calls were bounded. Both are now read by one function with the same limit of 8 MiB.

test_report_without_end failed before: the report of 16 MiB was read and taken as valid.

--- a/packages/daemon/src/yuccarouter/admission/calls.py
+++ b/packages/daemon/src/yuccarouter/admission/calls.py
@@ -18,6 +18,9 @@
 # Ends calls without a deadline when the endpoint hangs.
 _READ_TIMEOUT_S: Final = 300.0
 _CANCEL_TIMEOUT_S: Final = 2.0
+_CHUNK_BYTES: Final = 64 * 1024
+# Bounds the memory for one answer or report of the endpoint.
+_MAX_BODY_BYTES: Final = 8 * 1024 * 1024
 _COMPLETIONS_PATH: Final = '/v1/chat/completions'
 _JSON: Final = 'application/json'
 
@@ -88,6 +91,19 @@
         raise errors.NotConnectedError(f'not connected: {fault}') from fault
 
 
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Read an answer to its end.
+
+    Raises ``BrokenCallError`` when it is too large.
+    """
+    body = bytearray()
+    async for part in response.content.iter_chunked(_CHUNK_BYTES):
+        body += part
+        if len(body) > _MAX_BODY_BYTES:
+            raise errors.BrokenCallError('the answer is too large')
+    return bytes(body)
+
+
 async def cancel(
     session: aiohttp.ClientSession, url: str, attempt_id: str
 ) -> bool:
--- a/packages/daemon/src/yuccarouter/admission/endpoint.py
+++ b/packages/daemon/src/yuccarouter/admission/endpoint.py
@@ -13,6 +13,7 @@
 
 from yuccarouter.admission import (
     cache,
+    calls,
     counters,
     errors,
     ports,
@@ -192,7 +193,7 @@
                 f'{self.location.url}{path}',
                 timeout=aiohttp.ClientTimeout(total=_POLL_TIMEOUT_S),
             ) as response:
-                body = await response.read()
+                body = await calls.read_body(response)
                 if response.status != _OK:
                     raise errors.BadReportError(f'status {response.status}')
                 return orjson.loads(body)
--- a/packages/daemon/src/yuccarouter/admission/relay.py
+++ b/packages/daemon/src/yuccarouter/admission/relay.py
@@ -7,13 +7,11 @@
 import aiohttp
 import attrs
 
-from yuccarouter.admission import errors, events, slots, stream
+from yuccarouter.admission import calls, errors, events, slots, stream
 from yuccarouter_common import stream_events
 from yuccarouter_common.proto import router_pb2
 
 _CHUNK_BYTES: Final = 64 * 1024
-# Bounds the memory for one buffered answer.
-_MAX_BODY_BYTES: Final = 8 * 1024 * 1024
 _OK: Final = 200
 _TOO_MANY_REQUESTS: Final = 429
 _CLIENT_ERROR: Final = 400
@@ -82,11 +80,7 @@
     if response.status < _OK:
         # aiohttp skips interim answers, but not a switch to another protocol.
         raise errors.BrokenCallError('the endpoint switched protocols')
-    body = bytearray()
-    async for part in response.content.iter_chunked(_CHUNK_BYTES):
-        body += part
-        if len(body) > _MAX_BODY_BYTES:
-            raise errors.BrokenCallError('the answer is too large')
+    body = await calls.read_body(response)
     done = router_pb2.Done(
         status=response.status,
         content_type=response.headers.get('Content-Type', ''),
@@ -96,8 +90,8 @@
             raise errors.BrokenCallError(
                 f'the engine answered {response.status}'
             )
-        copy_usage_and_finish_reason(bytes(body), done)
-    return Answer(done, bytes(body))
+        copy_usage_and_finish_reason(body, done)
+    return Answer(done, body)
 
 
 async def write_body(writer: events.EventWriter, body: bytes) -> None:
--- a/packages/daemon/tests/admission/test_second_answers.py
+++ b/packages/daemon/tests/admission/test_second_answers.py
@@ -8,6 +8,7 @@
 import orjson
 import pytest
 
+from yuccarouter.admission import errors
 from yuccarouter_common.proto import router_pb2
 from yuccarouter_testkit import raw_server
 
@@ -207,3 +208,24 @@
             await call(kind, url, attempt_id=attempt_id)
     assert len(server.requests) == 2
     assert not any('cookie' in sent.headers for sent in server.requests)
+
+
+async def test_report_without_end(agent: Any) -> None:
+    """Guards against a report that fills the memory of the agent.
+
+    The endpoint in trouble sends bytes until the agent closes the connection.
+    """
+    padding = b' ' * (16 * 1024 * 1024)
+    report = b'{"in_flight": 0, "cold": true, "first_offset": 0, "events": []}'
+    server = raw_server.RawServer(
+        lambda _: raw_server.framed(report, framing='none'),
+        lambda _: padding,
+        closes=True,
+    )
+    endpoint = agent.components.endpoint
+    async with raw_server.running(server):
+        endpoint.location = attrs.evolve(endpoint.location, url=server.url)
+        await endpoint.poll_load()
+        assert endpoint.state == 'ready'
+        with pytest.raises(errors.BrokenCallError, match='too large'):
+            await endpoint.poll_cache()
