Test that no method is repeated on a broken connection

aiohttp repeats calls by GET, HEAD, OPTIONS, PUT and DELETE also on a connection that was new, so the trace hook that stops it is still needed now that connections are not kept. Without the hook, the test fails for these five methods with three runs at the service instead of two; three of them had no case.

--- a/packages/daemon/tests/admission/test_run.py
+++ b/packages/daemon/tests/admission/test_run.py
@@ -392,7 +392,9 @@
     assert endpoint.finished == 1
 
 
-@pytest.mark.parametrize('method', ['GET', 'PUT', 'POST'])
+@pytest.mark.parametrize(
+    'method', ['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST']
+)
 async def test_broken_connection_is_not_repeated(
     agent: Any, endpoint: Any, plain_request: Any, method: str
 ) -> None:
