Log how the end of an endpoint's answer is stated

The log lines of the incident can't tell an answer that ends with its connection from one with a length or chunks, which is what separates the first hypothesis from the others. attempt_ended now has the field framing.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -12,7 +12,7 @@
 import eliot
 import multidict
 import yarl
-from aiohttp import web
+from aiohttp import hdrs, web
 
 from yuccarouter.gateway import (
     answer_progress,
@@ -202,6 +202,14 @@
         """When the request was sent."""
         return self.progress.sent_ms
 
+    @property
+    def framing(self) -> str:
+        """What states the end of the answer: chunks, a length or nothing."""
+        headers = self.response.headers
+        if hdrs.TRANSFER_ENCODING in headers:
+            return 'chunks'
+        return 'length' if hdrs.CONTENT_LENGTH in headers else 'none'
+
 
 @contextlib.asynccontextmanager
 async def open_attempt(
@@ -502,6 +510,7 @@
         opened.view,
         'slow' if is_slow else 'served',
         elapsed_ms=elapsed_ms,
+        framing=opened.framing,
     )
 
 
@@ -519,7 +528,12 @@
         opened.view, out.route.name, rollouts.Tally(bad=1)
     )
     _record_outcome(
-        out, opened.view, outcome, status=opened.head.status, reason=reason
+        out,
+        opened.view,
+        outcome,
+        status=opened.head.status,
+        reason=reason,
+        framing=opened.framing,
     )
 
 
@@ -609,6 +623,7 @@
     status: int = 0,
     reason: str = '',
     elapsed_ms: float = 0,
+    framing: str = '',
 ) -> None:
     metrics.ATTEMPTS.labels(out.service, outcome).inc()
     eliot.log_message(
@@ -620,6 +635,7 @@
         outcome=outcome,
         status=status,
         reason=reason,
+        framing=framing,
         elapsed_ms=round(elapsed_ms),
         left_ms=round(out.remaining_ms()),
     )
