Add failing tests of answers that are followed by other bytes

An endpoint sends its answer, and then the answer again, an error, a refusal, another request's answer or bytes of no form, at once or 60 ms later.

--- /dev/null
+++ b/packages/daemon/tests/gateway/test_second_answers.py
@@ -0,0 +1,216 @@
+"""Tests of endpoints that send more than one answer on a connection."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from yuccarouter.gateway import connections
+
+_EVENTS = b''.join(b'id: %d\ndata: event %d\n\n' % (n, n) for n in range(1, 5))
+_TEXT = b'the text of an answer. ' * 8
+_FIELDS = b'X-Request: r-1\r\nX-Signature: e-1.%d\r\n'
+_STREAM_TYPE = b'Content-Type: text/event-stream\r\n'
+_FORMLESS = b'\x00\xff no answer \r\n of any form\n'
+_DELAYS_S = [0, 0.06]
+# How the end of the first answer is stated.
+_FRAMINGS = ('length', 'chunks', 'none')
+_SECONDS = (
+    'itself',
+    'error',
+    'error without length',
+    'error in lower case',
+    'refusal',
+    "another's",
+    'interim',
+    'formless',
+    'cut in its status line',
+    'cut in its head',
+)
+
+
+def make_answer(
+    body: bytes, framing: str, status: int = 200, fields: bytes = b''
+) -> bytes:
+    """Return an answer whose end is stated as ``framing`` says."""
+    head = b'HTTP/1.1 %d X\r\n' % status + _FIELDS % status + fields
+    if framing == 'length':
+        return head + b'Content-Length: %d\r\n\r\n' % len(body) + body
+    if framing == 'chunks':
+        chunk = b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body)
+        return head + b'Transfer-Encoding: chunked\r\n\r\n' + chunk
+    return head + b'\r\n' + body
+
+
+def make_second(kind: str, first: bytes) -> bytes:
+    """Return the bytes that an endpoint sends after its first answer."""
+    error = make_answer(b'failed', 'length', 500)
+    seconds = {
+        'itself': first,
+        'error': error,
+        'error without length': make_answer(b'failed', 'none', 500),
+        'error in lower case': error.lower().replace(b'http/', b'HTTP/'),
+        'refusal': make_answer(b'', 'length', 503, b'Not-Run: 1\r\n'),
+        "another's": first.replace(b'r-1', b'r-2').replace(b'e', b'E'),
+        'interim': b'HTTP/1.1 100 Continue\r\n\r\n',
+        'formless': _FORMLESS,
+        'cut in its status line': first[: len('HTTP/1.1 2')],
+        'cut in its head': first[: first.index(b'\r\n\r\n') + 2],
+    }
+    return seconds[kind]
+
+
+async def receive(
+    first: bytes, second: bytes, delay_s: float, method: str = 'POST'
+) -> bytes | None:
+    """Return the body that arrives, ``None`` if it breaks off."""
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        if delay_s:
+            writer.write(first)
+            await asyncio.sleep(delay_s)
+            writer.write(second)
+        else:
+            writer.write(first + second)
+        writer.close()
+
+    server = await asyncio.start_server(answer, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    session = connections.make_session()
+    try:
+        async with session.request(
+            method, f'http://127.0.0.1:{port}/'
+        ) as response:
+            # Late bytes arrive before the body is read.
+            await asyncio.sleep(2 * delay_s)
+            return await response.read()
+    except aiohttp.ClientError:
+        return None
+    finally:
+        await session.close()
+        server.close()
+
+
+@pytest.mark.parametrize('delay_s', _DELAYS_S)
+@pytest.mark.parametrize('kind', _SECONDS)
+@pytest.mark.parametrize('framing', _FRAMINGS)
+async def test_stream_before_other_bytes(
+    framing: str, kind: str, delay_s: float
+) -> None:
+    """Guards against callers' streams that contain bytes of another answer.
+
+    A stream that states its end is whole. One without a length or chunks ends
+    where a status line follows its last event; with other bytes after it,
+    it breaks off, as these may stand in place of its events.
+    """
+    first = make_answer(_EVENTS, framing, fields=_STREAM_TYPE)
+    received = await receive(first, make_second(kind, first), delay_s)
+    if framing == 'none' and kind == 'formless':
+        assert received is None
+    elif framing == 'none' and kind == 'cut in its status line':
+        # The end of an incomplete line is the end within an event.
+        assert received == _EVENTS + b'HTTP/1.1 2'
+    else:
+        assert received == _EVENTS
+
+
+@pytest.mark.parametrize('delay_s', _DELAYS_S)
+@pytest.mark.parametrize('kind', _SECONDS)
+@pytest.mark.parametrize('framing', _FRAMINGS)
+async def test_body_before_other_bytes(
+    framing: str, kind: str, delay_s: float
+) -> None:
+    """Guards against a body with another answer in it that looks complete.
+
+    A body without a length may contain any text, so that it is known to be
+    whole only if the same answer follows once more. Bytes of no form after it
+    can't be told from its text.
+    """
+    first = make_answer(_TEXT, framing)
+    second = make_second(kind, first)
+    received = await receive(first, second, delay_s)
+    if framing != 'none' or kind == 'itself':
+        assert received == _TEXT
+    elif kind == 'formless':
+        assert received == _TEXT + second
+    else:
+        assert received is None
+
+
+@pytest.mark.parametrize('delay_s', _DELAYS_S)
+@pytest.mark.parametrize(
+    'cut', ['id: 5\n', 'id: 5\ndata: ev', 'id: 5\ndata:\n']
+)
+async def test_stream_that_breaks_off_before_another_answer(
+    cut: str, delay_s: float
+) -> None:
+    """Guards against a broken stream that looks complete or goes on wrongly.
+
+    The endpoint stops within an event and then sends another answer.
+    """
+    first = make_answer(_EVENTS + cut.encode(), 'none', fields=_STREAM_TYPE)
+    second = make_answer(b'failed', 'length', 500).lower()
+    for other in (second, second.replace(b'http/', b'HTTP/')):
+        assert await receive(first, other, delay_s) is None
+
+
+@pytest.mark.parametrize(
+    ('body', 'is_stream'),
+    [
+        (b'see "HTTP/1.1 200 OK" in RFC 9112', False),
+        (b'HTTP/1.1 200 OK\r\nno header follows', False),
+        (b'HTTP/1.1 200 OK\r\nA: b\r\nno header follows', False),
+        (b'a body may end with H', False),
+        (b'or with HTTP', False),
+        (b'', False),
+        (b'id: 1\ndata: HTTP/1.1 200 OK\n\n', True),
+        (b': HTTP/1.1 200 OK\n\nid: 1\ndata\n\n', True),
+        (
+            b'event: HTTP/1.1 200 OK\r\nid: 1\r\nretry: 3\r\ndata: a\r\n\r\n',
+            True,
+        ),
+        (b'', True),
+    ],
+)
+async def test_bodies_that_mention_the_protocol(
+    body: bytes, is_stream: bool
+) -> None:
+    """Guards against sound answers without a length that are rejected."""
+    fields = _STREAM_TYPE if is_stream else b''
+    for cut in range(len(body) + 1):
+        first = make_answer(body, 'none', fields=fields)
+        split = len(first) - cut
+        received = await receive(first[:split], first[split:], 0.001)
+        assert received == body
+
+
+@pytest.mark.parametrize('delay_s', _DELAYS_S)
+@pytest.mark.parametrize(
+    ('method', 'status', 'framing'),
+    [
+        ('HEAD', 200, 'length'),
+        ('HEAD', 200, 'none'),
+        ('GET', 204, 'none'),
+        ('GET', 304, 'length'),
+    ],
+)
+async def test_answer_without_a_body(
+    method: str, status: int, framing: str, delay_s: float
+) -> None:
+    """Guards against bytes that pass for the body of an answer without one."""
+    head = make_answer(b'', framing, status)
+    second = make_answer(_TEXT, 'length')
+    assert await receive(head, second, delay_s, method) == b''
+
+
+@pytest.mark.parametrize('interim_count', [1, 3])
+async def test_answer_after_interim_ones(interim_count: int) -> None:
+    """Guards against an interim answer that counts as the first of two."""
+    interim = b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n' * interim_count
+    answer = make_answer(_TEXT, 'length')
+    assert await receive(interim, answer, 0) == _TEXT
