Find the end of an answer without a length where another one starts

An endpoint that sends a second answer after one with neither a length nor chunks keeps the connection open, and all that came before its end was taken for the rest of the first: EventBuffer passes on whatever ends in an empty line, and whole answers were not looked at.

The bytes of an answer are now judged in one place, the client connection, for endpoints, the store and peers alike. A stream ends at a status line after a complete event; any other line that no event has breaks it off. A whole answer without a length is delivered if it follows once more exactly, and is an answer that broke off if anything like a head follows. Heads are parsed apart from what follows them, so that bytes of no form in the packet of a framed answer no longer lose it. What comes after an answer is logged as bytes_after_answer and counted.

On the way: an answer with too long a head ended as EofStream, and so as 500, if the reader was behind, as aborting the connection removes its exception.

Ruled out: judging in EventBuffer, which leaves whole answers, the store and peers as they were.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -16,6 +16,7 @@
 
 from yuccarouter.gateway import (
     answer_progress,
+    connections,
     crash_evidence,
     lost_answers,
     metrics,
@@ -355,6 +356,7 @@
             last_event_id=last_event_id,
         ),
     )
+    connections.request_id.set(call.request_id)
     return await out.gateway.session.request(
         call.method,
         yarl.URL(f'http://{view.announced.address}{call.target}', encoded=True),
--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -69,7 +69,7 @@
     ) -> None:
         self._conf = conf
         self._make_store = make_store
-        self._session = connections.make_session()
+        self._session = connections.make_session(platform.event_fields)
         self.gateway = _make_gateway(conf, platform, self._session)
         self._web_server = servers.make_web_server(self.gateway)
         self._callers_server = servers.callers_server(
--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -36,6 +36,10 @@
     'Doubtful answers passed on as the budget for repeats was spent',
     ('service',),
 )
+SURPLUS_ANSWERS: Final = prometheus_client.Counter(
+    'yuccarouter_gateway_surplus_answers',
+    'Connections on which other bytes came after an answer',
+)
 HELD_PROMPT_PARTS: Final = prometheus_client.Gauge(
     'yuccarouter_gateway_held_prompt_parts',
     'Sets of prompt parts that are held back as engines crash on them',
--- a/packages/daemon/src/yuccarouter/gateway/ports.py
+++ b/packages/daemon/src/yuccarouter/gateway/ports.py
@@ -110,9 +110,12 @@
     ``decode_configuration``, ``decode_order``, ``decode_evacuation`` and
     ``decode_announcement`` return ``None`` for records of another type, and
     raise ``yuccarouter_common.records.ShapeError`` for malformed ones.
+    ``event_fields`` are the fields that events of the endpoints' streams have
+    besides those of the standard.
     """
 
     topics: Topics
+    event_fields: frozenset[bytes]
     decode_call: Callable[[web.BaseRequest], model.Call]
     encode_attempt: Callable[[model.Call, Attempt], tuple[tuple[str, str], ...]]
     decode_answer: Callable[[aiohttp.ClientResponse], model.AnswerHead]
--- a/packages/daemon/tests/gateway/test_second_answers.py
+++ b/packages/daemon/tests/gateway/test_second_answers.py
@@ -5,9 +5,11 @@
 import asyncio
 
 import aiohttp
+import hypothesis
 import pytest
+from hypothesis import strategies as st
 
-from yuccarouter.gateway import connections
+from yuccarouter.gateway import answer_ends, connections
 
 _EVENTS = b''.join(b'id: %d\ndata: event %d\n\n' % (n, n) for n in range(1, 5))
 _TEXT = b'the text of an answer. ' * 8
@@ -155,7 +157,8 @@
     """
     first = make_answer(_EVENTS + cut.encode(), 'none', fields=_STREAM_TYPE)
     second = make_answer(b'failed', 'length', 500).lower()
-    for other in (second, second.replace(b'http/', b'HTTP/')):
+    formless = b'\x00 no answer\r\n\r\n\x01'
+    for other in (second, second.replace(b'http/', b'HTTP/'), formless):
         assert await receive(first, other, delay_s) is None
 
 
@@ -214,3 +217,77 @@
     interim = b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n' * interim_count
     answer = make_answer(_TEXT, 'length')
     assert await receive(interim, answer, 0) == _TEXT
+
+
+_HEAD = make_answer(b'', 'none')
+
+
+def feed(
+    answer_end: answer_ends.AnswerEnd, received: bytes, cuts: list[int]
+) -> tuple[bytes, answer_ends.End]:
+    """Return what is passed on of bytes that arrive in several reads."""
+    bounds = [0, *sorted(cuts), len(received)]
+    passed = [
+        answer_end.feed(received[start:end])
+        for start, end in zip(bounds, bounds[1:], strict=False)
+    ]
+    return b''.join((*passed, answer_end.close())), answer_end.end
+
+
+@hypothesis.given(
+    text=st.lists(
+        st.sampled_from(
+            [
+                *(b'HTTP/1.1 200 OK\r\n', b'HTTP/1.1 2', b'A: b\r\n', b'\r\n'),
+                *(b'id: 1\n', b'data: HTTP', b'\n', b'text', _HEAD),
+            ]
+        ),
+        max_size=8,
+    ).map(b''.join),
+    cuts=st.lists(st.integers(0, 120), max_size=8),
+    is_stream=st.booleans(),
+)
+def test_ends_do_not_depend_on_reads(
+    text: bytes, cuts: list[int], is_stream: bool
+) -> None:
+    """Guards against an end that is found or missed by where reads end."""
+
+    def make() -> answer_ends.AnswerEnd:
+        if is_stream:
+            return answer_ends.StreamEnd()
+        return answer_ends.BodyEnd(_HEAD)
+
+    in_one = feed(make(), text, [])
+    in_parts = feed(make(), text, [min(cut, len(text)) for cut in cuts])
+    assert in_parts[1] is in_one[1]
+    if in_one[1] is not answer_ends.End.UNKNOWN:
+        assert in_parts[0] == in_one[0]
+
+
+@pytest.mark.parametrize(
+    ('field', 'end'),
+    [
+        (b'versions', answer_ends.End.OPEN),
+        (b'version', answer_ends.End.UNKNOWN),
+        (b'Versions', answer_ends.End.UNKNOWN),
+    ],
+)
+def test_fields_of_the_platform(field: bytes, end: answer_ends.End) -> None:
+    """Guards against sound streams that break off at a field of their own."""
+    stream = answer_ends.StreamEnd(frozenset((b'versions',)))
+    event = field + b': 2\nid: 1\ndata: a\n\n'
+    passed = stream.feed(event)
+    assert stream.end is end
+    assert passed == (event if end is answer_ends.End.OPEN else b'')
+
+
+@pytest.mark.parametrize('is_stream', [True, False])
+def test_held_bytes_are_bounded(is_stream: bool) -> None:
+    """Guards against memory that grows with bytes that never form a line."""
+    answer_end: answer_ends.AnswerEnd = answer_ends.BodyEnd(_HEAD)
+    if is_stream:
+        answer_end = answer_ends.StreamEnd()
+    answer_end.feed(b'' if is_stream else b'HTTP/1.1 200 OK\r\nA: ')
+    for _ in range(answer_ends.MAX_REPEAT_BYTES // 65536 + 1):
+        answer_end.feed(b'x' * 65536)
+    assert answer_end.end is answer_ends.End.UNKNOWN
