--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -12,10 +12,11 @@
 import eliot
 import multidict
 import yarl
-from aiohttp import web
+from aiohttp import hdrs, web
 
 from yuccarouter.gateway import (
     answer_progress,
+    connections,
     crash_evidence,
     lost_answers,
     metrics,
@@ -202,6 +203,14 @@
         """When the request was sent."""
         return self.progress.sent_ms
 
+    @property
+    def framing(self) -> str:
+        """What states the end of the answer: chunks, a length or nothing."""
+        headers = self.response.headers
+        if hdrs.TRANSFER_ENCODING in headers:
+            return 'chunks'
+        return 'length' if hdrs.CONTENT_LENGTH in headers else 'none'
+
 
 @contextlib.asynccontextmanager
 async def open_attempt(
@@ -347,6 +356,7 @@
             last_event_id=last_event_id,
         ),
     )
+    connections.request_id.set(call.request_id)
     return await out.gateway.session.request(
         call.method,
         yarl.URL(f'http://{view.announced.address}{call.target}', encoded=True),
@@ -502,6 +512,7 @@
         opened.view,
         'slow' if is_slow else 'served',
         elapsed_ms=elapsed_ms,
+        framing=opened.framing,
     )
 
 
@@ -519,7 +530,12 @@
         opened.view, out.route.name, rollouts.Tally(bad=1)
     )
     _record_outcome(
-        out, opened.view, outcome, status=opened.head.status, reason=reason
+        out,
+        opened.view,
+        outcome,
+        status=opened.head.status,
+        reason=reason,
+        framing=opened.framing,
     )
 
 
@@ -609,6 +625,7 @@
     status: int = 0,
     reason: str = '',
     elapsed_ms: float = 0,
+    framing: str = '',
 ) -> None:
     metrics.ATTEMPTS.labels(out.service, outcome).inc()
     eliot.log_message(
@@ -620,6 +637,7 @@
         outcome=outcome,
         status=status,
         reason=reason,
+        framing=framing,
         elapsed_ms=round(elapsed_ms),
         left_ms=round(out.remaining_ms()),
     )
