Reject JSON that is nested more than 500 levels deep

Another writer's entry whose field was nested about 1,000 deep ended every gateway that followed the list, and again at each start: the parser accepts 1,024 levels, the message about a field of a wrong type shows the field with repr(), and this raised RecursionError, which no reader of records expects. All records, digests and answers pass records.loads, so that the limit there holds for all of them, and it leaves half of Python's limit to the callers.

--- a/packages/common/src/yuccarouter_common/records.py
+++ b/packages/common/src/yuccarouter_common/records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 import attrs
 import cattrs
@@ -12,8 +12,15 @@
 
 from yuccarouter_common import errors
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 _Value = TypeVar('_Value')
 
+# The parser accepts 1,024 levels. At about as many, functions that call
+# themselves for each level, such as ``repr``, raise ``RecursionError``.
+_MAX_LEVELS: Final = 500
+
 
 class ShapeError(errors.RouterError):
     """JSON does not match the structure of the expected type."""
@@ -80,9 +87,27 @@
 def loads(text: bytes) -> Any:
     """Parse a JSON text; raises ``ShapeError``."""
     try:
-        return orjson.loads(text)
+        document = orjson.loads(text)
     except (orjson.JSONDecodeError, TypeError) as fault:
         raise ShapeError(f'not JSON: {fault}') from fault
+    if _is_too_deep(document):
+        raise ShapeError('JSON is nested too deeply')
+    return document
+
+
+def _is_too_deep(document: Any) -> bool:
+    level = [document]
+    for _ in range(_MAX_LEVELS):
+        level = [inner for each in level for inner in _inner_values(each)]
+        if not level:
+            return False
+    return True
+
+
+def _inner_values(value: Any) -> Iterable[Any]:
+    if isinstance(value, dict):
+        return value.values()
+    return value if isinstance(value, list) else ()
 
 
 def structure(document: Any, value_type: type[_Value]) -> _Value:
