Check the address in the record of a daemon

A record of the shared state with port 70000, or with a null character in its host, ended the exchange with all peers: sendto() raised OverflowError or ValueError, on which the event loop closes the socket for good, and the process went on without it. A host's name was looked up at each send, which blocks the process. The record was converted without a check. Such a record now names no peer and is logged; the rule is that of addresses.remote, and the next sound record of the daemon registers it again.

--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -14,7 +14,7 @@
 import orjson
 from aiohttp import web
 
-from yuccarouter.gateway import model, offsets, ports
+from yuccarouter.gateway import addresses, model, offsets, ports
 from yuccarouter_common import clocks, records
 
 if TYPE_CHECKING:
@@ -134,6 +134,21 @@
         """Log that a datagram could not be sent."""
         eliot.log_message('digest_not_sent', reason=str(exc))
 
+    def apply_member_record(self, name: str, value: bytes) -> None:
+        """Register a peer by its record, or remove it if there is no address.
+
+        A malformed record is logged.
+        """
+        try:
+            address = _decode_address(value) if value else None
+        except (records.ShapeError, TypeError, ValueError) as fault:
+            eliot.log_message('bad_member', peer=name, reason=str(fault))
+            address = None
+        if address is None:
+            self.remove_member(name)
+        else:
+            self.add_member(name, address)
+
     def add_member(self, name: str, address: model.Address) -> None:
         """Register a peer or update its address."""
         self.members[name] = address
@@ -223,6 +238,11 @@
         self._next_index += _FANOUT
 
 
+def _decode_address(value: bytes) -> model.Address:
+    host, port = records.loads(value)
+    return addresses.remote(host, port)
+
+
 def encode_newest(replicas: list[topics.Topic]) -> dict[str, dict[str, int]]:
     """Return the fields of a digest that tell the newest known records."""
     newest = {
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -330,15 +330,8 @@
         if self.gossip is None:
             return
         name = entry.key.removeprefix(MEMBER_PREFIX)
-        if name == self.conf.name:
-            return
-        try:
-            host, port = records.loads(entry.value)
-            address = model.Address(str(host), int(port))
-        except (records.ShapeError, TypeError, ValueError):
-            self.gossip.remove_member(name)
-            return
-        self.gossip.add_member(name, address)
+        if name != self.conf.name:
+            self.gossip.apply_member_record(name, entry.value)
 
 
 def member_record(conf: settings.GatewaySettings) -> tuple[str, bytes]:
