--- a/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
@@ -28,6 +28,7 @@
     crash_suspicions,
     dropped_attempts,
     metrics,
+    numbers,
     request_digests,
     senders,
 )
@@ -48,8 +49,6 @@
 _MAX_SENT_PER_SUSPICION: Final = 4
 _MAX_SENT_PARTS: Final = 60
 _MAX_PART_LENGTH: Final = 16
-# Larger numbers can't be serialised.
-_MAX_INTEGER: Final = 2**53
 
 # The key, the engine and the service, the ages of the send and of the crash in
 # milliseconds, and two lists of suspects: those never answered before, and the
@@ -439,14 +438,9 @@
     """Return an attempt; raises ``TypeError`` or ``ValueError``."""
     key, names, ages_ms, suspects = fields
     engine, service = names
-    request, number = key
-    sent_age_ms, crash_age_ms = ages_ms
+    request, number = map(numbers.integer, key)
+    sent_age_ms, crash_age_ms = map(numbers.integer, ages_ms)
     new, answered = suspects
-    if not all(
-        isinstance(each, int) and 0 <= each <= _MAX_INTEGER
-        for each in (*key, *ages_ms)
-    ):
-        raise ValueError('an attempt needs four integers')
     if not all(isinstance(text, str) for text in (*names, *new, *answered)):
         raise ValueError('an attempt needs names and parts')
     if any(len(part) > _MAX_PART_LENGTH for part in (*new, *answered)):
--- a/packages/daemon/src/yuccarouter/gateway/rate_limits.py
+++ b/packages/daemon/src/yuccarouter/gateway/rate_limits.py
@@ -16,7 +16,7 @@
 import attrs
 import eliot
 
-from yuccarouter.gateway import metrics, model, senders
+from yuccarouter.gateway import metrics, model, numbers, senders
 
 # The agreed tolerance: in a window, an endpoint may get this multiple of what
 # its limit allows, and a few more requests.
@@ -34,9 +34,6 @@
 # Only the newest statements are sent, so that a message fits a datagram.
 _MAX_STATEMENTS: Final = 24
 
-# Larger numbers can't be serialised.
-_MAX_INTEGER: Final = 2**53
-
 # The fields of each endpoint's statement.
 Message = dict[str, tuple[int, int, float | None]]
 
@@ -72,13 +69,10 @@
 def decode_statement(fields: Any) -> Statement:
     """Return a statement; raises ``TypeError`` or ``ValueError``."""
     started_ms, version, per_s = fields
-    if not all(
-        isinstance(number, int) and 0 <= number <= _MAX_INTEGER
-        for number in (started_ms, version)
-    ):
-        raise ValueError('a statement needs two integers')
     return Statement(
-        started_ms, version, None if per_s is None else max(0, float(per_s))
+        numbers.integer(started_ms),
+        numbers.integer(version),
+        None if per_s is None else max(0, float(per_s)),
     )
 
 
