Find another answer's status line whatever its reason, in linear time

Callers of whole answers without a length got the head and body of a second answer as part of a success if a read ended within its status line, after a character of the reason that is neither a letter nor a space (digits, brackets, UTF-8): what was held back was then passed on as text. Such a line is now held to its end, and judged by the narrower form only if the connection ends there.

Held bytes are searched again once they have doubled, and each match extends to the end of its line.

--- a/packages/daemon/src/yuccarouter/gateway/answer_ends.py
+++ b/packages/daemon/src/yuccarouter/gateway/answer_ends.py
@@ -15,18 +15,24 @@
 import attrs
 
 _LINE: Final = re.compile(rb'[^\n]*\n')
-_STATUS_LINE: Final = re.compile(rb'HTTP/\d\.\d [1-5]\d\d(?: [^\r\n]*)?\r?\n')
+# Each match extends to the end of its line, so that searching a line that has
+# many such starts takes linear time.
+_STATUS_LINE: Final = re.compile(rb'HTTP/\d\.\d [1-5]\d\d(?:[ \r][^\n]*)?\n')
 _HEADER_LINE: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\n]*\n")
 # What ends so may go on with the rest of a status line or of a header line.
 _STATUS_LINE_START: Final = re.compile(
     rb'(?:H|HT|HTT|HTTP|HTTP/|HTTP/\d|HTTP/\d\.|HTTP/\d\.\d|HTTP/\d\.\d '
-    rb"|HTTP/\d\.\d [1-5]\d?|HTTP/\d\.\d [1-5]\d\d(?: [A-Za-z '-]*)?\r?)\Z"
+    rb'|HTTP/\d\.\d [1-5]\d?|HTTP/\d\.\d [1-5]\d\d(?:[ \r][^\n]*)?)\Z'
+)
+# If a body ends so, it is taken for one that another answer cut short. Texts
+# with other characters after a status rather mention one.
+_CUT_STATUS_LINE: Final = re.compile(
+    rb'HTTP/\d(?:\.|\.\d|\.\d '
+    rb"|\.\d [1-5]\d?|\.\d [1-5]\d\d(?: [A-Za-z '-]*)?\r?)?\Z"
 )
 _HEADER_LINE_START: Final = re.compile(
     rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+(?::[^\n]*)?)?\r?"
 )
-# Texts rarely end in a longer start of a status line, and often in a shorter.
-_MIN_STATUS_LINE_START_BYTES: Final = len(b'HTTP/1')
 _CONTROL_CHARACTER: Final = re.compile(rb'[\x00-\x08\x0b\x0c\x0e-\x1f]')
 _EMPTY_LINES: Final = frozenset((b'\n', b'\r\n'))
 _EVENT_FIELDS: Final = frozenset((b'id', b'event', b'data', b'retry'))
@@ -131,6 +137,9 @@
     _passed: bytearray = attrs.field(factory=bytearray)
     # From what may be the status line of another answer on.
     _held: bytearray = attrs.field(factory=bytearray)
+    # The held bytes are searched again only once they have doubled, so that the
+    # time does not grow with the square of their number.
+    _next_search_bytes: int = 0
     _second_head: bytes = b''
 
     def feed(self, received: bytes) -> bytes:
@@ -138,7 +147,10 @@
         if self.end is not End.OPEN:
             return b''
         self._held += received
-        passed = b'' if self._second_head else self._pass_on()
+        passed = b''
+        if len(self._held) >= self._next_search_bytes:
+            passed = self._pass_on()
+            self._next_search_bytes = 2 * len(self._held)
         if len(self._held) > MAX_REPEAT_BYTES:
             self.end = End.UNKNOWN
         return passed
@@ -147,14 +159,15 @@
         """Return the rest of the body."""
         if self.end is not End.OPEN:
             return b''
+        passed = self._pass_on()
         held = bytes(self._held)
         if self._second_head:
             is_repeated = held == self._second_head + self._passed
             is_repeated &= _form(self._second_head) == _form(self.head)
             self.end = End.WHOLE if is_repeated else End.UNKNOWN
-            return b''
-        if len(held) < _MIN_STATUS_LINE_START_BYTES:
-            return held
+            return passed
+        if b'\n' not in held and _CUT_STATUS_LINE.search(held) is None:
+            return passed + held
         self.end = End.UNKNOWN
         return b''
 
@@ -163,10 +176,13 @@
 
         The second head stays empty until its last line has arrived.
         """
+        if self._second_head:
+            return b''
         held = bytes(self._held)
-        start = _STATUS_LINE_START.search(held)
+        lines_end = held.rfind(b'\n') + 1
+        start = _STATUS_LINE_START.search(held, lines_end)
         kept_from = len(held) if start is None else start.start()
-        for match in _STATUS_LINE.finditer(held):
+        for match in _STATUS_LINE.finditer(held, 0, lines_end):
             head_end = _head_end(held, match.end())
             if head_end is not None:
                 kept_from = match.start()
--- a/packages/daemon/tests/gateway/test_second_answers.py
+++ b/packages/daemon/tests/gateway/test_second_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import aiohttp
 import hypothesis
@@ -281,6 +282,46 @@
     assert passed == (event if end is answer_ends.End.OPEN else b'')
 
 
+@pytest.mark.parametrize(
+    'reason',
+    [b'Error 12', b'Failed (queue)', b'Caf\xc3\xa9', b'I/O', b'a\rb', b''],
+)
+def test_reasons_between_reads(reason: bytes) -> None:
+    """Guards against another answer that is missed if a read ends within it.
+
+    Its status line may have any reason.
+    """
+    text = _TEXT + make_answer(b'failed', 'length').replace(b'X', reason, 1)
+    for cut in range(len(_TEXT), len(text)):
+        passed, end = feed(answer_ends.BodyEnd(_HEAD), text, [cut])
+        assert end is answer_ends.End.UNKNOWN
+        assert _TEXT.startswith(passed)
+
+
+@pytest.mark.parametrize(
+    ('repeated', 'read_bytes'),
+    [
+        (b'HTTP/1.1 200 ', 262144),
+        (b'HTTP/1.1 200\r', 262144),
+        (b'a' * 13, 1460),
+        (b'A: b\r\n', 1460),
+    ],
+)
+def test_time_is_linear(repeated: bytes, read_bytes: int) -> None:
+    """Guards against bytes in whose search the process stands still.
+
+    Searching the reads took seconds to minutes. The limit is far above the
+    tenth of a second that it takes.
+    """
+    start = b'HTTP/1.1 200 OK\r\n' if b':' in repeated else b'HTTP/1.1 200 '
+    text = start + repeated * (1_000_000 // len(repeated))
+    answer_end = answer_ends.BodyEnd(_HEAD)
+    started_s = time.process_time()
+    for position in range(0, len(text), read_bytes):
+        answer_end.feed(text[position : position + read_bytes])
+        assert time.process_time() - started_s < 10
+
+
 @pytest.mark.parametrize('is_stream', [True, False])
 def test_held_bytes_are_bounded(is_stream: bool) -> None:
     """Guards against memory that grows with bytes that never form a line."""
