Count as surplus only what follows an answer, and complete no answer on a guess

Each sound answer of any framing was logged and counted as bytes_after_answer: aiohttp reports the end of each connection as an error, which was recorded if the answer was whole. The line also quoted bytes of other answers. Only the parser's errors are now recorded, and without their text.

An answer without a length that was being read when this side closed the connection also passed for complete.

--- a/packages/daemon/src/yuccarouter/gateway/answer_ends.py
+++ b/packages/daemon/src/yuccarouter/gateway/answer_ends.py
@@ -72,7 +72,8 @@
     Each line of an event is text, and is a comment or starts with a known
     field, which a status line never does. A status line after a complete event
     starts another answer, and an endpoint sends that only after the end of the
-    first. Any other line may stand in place of a part of the stream.
+    first. Any other line may stand in place of a part of the stream, and so may
+    a status line that no event precedes, as in a stream that is resumed.
     ``extra_fields`` are the fields that the platform's events have besides the
     standard ones.
     """
@@ -80,6 +81,7 @@
     extra_fields: frozenset[bytes] = frozenset()
     end: End = End.OPEN
     _is_in_event: bool = False
+    _has_events: bool = False
     _incomplete: bytearray = attrs.field(factory=bytearray)
 
     def feed(self, received: bytes) -> bytes:
@@ -109,12 +111,17 @@
             self._is_in_event = False
         elif self._is_event_line(line):
             self._is_in_event = True
-        elif not self._is_in_event and _STATUS_LINE.fullmatch(line):
+            self._has_events |= not line.startswith(b':')
+        elif self._is_after_event and _STATUS_LINE.fullmatch(line):
             self.end = End.WHOLE
         else:
             self.end = End.UNKNOWN
         return self.end is End.OPEN
 
+    @property
+    def _is_after_event(self) -> bool:
+        return self._has_events and not self._is_in_event
+
     def _is_event_line(self, line: bytes) -> bool:
         if _CONTROL_CHARACTER.search(line):
             return False
--- a/packages/daemon/src/yuccarouter/gateway/connections.py
+++ b/packages/daemon/src/yuccarouter/gateway/connections.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 import eliot
-from aiohttp import client_proto, hdrs, streams
+from aiohttp import client_proto, hdrs, http_exceptions, streams
 
 from yuccarouter.gateway import answer_ends, metrics
 
@@ -120,7 +120,10 @@
     ) -> None:
         """Report an error, unless the whole answer was passed on before it."""
         if self._body is not None and self._body.is_eof():
-            self._record_surplus(f'{type(exc).__name__}: {exc}')
+            # The end of the connection is reported as an error as well. The
+            # message quotes what was received, which is not for the log.
+            if isinstance(exc, http_exceptions.HttpProcessingError):
+                self._record_surplus('malformed')
             self.force_close()
         elif exc_cause is None:
             super().set_exception(exc)
@@ -130,10 +133,11 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         body = self._body
         if body is not None and not body.is_eof():
-            if exc is not None:
+            # Without a transport, this side has closed the connection.
+            if exc is not None or self.transport is None:
                 body.set_exception(
                     aiohttp.ClientPayloadError(
-                        'connection was reset before the end of the answer'
+                        'connection was lost before the end of the answer'
                     )
                 )
             elif self._answer_end is not None:
--- a/packages/daemon/tests/gateway/test_second_answers.py
+++ b/packages/daemon/tests/gateway/test_second_answers.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import time
+from typing import Any
 
 import aiohttp
+import eliot
 import hypothesis
 import pytest
 from hypothesis import strategies as st
@@ -322,6 +324,71 @@
         assert time.process_time() - started_s < 10
 
 
+@pytest.mark.parametrize('start', [b'', b': open\n\n', b'\n'])
+async def test_stream_without_events_before_another_answer(
+    start: bytes,
+) -> None:
+    """Guards against a resumed stream that ends as complete without its rest.
+
+    The endpoint that resumes it sends the head of one answer and then another.
+    """
+    first = make_answer(start, 'none', fields=_STREAM_TYPE)
+    assert await receive(first, make_second('error', first), 0) is None
+
+
+@pytest.mark.parametrize('framing', _FRAMINGS)
+@pytest.mark.parametrize('fields', [b'', _STREAM_TYPE])
+@pytest.mark.parametrize(
+    ('second', 'count'), [(b'', 0), (_FORMLESS, 1), (_HEAD, 1)]
+)
+async def test_counts_only_bytes_after_answers(
+    framing: str, fields: bytes, second: bytes, count: int
+) -> None:
+    """Guards against an alarm for each answer, and a log with answers in it."""
+    logged: list[dict[str, Any]] = []
+    eliot.add_destinations(logged.append)
+    # The first destination receives what was logged before.
+    logged.clear()
+    try:
+        first = make_answer(_EVENTS, framing, fields=fields)
+        await receive(first, second, 0)
+        await asyncio.sleep(0.05)
+    finally:
+        eliot.remove_destination(logged.append)
+    lines = [
+        line
+        for line in logged
+        if line.get('message_type') == 'bytes_after_answer'
+    ]
+    # Bytes of no form can't be told from the text of a whole answer.
+    is_text = framing == 'none' and not fields and second == _FORMLESS
+    assert len(lines) == (0 if is_text else count)
+    assert 'no answer' not in str(lines)
+
+
+@pytest.mark.parametrize('fields', [b'', _STREAM_TYPE])
+async def test_own_close_within_an_answer(fields: bytes) -> None:
+    """Guards against an answer that looks complete as this side closed."""
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(make_answer(_EVENTS, 'none', fields=fields))
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(answer, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    session = connections.make_session()
+    async with session.get(f'http://127.0.0.1:{port}/') as response:
+        await response.content.readany()
+        await session.close()
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await asyncio.wait_for(response.read(), 5)
+    server.close()
+
+
 @pytest.mark.parametrize('is_stream', [True, False])
 def test_held_bytes_are_bounded(is_stream: bool) -> None:
     """Guards against memory that grows with bytes that never form a line."""
