Keep connections open whose request a stop has just received

Callers whose request reached the process together with SIGTERM, or as its port closed, saw their connection close without an answer, though the process had read the whole request. A payout could then not be repeated.

The stop closed each connection without a running handler. The handler of a request begins three steps of the event loop after the request was read. A connection is now idle only while it waits for a request and nothing has arrived for 0.4 s, in which a lost packet is sent again, so that a head that is half read or a new connection is left open too.

--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/caller_connections.py
@@ -0,0 +1,57 @@
+"""Callers' connections, and which of them a stop may close."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from aiohttp import web, web_protocol
+
+if TYPE_CHECKING:
+    import asyncio
+
+# A request may still be on its way on a connection on which something arrived
+# less than this time ago. TCP sends a lost packet again after 0.2 s.
+_QUIET_S: Final = 0.4
+
+
+class CallerConnection(web_protocol.RequestHandler):
+    """A caller's connection that can tell whether it is idle."""
+
+    _received_s: float = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register a new connection."""
+        self._received_s = self._loop.time()
+        super().connection_made(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Process received bytes."""
+        self._received_s = self._loop.time()
+        super().data_received(data)
+
+    def is_idle(self) -> bool:
+        """Return whether no request is in progress or about to arrive.
+
+        The handler of a request begins a few steps of the event loop after
+        the request was received; the connection is not idle meanwhile.
+        """
+        if self._waiter is None or self._waiter.done():
+            return False
+        return self._loop.time() - self._received_s >= _QUIET_S
+
+
+class CallersServer(web.Server):
+    """An HTTP server whose connections are ``CallerConnection``."""
+
+    def __call__(self) -> CallerConnection:
+        """Return the protocol of a new connection."""
+        return CallerConnection(self, loop=self._loop, **self._kwargs)
+
+    def close_idle_connections(self) -> None:
+        """Close the connections that wait for a request."""
+        for connection in self.connections:
+            if (
+                isinstance(connection, CallerConnection)
+                and connection.is_idle()
+            ):
+                connection.force_close()
--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -153,10 +153,13 @@
         eliot.log_message('draining', in_progress=gateway.in_progress)
         started_ms = clocks.monotonic_ms()
         grace_ms = gateway.conf.bounds.grace_ms * _DRAIN_SHARE_OF_GRACE
-        self._close_connections()
+        # A kept-alive connection could bring requests long after the balancer
+        # has stopped sending new connections. Busy ones close after their
+        # answer.
+        self._web_server.close_idle_connections()
         await asyncio.sleep(_BALANCER_DELAY_S)
         await self._callers_server.close_port()
-        self._close_connections()
+        self._web_server.close_idle_connections()
         while (
             gateway.in_progress
             and clocks.monotonic_ms() - started_ms < grace_ms
@@ -176,16 +179,6 @@
         self._servers.append(server)
         await server.start()
 
-    def _close_connections(self) -> None:
-        """Close idle connections; busy ones close after their answer.
-
-        A kept-alive connection could bring requests long after the balancer
-        has stopped sending new connections.
-        """
-        for connection in self._web_server.connections:
-            if connection not in self.gateway.busy_connections:
-                connection.force_close()
-
 
 async def _wait_until_ready(
     gateway: state.Gateway, shared_state: topics.Topic
--- a/packages/daemon/src/yuccarouter/gateway/request_handler.py
+++ b/packages/daemon/src/yuccarouter/gateway/request_handler.py
@@ -42,7 +42,7 @@
     async def serve(request: web.BaseRequest) -> web.StreamResponse:
         call = gateway.platform.decode_call(request)
         arrived_ms = clocks.monotonic_ms()
-        with gateway.track_request(request.protocol):
+        with gateway.track_request():
             return await _serve_call(gateway, request, call, arrived_ms)
 
     return serve
--- a/packages/daemon/src/yuccarouter/gateway/servers.py
+++ b/packages/daemon/src/yuccarouter/gateway/servers.py
@@ -8,7 +8,11 @@
 import prometheus_client
 from aiohttp import web
 
-from yuccarouter.gateway import bootstrap, request_handler
+from yuccarouter.gateway import (
+    bootstrap,
+    caller_connections,
+    request_handler,
+)
 
 if TYPE_CHECKING:
     from yuccarouter.gateway import model, state
@@ -64,13 +68,15 @@
         await self._runner.cleanup()
 
 
-def make_web_server(gateway: state.Gateway) -> web.Server:
+def make_web_server(
+    gateway: state.Gateway,
+) -> caller_connections.CallersServer:
     """Return the HTTP server that handles callers' requests.
 
     When a caller disconnects, its handler is cancelled, and with it the call
     to the endpoint.
     """
-    return web.Server(
+    return caller_connections.CallersServer(
         request_handler.make_handler(gateway),
         request_factory=request_handler.make_request_factory(gateway),
         handler_cancellation=True,
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -89,7 +89,6 @@
     first_event_timeouts: dict[
         tuple[str, str], stream_timeouts.FirstEventTimeout
     ] = attrs.field(factory=dict)
-    busy_connections: set[object] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         """Build what depends on the settings."""
@@ -144,16 +143,14 @@
         return any(True for _ in self.directory)
 
     @contextlib.contextmanager
-    def track_request(self, connection: object) -> Iterator[None]:
-        """Count a request in progress and mark its connection as busy."""
+    def track_request(self) -> Iterator[None]:
+        """Count a request in progress."""
         self.in_progress += 1
-        self.busy_connections.add(connection)
         try:
             with metrics.IN_PROGRESS.track_inprogress():
                 yield
         finally:
             self.in_progress -= 1
-            self.busy_connections.discard(connection)
 
     def apply_operator_record(self, entry: ports.Entry) -> None:
         """Apply a record that an operator wrote."""
