Close connections that become idle while the process drains

Callers whose connection was accepted in the last steps of the event loop before the port closed could send requests until the end of the grace. The requests were sent to endpoints and cut without an answer when it ended.

The stop closed idle connections only twice, and the second time directly after the port had closed, when the server did not know these connections yet.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -159,11 +159,11 @@
         self._web_server.close_idle_connections()
         await asyncio.sleep(_BALANCER_DELAY_S)
         await self._callers_server.close_port()
-        self._web_server.close_idle_connections()
         while (
             gateway.in_progress
             and clocks.monotonic_ms() - started_ms < grace_ms
         ):
+            self._web_server.close_idle_connections()
             await asyncio.sleep(_DRAIN_CHECK_INTERVAL_S)
 
     async def stop(self) -> None:
