Answer pipelined requests that wait when a stop begins

Callers that had sent several requests on one connection got an answer to the first of them during a stop, and the connection closed with the others unanswered, though the process had read them whole.

Each answer of a draining process closed its connection. Now only the last one does: an answer behind which no other request was received yet.

test_pipelined_requests_during_a_stop sends three requests in one piece; before, their statuses were 200 and twice none.

--- a/packages/daemon/src/yuccarouter/gateway/caller_connections.py
+++ b/packages/daemon/src/yuccarouter/gateway/caller_connections.py
@@ -39,6 +39,27 @@
             return False
         return self._loop.time() - self._received_s >= _QUIET_S
 
+    @property
+    def has_waiting_requests(self) -> bool:
+        """Whether requests were received behind the one in progress."""
+        return bool(self._messages)
+
+
+def close_after_last(
+    request: web.BaseRequest, answer: web.StreamResponse
+) -> None:
+    """Let an answer close its connection unless other requests wait there.
+
+    Requests that were received behind it would otherwise get no answer.
+    """
+    connection = request.protocol
+    is_last = not (
+        isinstance(connection, CallerConnection)
+        and connection.has_waiting_requests
+    )
+    if is_last:
+        answer.force_close()
+
 
 class CallersServer(web.Server):
     """An HTTP server whose connections are ``CallerConnection``."""
--- a/packages/daemon/src/yuccarouter/gateway/request_handler.py
+++ b/packages/daemon/src/yuccarouter/gateway/request_handler.py
@@ -13,6 +13,7 @@
 from yuccarouter.gateway import (
     attempts,
     buffered,
+    caller_connections,
     metrics,
     model,
     refusal_responses,
@@ -107,7 +108,7 @@
         _log_request(gateway, call, route, arrived_ms, 0, 'caller_left')
         raise
     if gateway.is_draining:
-        answer.force_close()
+        caller_connections.close_after_last(request, answer)
     _log_request(gateway, call, route, arrived_ms, answer.status, code)
     return answer
 
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -13,6 +13,7 @@
 
 from yuccarouter.gateway import (
     attempts,
+    caller_connections,
     events,
     metrics,
     model_escalation,
@@ -365,7 +366,7 @@
             headers=multidict.CIMultiDict(opened.head.headers),
         )
         if relay.out.gateway.is_draining:
-            relay.response.force_close()
+            caller_connections.close_after_last(relay.request, relay.response)
         relay.response.enable_chunked_encoding()
         metrics.observe_first_byte(relay.out.route.kind, relay.out.elapsed_ms())
         await relay.response.prepare(relay.request)
