Wait in a stop until answers have left the process

A caller that read a long answer slowly, or over a slow link, lost the rest of it when a stop began, although most of the grace was left.

A request counted as ended once its handler had returned the answer; the answer was then still in the buffer of the connection, and the process ended 0.4 s after the last handler. The drain now lasts until all connections of callers are closed, within the same part of the grace as before.

test_slow_reader_during_a_stop leaves 1.9 MB unread in small socket buffers; before, the drain had ended 0.4 s after the port had closed.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -160,7 +160,7 @@
         await asyncio.sleep(_BALANCER_DELAY_S)
         await self._callers_server.close_port()
         while (
-            gateway.in_progress
+            self._web_server.connections
             and clocks.monotonic_ms() - started_ms < grace_ms
         ):
             self._web_server.close_idle_connections()
