Refuse requests that can't end before a stop does

A caller whose request was read late in the grace waited until the grace ended and then learnt nothing, although another daemon could have served it: the request was sent to an endpoint whatever time was left.

Such a request is now refused at once with 503 and Retry-After, and its connection closes. Until the port closes it needs the objective of its route, since the balancer still sends callers here and most calls end soon; after that, all the time that it may take, as few come so late.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -130,6 +130,20 @@
         end_ms = min(self.deadline_ms, self.gateway.stop.requests_end_ms)
         return end_ms - clocks.monotonic_ms()
 
+    def can_end_before_stop(self) -> bool:
+        """Return whether a stop leaves enough time to send the call.
+
+        Few calls take much longer than their latency objective. A call that
+        was read after the port has closed is refused unless all of its time is
+        left: it would be cut without any need, as another daemon can serve it.
+        """
+        own_ms = self.deadline_ms - clocks.monotonic_ms()
+        stop = self.gateway.stop
+        needed_ms = min(own_ms, self.route.objective_ms)
+        if stop.is_port_closed:
+            needed_ms = own_ms
+        return stop.leaves_time_for(needed_ms)
+
     def elapsed_ms(self) -> float:
         """Return the time since the call arrived."""
         return clocks.monotonic_ms() - self.arrived_ms
--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -155,6 +155,7 @@
         self._web_server.close_idle_connections()
         await asyncio.sleep(_BALANCER_DELAY_S)
         await self._callers_server.close_port()
+        gateway.stop.is_port_closed = True
         while (
             self._web_server.connections
             and clocks.monotonic_ms() < gateway.stop.answers_end_ms
--- a/packages/daemon/src/yuccarouter/gateway/request_handler.py
+++ b/packages/daemon/src/yuccarouter/gateway/request_handler.py
@@ -141,6 +141,8 @@
     body = await _read_body(exchange.request)
     out = _prepare(exchange, route, organisation, body)
     exchange.out = out
+    if not out.can_end_before_stop():
+        raise refusal_responses.shutting_down()
     return await _forward(out, exchange.request)
 
 
--- a/packages/daemon/src/yuccarouter/gateway/stopping.py
+++ b/packages/daemon/src/yuccarouter/gateway/stopping.py
@@ -34,10 +34,12 @@
     """When requests and their answers must have ended, on the monotonic clock.
 
     Both times are infinite until the process is told to stop.
+    ``is_port_closed`` is true once no caller can open a connection any more.
     """
 
     requests_end_ms: float = math.inf
     answers_end_ms: float = math.inf
+    is_port_closed: bool = False
     _limits: set[asyncio.Timeout] = attrs.field(factory=set)
 
     @property
@@ -58,6 +60,10 @@
         for limit in self._limits:
             self._set_end(limit)
 
+    def leaves_time_for(self, needed_ms: float) -> bool:
+        """Return whether what takes ``needed_ms`` can end before the stop."""
+        return self.requests_end_ms - clocks.monotonic_ms() >= needed_ms
+
     @contextlib.asynccontextmanager
     async def limit_request(self) -> AsyncIterator[None]:
         """Track a request; raises ``GraceEndedError`` when it must end."""
--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -380,3 +380,27 @@
     now_ms = clocks.monotonic_ms()
     peer.merge(out.gateway.crash_evidence.message(now_ms), now_ms)
     assert len(peer.message(now_ms)) == 1
+
+
+@pytest.mark.parametrize(
+    ('remaining_ms', 'is_port_closed', 'expected'),
+    [
+        (5000, False, True),
+        (500, False, True),
+        (50, False, False),
+        (5000, True, True),
+        (500, True, False),
+    ],
+)
+def test_time_that_a_stop_leaves(
+    remaining_ms: float, is_port_closed: bool, expected: bool
+) -> None:
+    """Guards against sending calls that a stop cuts before their answer.
+
+    The call has 1,000 ms and an objective of 100 ms.
+    """
+    out = outgoing(allowed_retries=0)
+    stop = out.gateway.stop
+    stop.requests_end_ms = clocks.monotonic_ms() + remaining_ms
+    stop.is_port_closed = is_port_closed
+    assert out.can_end_before_stop() is expected
