Begin no retry that can't end before a stop does

A caller whose first endpoint failed late in the grace of a stop waited for a second attempt that the end of the grace then cut, and had lost the time in which another daemon could have answered it.

A retry, and the question to a larger model, now needs the objective of the route, or the rest of the call's own time, before the stop ends requests. Otherwise the caller is told at once what is known: 503 if nothing ran, 502 if it may have run, or the endpoint's own error.

In test_retries_before_a_stop both calls with 50 ms left were sent a second time before.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -137,12 +137,18 @@
         was read after the port has closed is refused unless all of its time is
         left: it would be cut without any need, as another daemon can serve it.
         """
-        own_ms = self.deadline_ms - clocks.monotonic_ms()
         stop = self.gateway.stop
-        needed_ms = min(own_ms, self.route.objective_ms)
         if stop.is_port_closed:
-            needed_ms = own_ms
-        return stop.leaves_time_for(needed_ms)
+            own_ms = self.deadline_ms - clocks.monotonic_ms()
+            return stop.leaves_time_for(own_ms)
+        return self.can_retry_before_stop()
+
+    def can_retry_before_stop(self) -> bool:
+        """Return whether a stop leaves enough time for another attempt."""
+        own_ms = self.deadline_ms - clocks.monotonic_ms()
+        return self.gateway.stop.leaves_time_for(
+            min(own_ms, self.route.objective_ms)
+        )
 
     def elapsed_ms(self) -> float:
         """Return the time since the call arrived."""
@@ -161,8 +167,10 @@
 
     def may_run_again(self, *, after: int) -> bool:
         """Return whether the call may run again after ``after`` more runs."""
-        return self.route.is_idempotent and (
-            self.runs + after < self.route.max_attempts
+        return (
+            self.route.is_idempotent
+            and self.runs + after < self.route.max_attempts
+            and self.can_retry_before_stop()
         )
 
     def has_alternative(self, chosen: choice.Choice, model_name: str) -> bool:
--- a/packages/daemon/src/yuccarouter/gateway/retries.py
+++ b/packages/daemon/src/yuccarouter/gateway/retries.py
@@ -67,6 +67,8 @@
         """Return whether the request may be sent again."""
         if self.may_have_run and not out.route.is_idempotent:
             return False
+        if out.sends and not out.can_retry_before_stop():
+            return False
         return out.remaining_ms() > 0 and out.sends < _MAX_SENDS
 
 
--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -16,7 +16,7 @@
 import attrs
 import gateway_makers as make
 import pytest
-from aiohttp import client_reqrep
+from aiohttp import client_reqrep, web
 
 from yuccarouter.gateway import (
     answer_progress,
@@ -110,6 +110,7 @@
         gossip=None,
         session=Session(*results),
         stop=stopping.Stop(),
+        endpoint_waits_ms=lambda service: [],
         platform=types.SimpleNamespace(
             encode_attempt=lambda call, attempt: (),
             decode_answer=lambda response: response.head,
@@ -404,3 +405,38 @@
     stop.requests_end_ms = clocks.monotonic_ms() + remaining_ms
     stop.is_port_closed = is_port_closed
     assert out.can_end_before_stop() is expected
+
+
+@pytest.mark.parametrize(
+    ('remaining_ms', 'result', 'status', 'outcome'),
+    [
+        (5000, answer(is_signed=False), 200, ''),
+        (50, answer(is_signed=False), 502, refusals.UNKNOWN),
+        (50, NO_CONNECTION, 503, refusals.NOT_RUN),
+    ],
+)
+async def test_retries_before_a_stop(
+    remaining_ms: float, result: Any, status: int, outcome: str
+) -> None:
+    """Guards against a retry that the stop cuts before its answer.
+
+    The caller can ask another daemon if it is told at once.
+    """
+    out = outgoing(result, answer(), allowed_retries=2)
+    stop = out.gateway.stop
+    stop.requests_end_ms = clocks.monotonic_ms() + remaining_ms
+
+    async def attempt(chosen: choice.Choice) -> web.StreamResponse:
+        async with attempts.open_attempt(out, chosen, '', '', 1000):
+            return web.Response(status=200)
+
+    def choose() -> choice.Choice | None:
+        return out.next_endpoint('')
+
+    try:
+        answered = await retries.until_answered(out, choose, attempt)
+    except refusals.RefusalError as refusal:
+        assert (refusal.status, refusal.outcome) == (status, outcome)
+        assert out.sends == 1
+    else:
+        assert answered.status == status
