Count the grace of a stop from the first signal

Callers of a daemon that was told to stop while it was starting could be cut by SIGKILL: the time for requests was counted from the end of the start, up to a second after the signal, and reached beyond the grace.

The handler of the signal now sets the end of requests itself, once. A second SIGTERM or a SIGHUP does not move it, and a start in progress no longer waits for the store.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -194,6 +194,8 @@
         is_state_known = shared_state.is_loaded or shared_state.is_failing
         if gateway.is_ready() and is_state_known:
             return
+        if gateway.stop.has_begun:
+            return
         if gateway.orders_topic is None or gateway.orders_topic.is_failing:
             return
         await asyncio.sleep(_READY_CHECK_INTERVAL_S)
--- a/packages/daemon/src/yuccarouter/gateway/program.py
+++ b/packages/daemon/src/yuccarouter/gateway/program.py
@@ -31,11 +31,17 @@
     log = logs.start(conf.name)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    role = make_daemon()
+
+    def begin_stop() -> None:
+        # The daemon may still be starting and drain only later.
+        role.gateway.stop.begin(role.gateway.conf.bounds.grace_ms)
+        stop.set()
+
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
+        loop.add_signal_handler(signal_number, begin_stop)
     eliot.log_message('started', name=conf.name, data_centre=conf.data_centre)
     log_task = asyncio.create_task(log.run())
-    role = make_daemon()
     reloader = reload.Reloader(role.gateway, load, settings_path)
     loop.add_signal_handler(signal.SIGHUP, reloader.apply)
     role.run(reloader.run)
--- a/packages/daemon/src/yuccarouter/gateway/stopping.py
+++ b/packages/daemon/src/yuccarouter/gateway/stopping.py
@@ -53,7 +53,13 @@
         return self.requests_end_ms < math.inf
 
     def begin(self, grace_ms: float) -> None:
-        """Limit the requests in progress, and those that follow."""
+        """Limit the requests in progress, and those that follow.
+
+        Does nothing if the stop has begun: the platform counts the grace
+        period from the first signal.
+        """
+        if self.has_begun:
+            return
         now_ms = clocks.monotonic_ms()
         self.requests_end_ms = now_ms + _REQUESTS_SHARE_OF_GRACE * grace_ms
         self.answers_end_ms = now_ms + _ANSWERS_SHARE_OF_GRACE * grace_ms
