--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -84,7 +84,8 @@
     discarded; a refusal must then not say that the call has not run.
     ``part_ids`` are the parts of the prompt that other prompts may share.
     ``crashes`` counts the crashes that a new one of them, or the request as a
-    whole, may have caused.
+    whole, may have caused. ``is_answer_begun`` is true once a part of the
+    answer was passed to the caller.
     """
 
     gateway: state.Gateway
@@ -103,6 +104,7 @@
     tried: frozenset[str] = frozenset()
     has_run: bool = False
     crashes: int = 0
+    is_answer_begun: bool = False
     part_ids: tuple[str, ...] = attrs.field(
         default=attrs.Factory(
             lambda out: prompt_parts.shared_part_ids(out.call), takes_self=True
@@ -122,8 +124,32 @@
         return (self.digest, *self.part_ids)
 
     def remaining_ms(self) -> float:
-        """Return the remaining time until the call's deadline."""
-        return self.deadline_ms - clocks.monotonic_ms()
+        """Return the remaining time until the call's deadline.
+
+        In a stop, requests must end before the grace period does.
+        """
+        end_ms = min(self.deadline_ms, self.gateway.stop.requests_end_ms)
+        return end_ms - clocks.monotonic_ms()
+
+    def can_end_before_stop(self) -> bool:
+        """Return whether a stop leaves enough time to send the call.
+
+        Few calls take much longer than their latency objective. A call that
+        was read after the port has closed is refused unless all of its time is
+        left: it would be cut without any need, as another daemon can serve it.
+        """
+        stop = self.gateway.stop
+        if stop.is_port_closed:
+            own_ms = self.deadline_ms - clocks.monotonic_ms()
+            return stop.leaves_time_for(own_ms)
+        return self.can_retry_before_stop()
+
+    def can_retry_before_stop(self) -> bool:
+        """Return whether a stop leaves enough time for another attempt."""
+        own_ms = self.deadline_ms - clocks.monotonic_ms()
+        return self.gateway.stop.leaves_time_for(
+            min(own_ms, self.route.objective_ms)
+        )
 
     def elapsed_ms(self) -> float:
         """Return the time since the call arrived."""
@@ -142,8 +168,10 @@
 
     def may_run_again(self, *, after: int) -> bool:
         """Return whether the call may run again after ``after`` more runs."""
-        return self.route.is_idempotent and (
-            self.runs + after < self.route.max_attempts
+        return (
+            self.route.is_idempotent
+            and self.runs + after < self.route.max_attempts
+            and self.can_retry_before_stop()
         )
 
     def has_alternative(self, chosen: choice.Choice, model_name: str) -> bool:
--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -39,9 +39,6 @@
 # Number of reads of the endpoints' topic within the limit on the time to drain
 # an endpoint. With two, the limit holds although one call fails.
 _ENDPOINT_READS_PER_DRAIN: Final = 2.2
-# Part of the grace period in which requests in progress may finish; the rest is
-# for closing connections.
-_DRAIN_SHARE_OF_GRACE: Final = 0.92
 # The balancer sends new connections until two readiness checks have failed.
 _BALANCER_DELAY_S: Final = 2.6
 _DRAIN_CHECK_INTERVAL_S: Final = 0.05
@@ -146,22 +143,26 @@
         """Refuse new connections and let requests in progress finish.
 
         The port stays open until the balancer has noticed that this daemon is
-        not ready.
+        not ready. Requests that don't finish within the grace period are
+        answered as unfinished.
         """
         gateway = self.gateway
-        gateway.is_draining = True
-        eliot.log_message('draining', in_progress=gateway.in_progress)
-        started_ms = clocks.monotonic_ms()
-        grace_ms = gateway.conf.bounds.grace_ms * _DRAIN_SHARE_OF_GRACE
-        self._close_connections()
+        gateway.stop.begin(gateway.conf.bounds.grace_ms)
+        eliot.log_message('draining', in_progress=gateway.stop.in_progress)
+        # A kept-alive connection could bring requests long after the balancer
+        # has stopped sending new connections. Busy ones close after their
+        # answer.
+        self._web_server.close_idle_connections()
         await asyncio.sleep(_BALANCER_DELAY_S)
         await self._callers_server.close_port()
-        self._close_connections()
+        gateway.stop.is_port_closed = True
         while (
-            gateway.in_progress
-            and clocks.monotonic_ms() - started_ms < grace_ms
+            self._web_server.connections
+            and clocks.monotonic_ms() < gateway.stop.answers_end_ms
         ):
+            self._web_server.close_idle_connections()
             await asyncio.sleep(_DRAIN_CHECK_INTERVAL_S)
+        self._web_server.abort_connections()
 
     async def stop(self) -> None:
         """Stop the servers, cancel the tasks and close the client session."""
@@ -176,16 +177,6 @@
         self._servers.append(server)
         await server.start()
 
-    def _close_connections(self) -> None:
-        """Close idle connections; busy ones close after their answer.
-
-        A kept-alive connection could bring requests long after the balancer
-        has stopped sending new connections.
-        """
-        for connection in self._web_server.connections:
-            if connection not in self.gateway.busy_connections:
-                connection.force_close()
-
 
 async def _wait_until_ready(
     gateway: state.Gateway, shared_state: topics.Topic
@@ -203,6 +194,8 @@
         is_state_known = shared_state.is_loaded or shared_state.is_failing
         if gateway.is_ready() and is_state_known:
             return
+        if gateway.stop.has_begun:
+            return
         if gateway.orders_topic is None or gateway.orders_topic.is_failing:
             return
         await asyncio.sleep(_READY_CHECK_INTERVAL_S)
