Move the connections that pass on one answer out of the gateway

The agent calls endpoints that answer twice as well and must judge what follows an answer in the same way, and a second version of these rules would differ from the first in time. answer_connections and answer_ends now stand beside the gateway; a session states how a stream's end is found and what happens with surplus bytes.

--- /dev/null
+++ b/packages/daemon/src/yuccarouter/answer_connections.py
@@ -0,0 +1,240 @@
+"""Client connections that pass on one answer, and nothing that follows it."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import re
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Final
+
+import aiohttp
+import attrs
+from aiohttp import client_proto, hdrs, streams
+
+from yuccarouter import answer_ends
+
+if TYPE_CHECKING:
+    from aiohttp.http_parser import RawResponseMessage
+
+# Limit on the bytes before an answer's body. They include interim answers and
+# the part of the body that arrives together with the head.
+MAX_HEAD_BYTES: Final = 524_288
+_HEAD_END: Final = re.compile(rb'\r?\n\r?\n')
+_HEAD_ENDS: Final = (b'\n\n', b'\n\r\n')
+# Length of the longest delimiter, less one: it may be split between two reads.
+_HEAD_END_OVERLAP: Final = 3
+_EVENT_STREAM: Final = 'text/event-stream'
+_MIN_FINAL_STATUS: Final = 200
+_SWITCHING_PROTOCOLS: Final = 101
+
+
+@attrs.frozen
+class Surplus:
+    """Bytes that came on a connection after an answer, or within one.
+
+    ``has_length`` says whether the answer had a length or chunks, and ``what``
+    is ``answer``, ``bytes``, ``unknown`` or the parser's error.
+    """
+
+    address: str
+    has_length: bool
+    what: str
+
+
+# Returns what finds the end of an event stream that does not state it, or
+# ``None`` if its reader does.
+FindStreamEnd = Callable[[], answer_ends.AnswerEnd | None]
+
+
+def set_up(
+    connector: aiohttp.TCPConnector,
+    find_stream_end: FindStreamEnd,
+    on_surplus: Callable[[Surplus], None],
+) -> None:
+    """Let a connector pass on one answer for each of its connections.
+
+    The connector must close a connection after its first request.
+    ``on_surplus`` is called once for a connection on which more came.
+    """
+    factory = functools.partial(
+        _Connection,
+        loop=asyncio.get_running_loop(),
+        find_stream_end=find_stream_end,
+        on_surplus=on_surplus,
+    )
+    # aiohttp has no public way to set the class of its connections.
+    connector._factory = factory  # type: ignore[assignment]  # noqa: WPS437
+
+
+class _Connection(client_proto.ResponseHandler):
+    """Passes on one answer, and nothing that follows it.
+
+    A connection sends one request, so that all bytes after the end of its
+    answer belong to none. Each head is parsed apart from what was received
+    together with it: bytes that are no answer then fail the parser only after
+    the answer before them was passed on. An answer without a length ends where
+    another one starts. aiohttp also takes it as complete if its connection is
+    reset, and accepts any number of interim answers.
+    """
+
+    _parse = client_proto.ResponseHandler.data_received
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        find_stream_end: FindStreamEnd,
+        on_surplus: Callable[[Surplus], None],
+    ) -> None:
+        super().__init__(loop)
+        self._find_stream_end = find_stream_end
+        self._on_surplus = on_surplus
+        self._head = bytearray()
+        self._head_bytes = 0
+        self._body: streams.StreamReader | None = None
+        self._answer_end: answer_ends.AnswerEnd | None = None
+        self._has_surplus = False
+
+    def data_received(self, data: bytes) -> None:
+        """Process received bytes; abort if the head is too long."""
+        # Without data, aiohttp resumes its parser. What was received before
+        # the request is passed to this method again.
+        if not data or (self._parser is None and self._body is None):
+            super().data_received(data)
+            return
+        position = 0
+        while position < len(data) and self._body is None:
+            head_end = self._find_head_end(data, position)
+            if not self._receive_head(data[position:head_end]):
+                return
+            position = head_end
+        if position < len(data) and self._body is not None:
+            self._receive_body(data[position:], self._body)
+
+    def feed_data(
+        self,
+        message: tuple[RawResponseMessage, streams.StreamReader],
+        size: int = 0,
+    ) -> None:
+        """Pass on the heads up to that of the first final answer."""
+        if self._body is not None:
+            self._record_surplus('answer')
+            return
+        head, body = message
+        if not _is_interim(head.code):
+            self._body = body
+            self._answer_end = self._end_of(head, body)
+        super().feed_data(message, size)
+
+    def set_exception(
+        self, exc: BaseException, exc_cause: BaseException | None = None
+    ) -> None:
+        """Report an error, unless the whole answer was passed on before it."""
+        if self._body is not None and self._body.is_eof():
+            self._record_surplus(f'{type(exc).__name__}: {exc}')
+            self.force_close()
+        elif exc_cause is None:
+            super().set_exception(exc)
+        else:
+            super().set_exception(exc, exc_cause)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        body = self._body
+        if body is not None and not body.is_eof():
+            if exc is not None:
+                body.set_exception(
+                    aiohttp.ClientPayloadError(
+                        'connection was reset before the end of the answer'
+                    )
+                )
+            elif self._answer_end is not None:
+                self._pass_on(self._answer_end.close(), body)
+        super().connection_lost(exc)
+
+    def _find_head_end(self, data: bytes, position: int) -> int:
+        """Return where the head ends, the end of ``data`` if it goes on."""
+        tail = bytes(self._head[-_HEAD_END_OVERLAP:])
+        following = data[position : position + _HEAD_END_OVERLAP]
+        split = _HEAD_END.search(tail + following) if tail else None
+        if split is not None:
+            return position + split.end() - len(tail)
+        match = _HEAD_END.search(data, position)
+        return len(data) if match is None else match.end()
+
+    def _receive_head(self, part: bytes) -> bool:
+        """Parse a part of a head; return whether the connection goes on."""
+        self._head_bytes += len(part)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            # Aborting would remove the exception, and reading end without one.
+            self.abort()
+            self.set_exception(
+                aiohttp.ClientPayloadError(
+                    f'answer head exceeds {MAX_HEAD_BYTES} bytes'
+                )
+            )
+            return False
+        self._head += part
+        self._parse(part)
+        if self._body is None and self._head.endswith(_HEAD_ENDS):
+            self._head.clear()
+        return self.exception() is None
+
+    def _receive_body(self, data: bytes, body: streams.StreamReader) -> None:
+        if body.is_eof():
+            self._record_surplus('bytes')
+        elif self._answer_end is None:
+            self._parse(data)
+        else:
+            self._pass_on(self._answer_end.feed(data), body)
+
+    def _pass_on(self, data: bytes, body: streams.StreamReader) -> None:
+        """Pass on a part of an answer without a length, and end it if due."""
+        if data:
+            self._parse(data)
+        if self._answer_end is None or self._parser is None:
+            return
+        if self._answer_end.end is answer_ends.End.WHOLE:
+            self._record_surplus('answer')
+            self._parser.feed_eof()
+            self._payload = None
+        elif self._answer_end.end is answer_ends.End.UNKNOWN:
+            self._record_surplus('unknown')
+            body.set_exception(
+                aiohttp.ClientPayloadError(
+                    'other bytes follow, or are within, an answer without a'
+                    ' length'
+                )
+            )
+            self.force_close()
+
+    def _end_of(
+        self, head: RawResponseMessage, body: streams.StreamReader
+    ) -> answer_ends.AnswerEnd | None:
+        """Return what finds the end of an answer that does not state it."""
+        has_body = not self._skip_payload and body is not streams.EMPTY_PAYLOAD
+        has_length = head.chunked or hdrs.CONTENT_LENGTH in head.headers
+        if has_length or not has_body:
+            return None
+        content_type = head.headers.get(hdrs.CONTENT_TYPE, '')
+        if content_type.partition(';')[0].strip().lower() == _EVENT_STREAM:
+            return self._find_stream_end()
+        return answer_ends.BodyEnd(bytes(self._head))
+
+    def _record_surplus(self, what: str) -> None:
+        """Report once that bytes follow the answer."""
+        if self._has_surplus:
+            return
+        self._has_surplus = True
+        address = self.transport and self.transport.get_extra_info('peername')
+        self._on_surplus(
+            Surplus(
+                address=':'.join(str(part) for part in address or ()),
+                has_length=self._answer_end is None,
+                what=what,
+            )
+        )
+
+
+def _is_interim(status: int) -> bool:
+    """Return whether the final answer is still to come."""
+    return status < _MIN_FINAL_STATUS and status != _SWITCHING_PROTOCOLS
--- a/packages/daemon/tests/gateway/test_second_answers.py
+++ b/packages/daemon/tests/gateway/test_second_answers.py
@@ -9,7 +9,8 @@
 import pytest
 from hypothesis import strategies as st
 
-from yuccarouter.gateway import answer_ends, connections
+from yuccarouter import answer_ends
+from yuccarouter.gateway import connections
 
 _EVENTS = b''.join(b'id: %d\ndata: event %d\n\n' % (n, n) for n in range(1, 5))
 _TEXT = b'the text of an answer. ' * 8
