Pass on one answer for each call of the agent

Callers of plain services got a second answer's head and body at the end of theirs, where the first had neither a length nor chunks. A whole answer was lost, and its call counted as failed, when bytes of no form or a body after a HEAD, 204 or 304 came in its packet. A call that is not idempotent held its slot for as long as interim answers came. aiohttp takes all bytes up to the end of a connection for the answer, drops what it has parsed when the next bytes fail, and skips any number of interim answers.

The agent's session now uses answer_connections, as the gateway's does. Engines' streams are left to their reader, which knows their last event: a connection that breaks off the stream for bytes after it could lose that event. Surplus bytes are logged as bytes_after_answer and counted.

Bytes of no form after a body without a length can't be told from it and are still passed on.

--- a/packages/daemon/src/yuccarouter/admission/calls.py
+++ b/packages/daemon/src/yuccarouter/admission/calls.py
@@ -4,14 +4,17 @@
 
 import asyncio
 import contextlib
+import contextvars
 from collections.abc import AsyncIterator, Awaitable, Callable
 from types import SimpleNamespace
 from typing import Any, Final
 
 import aiohttp
 import attrs
+import eliot
 
-from yuccarouter.admission import errors
+from yuccarouter import answer_connections, answer_ends
+from yuccarouter.admission import counters, errors
 from yuccarouter_common.proto import router_pb2
 
 _CONNECT_TIMEOUT_S: Final = 1.0
@@ -24,6 +27,11 @@
 _COMPLETIONS_PATH: Final = '/v1/chat/completions'
 _JSON: Final = 'application/json'
 
+# The request whose answer a connection receives; none for polls and orders.
+_current_request: Final[
+    contextvars.ContextVar[router_pb2.RunRequest | None]
+] = contextvars.ContextVar('request', default=None)
+
 
 @attrs.define
 class CallProgress:
@@ -41,14 +49,17 @@
     """Return the session that all calls to the endpoint share.
 
     Each call has a connection of its own: on a reused one, a second or late
-    answer would be taken for the answer to the next call. The agent's
-    concurrency limiter bounds the calls, so the connector has no limit.
+    answer would be taken for the answer to the next call. What follows an
+    answer on its connection is dropped. The agent's concurrency limiter bounds
+    the calls, so the connector has no limit.
     """
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    answer_connections.set_up(connector, _find_stream_end, _record_surplus)
     trace_config = aiohttp.TraceConfig()
     trace_config.on_connection_create_start.append(_on_connection)
     trace_config.on_request_headers_sent.append(_on_headers_sent)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        connector=connector,
         # The calls of different callers must not share cookies.
         cookie_jar=aiohttp.DummyCookieJar(),
         trace_configs=[trace_config],
@@ -74,6 +85,7 @@
     Raises ``NotConnectedError`` when nothing was sent, and
     ``BrokenCallError`` when the call failed later.
     """
+    _current_request.set(request)
     path = request.path if request.service else _COMPLETIONS_PATH
     try:
         async with session.request(
@@ -152,3 +164,23 @@
         progress.sent = True
         if progress.on_sent is not None:
             await progress.on_sent()
+
+
+def _find_stream_end() -> answer_ends.AnswerEnd | None:
+    request = _current_request.get()
+    # The last event of an engine's stream shows its end.
+    if request is not None and request.stream and not request.service:
+        return None
+    return answer_ends.StreamEnd()
+
+
+def _record_surplus(surplus: answer_connections.Surplus) -> None:
+    counters.SURPLUS_ANSWERS.inc()
+    request = _current_request.get()
+    eliot.log_message(
+        'bytes_after_answer',
+        attempt='' if request is None else request.attempt_id,
+        address=surplus.address,
+        has_length=surplus.has_length,
+        what=surplus.what,
+    )
--- a/packages/daemon/src/yuccarouter/admission/counters.py
+++ b/packages/daemon/src/yuccarouter/admission/counters.py
@@ -51,3 +51,7 @@
     'Registry records that could not be written, by item.',
     ('item',),
 )
+SURPLUS_ANSWERS: Final = prometheus_client.Counter(
+    'yuccarouter_admission_surplus_answers',
+    'Connections to the endpoint on which other bytes followed an answer.',
+)
--- a/packages/daemon/tests/admission/test_second_answers.py
+++ b/packages/daemon/tests/admission/test_second_answers.py
@@ -41,6 +41,13 @@
     return b'data: %b\n\ndata: [DONE]\n\n' % event
 
 
+def _answer(kind: str, text: str, framing: str) -> bytes:
+    content_type = 'text/event-stream' if kind == _STREAM else 'text/plain'
+    return raw_server.framed(
+        _body(kind, text), framing=framing, content_type=content_type
+    )
+
+
 def _server(
     kind: str, framing: str, surplus: str, timing: raw_server.Timing
 ) -> raw_server.RawServer:
@@ -48,13 +55,12 @@
 
     def answer(request: raw_server.Request) -> bytes:
         text = request.headers.get('x-attempt-id', '')
-        return raw_server.framed(_body(kind, text), framing=framing)
+        return _answer(kind, text, framing)
 
     def send_more(request: raw_server.Request) -> bytes:
         if surplus == 'same':
             return answer(request)
-        other = raw_server.framed(_body(kind, 'other'), framing=framing)
-        return _SURPLUS.get(surplus, other)
+        return _SURPLUS.get(surplus, _answer(kind, 'other', framing))
 
     return raw_server.RawServer(
         answer, send_more, timing, closes=framing == 'none'
@@ -94,7 +100,7 @@
 @pytest.mark.parametrize(
     ('surplus', 'timing'),
     [
-        *[(surplus, _AT_ONCE) for surplus in _SECOND_ANSWERS],
+        *[(surplus, _AT_ONCE) for surplus in (*_SECOND_ANSWERS, 'no answer')],
         *[(surplus, _LATE) for surplus in (*_SECOND_ANSWERS, 'no answer')],
         *[(surplus, _NEXT) for surplus in (*_SECOND_ANSWERS, 'no answer')],
     ],
@@ -120,6 +126,71 @@
     }
 
 
+@pytest.mark.parametrize('kind', [_WHOLE, _SERVICE])
+@pytest.mark.parametrize('surplus', _SECOND_ANSWERS)
+@pytest.mark.parametrize('timing', [_AT_ONCE, _LATE])
+async def test_body_that_ends_with_its_connection(
+    call: Any, kind: str, surplus: str, timing: raw_server.Timing
+) -> None:
+    """Guards against a body with another answer in it that looks complete.
+
+    It has neither a length nor chunks. It is known to be whole only if the
+    same answer follows once more.
+    """
+    server = _server(kind, 'none', surplus, timing)
+    async with raw_server.running(server):
+        answer = await call(kind, server.url)
+    is_known = surplus == 'same'
+    expected = ('done', _body(kind, 'a1')) if is_known else ('failed', b'')
+    assert answer == expected
+
+
+@pytest.mark.parametrize('timing', [_AT_ONCE, _LATE])
+@pytest.mark.parametrize(
+    ('method', 'status', 'field'),
+    [
+        ('HEAD', 200, 'Content-Length: 4\r\n'),
+        ('HEAD', 200, 'Transfer-Encoding: chunked\r\n'),
+        ('HEAD', 200, ''),
+        ('GET', 204, ''),
+        ('GET', 204, 'Content-Length: 4\r\n'),
+        ('GET', 304, 'Content-Length: 4\r\n'),
+    ],
+)
+@pytest.mark.parametrize(
+    'more', [b'paid', raw_server.framed(b'paid')], ids=['body', 'answer']
+)
+async def test_bytes_after_an_answer_without_a_body(
+    call: Any,
+    method: str,
+    status: int,
+    field: str,
+    more: bytes,
+    timing: raw_server.Timing,
+) -> None:
+    """Guards against an answer without a body that is lost or gets one."""
+    head = f'HTTP/1.1 {status} X\r\n{field}\r\n'.encode()
+    server = raw_server.RawServer(lambda _: head, lambda _: more, timing)
+    async with raw_server.running(server):
+        answer = await call(_SERVICE, server.url, method=method)
+    assert answer == ('done', b'')
+
+
+async def test_interim_answers_without_end(call: Any) -> None:
+    """Guards against a call that goes on for as long as interim answers come.
+
+    A call that is not idempotent has no deadline, so that it would hold its
+    slot.
+    """
+    interim = b'HTTP/1.1 103 Early Hints\r\n\r\n' * 40_000
+    server = raw_server.RawServer(
+        lambda _: interim + raw_server.framed(b'paid'), lambda _: b''
+    )
+    async with raw_server.running(server):
+        ending, _ = await call(_SERVICE, server.url)
+    assert ending == 'failed'
+
+
 @pytest.mark.parametrize('surplus', (*_SECOND_ANSWERS, 'no answer'))
 @pytest.mark.parametrize('timing', [_AT_ONCE, _LATE])
 async def test_stream_that_ends_with_its_connection(
--- a/packages/testkit/src/yuccarouter_testkit/raw_server.py
+++ b/packages/testkit/src/yuccarouter_testkit/raw_server.py
@@ -136,7 +136,11 @@
 
 
 def framed(
-    body: bytes, *, framing: str = 'length', status: str = '200 OK'
+    body: bytes,
+    *,
+    framing: str = 'length',
+    status: str = '200 OK',
+    content_type: str = 'application/json',
 ) -> bytes:
     """Return an answer with a length, in chunks or up to its connection's end.
 
@@ -148,7 +152,7 @@
         'none': '',
     }
     head = (
-        f'HTTP/1.1 {status}\r\nContent-Type: application/json\r\n'
+        f'HTTP/1.1 {status}\r\nContent-Type: {content_type}\r\n'
         f'{headers[framing]}\r\n'
     )
     if framing == 'chunks':
