Bound the memory for a body without a length

A gateway or agent kept all of a body that has neither a length nor chunks, to compare it with a second answer, so that an endpoint in trouble which sends bytes without end filled its memory although the body was passed on. A second answer is compared up to 2 MiB only, so that no more of the first one is kept now, and a longer body still counts as unknown if an answer follows.

test_memory_of_a_long_body failed before: 36 MiB were held for a body of 32 MiB.

--- a/packages/daemon/src/yuccarouter/answer_ends.py
+++ b/packages/daemon/src/yuccarouter/answer_ends.py
@@ -174,7 +174,9 @@
                 break
         passed = held[:kept_from]
         del self._held[:kept_from]
-        self._passed += passed
+        # A longer body can't be compared: what follows it is bounded as well.
+        if len(self._passed) <= MAX_REPEAT_BYTES:
+            self._passed += passed
         return passed
 
 
--- a/packages/daemon/tests/gateway/test_second_answers.py
+++ b/packages/daemon/tests/gateway/test_second_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import tracemalloc
 
 import aiohttp
 import hypothesis
@@ -292,3 +293,19 @@
     for _ in range(answer_ends.MAX_REPEAT_BYTES // 65536 + 1):
         answer_end.feed(b'x' * 65536)
     assert answer_end.end is answer_ends.End.UNKNOWN
+
+
+def test_memory_of_a_long_body() -> None:
+    """Guards against memory that grows with a body without an end."""
+    answer_end = answer_ends.BodyEnd(_HEAD)
+    received = b'x' * 65536
+    tracemalloc.start()
+    for _ in range(512):
+        assert answer_end.feed(received) == received
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert peak_bytes < 3 * answer_ends.MAX_REPEAT_BYTES
+    # The body is too long to be compared with a second one.
+    answer_end.feed(_HEAD + received)
+    answer_end.close()
+    assert answer_end.end is answer_ends.End.UNKNOWN
