Report an append without effect only after a refusal

A writer was told that nothing took effect when the log or weight store answered an append or load with a status that is no refusal, such as 202, 204, 304 or a switch of protocols. The rule is that of a 4xx or 503, but every status below 500 counted. The outcome is now unknown after these, so that writers look the record up before they append it again.

test_status_of_a_call_with_side_effects failed for these four statuses and both calls before (8 of 14 cases).

--- a/packages/common/src/yuccarouter_common/platform/exchanges.py
+++ b/packages/common/src/yuccarouter_common/platform/exchanges.py
@@ -15,6 +15,7 @@
     from collections.abc import Mapping
 
 _HTTP_OK: Final = 200
+_HTTP_CLIENT_ERROR: Final = 400
 _HTTP_TOO_MANY_REQUESTS: Final = 429
 _HTTP_SERVER_ERROR: Final = 500
 _HTTP_UNAVAILABLE: Final = 503
@@ -136,10 +137,12 @@
     """Return the error for a failed request that has side effects.
 
     Only a 4xx and a 503 mean that nothing took effect: other server errors may
-    come from a gateway that timed out while the service still runs the request.
+    come from a gateway that timed out while the service still runs the request,
+    and a status below 400 is no refusal.
     """
     message = f'{service} answered with status {status}'
-    if status < _HTTP_SERVER_ERROR or status == _HTTP_UNAVAILABLE:
+    is_rejected = _HTTP_CLIENT_ERROR <= status < _HTTP_SERVER_ERROR
+    if is_rejected or status == _HTTP_UNAVAILABLE:
         return errors.UnavailableError(message)
     return errors.AnswerLostError(message)
 
--- a/packages/common/tests/test_platform.py
+++ b/packages/common/tests/test_platform.py
@@ -93,3 +93,34 @@
         with pytest.raises(errors.UnavailableError):
             await call(session, server.url)
     assert len(server.requests) == 2
+
+
+@pytest.mark.parametrize(
+    ('status', 'error'),
+    [
+        ('101 Switching Protocols', errors.AnswerLostError),
+        ('202 Accepted', errors.AnswerLostError),
+        ('204 No Content', errors.AnswerLostError),
+        ('304 Not Modified', errors.AnswerLostError),
+        ('400 Bad Request', errors.UnavailableError),
+        ('500 Internal Server Error', errors.AnswerLostError),
+        ('503 Service Unavailable', errors.UnavailableError),
+    ],
+)
+@pytest.mark.parametrize('call', [_append, _load])
+async def test_status_of_a_call_with_side_effects(
+    session: aiohttp.ClientSession,
+    call: _Call,
+    status: str,
+    error: type[errors.PlatformError],
+) -> None:
+    """Guards against a call that counts as without effect and had one.
+
+    Its writer would send it again under another id.
+    """
+    answer = raw_server.framed(b'', status=status)
+    server = raw_server.RawServer(lambda _: answer, lambda _: b'')
+    async with raw_server.running(server):
+        with pytest.raises(errors.PlatformError) as raised:
+            await call(session, server.url)
+    assert raised.type is error
