Test appends whose answer is followed by other bytes

An append must not get a wrong offset or a false refusal from what follows its answer, be it another answer, a refusal or single bytes, with each way to state an answer's end.

--- a/packages/common/tests/test_platform.py
+++ b/packages/common/tests/test_platform.py
@@ -124,3 +124,36 @@
         with pytest.raises(errors.PlatformError) as raised:
             await call(session, server.url)
     assert raised.type is error
+
+
+@pytest.mark.parametrize('framing', ['length', 'chunks', 'none'])
+@pytest.mark.parametrize(
+    'surplus',
+    [
+        raw_server.framed(b'{"offset": 8, "time_ms": 2}'),
+        raw_server.framed(b'{}', status='503 Service Unavailable'),
+        b'\x00\xffno answer\r\n\r\n',
+        b'9',
+        b' ',
+    ],
+    ids=['other', 'refusal', 'no answer', 'digit', 'space'],
+)
+@pytest.mark.parametrize('timing', [raw_server.Timing.AT_ONCE, _LATE])
+async def test_append_with_surplus_bytes(
+    session: aiohttp.ClientSession,
+    framing: str,
+    surplus: bytes,
+    timing: raw_server.Timing,
+) -> None:
+    """Guards against a wrong offset or refusal from bytes after an answer."""
+    document = orjson.dumps({'offset': 7, 'time_ms': 1})
+    answer = raw_server.framed(document, framing=framing)
+    server = raw_server.RawServer(
+        lambda _: answer, lambda _: surplus, timing, closes=framing == 'none'
+    )
+    async with raw_server.running(server):
+        try:
+            appended = await _append(session, server.url)
+        except (errors.AnswerLostError, errors.BadAnswerError):
+            return
+    assert appended == log.Appended(7, 1)
