Count an append with an invalid answer as of unknown outcome

Entries and agents appended bill rows again without looking for the first ones when the log's answer to an append was mangled, such as one without a length that a second answer followed; a relay told its senders that nothing was written. The client raised BadAnswerError, which its description doesn't name and its callers take for a failure without effect. It now raises AnswerLostError, so that the record is looked up.

--- a/packages/common/src/yuccarouter_common/platform/log.py
+++ b/packages/common/src/yuccarouter_common/platform/log.py
@@ -8,7 +8,7 @@
 import attrs
 import orjson
 
-from yuccarouter_common.platform import exchanges
+from yuccarouter_common.platform import errors, exchanges
 
 _APPEND_TIMEOUT_S: Final = 2.0
 # Added to the time that a read waits for new records.
@@ -81,7 +81,10 @@
                 has_side_effects=True,
             ),
         )
-        return exchanges.structure(_SERVICE, answer, Appended)
+        try:
+            return exchanges.structure(_SERVICE, answer, Appended)
+        except errors.BadAnswerError as fault:
+            raise errors.AnswerLostError(fault.message) from fault
 
     async def read(
         self,
--- a/packages/common/tests/test_platform.py
+++ b/packages/common/tests/test_platform.py
@@ -154,6 +154,21 @@
     async with raw_server.running(server):
         try:
             appended = await _append(session, server.url)
-        except (errors.AnswerLostError, errors.BadAnswerError):
+        except errors.AnswerLostError:
             return
     assert appended == log.Appended(7, 1)
+
+
+@pytest.mark.parametrize('body', [b'', b'{}', b'[]', b'{"offset": 7', b'null'])
+async def test_append_with_an_invalid_answer(
+    session: aiohttp.ClientSession, body: bytes
+) -> None:
+    """Guards against an append that counts as failed and may be in the log.
+
+    Bill rows would then be appended again without a search for the first ones.
+    """
+    answer = raw_server.framed(body)
+    server = raw_server.RawServer(lambda _: answer, lambda _: b'')
+    async with raw_server.running(server):
+        with pytest.raises(errors.AnswerLostError):
+            await _append(session, server.url)
