--- a/packages/common/tests/test_platform.py
+++ b/packages/common/tests/test_platform.py
@@ -93,3 +93,82 @@
         with pytest.raises(errors.UnavailableError):
             await call(session, server.url)
     assert len(server.requests) == 2
+
+
+@pytest.mark.parametrize(
+    ('status', 'error'),
+    [
+        ('101 Switching Protocols', errors.AnswerLostError),
+        ('202 Accepted', errors.AnswerLostError),
+        ('204 No Content', errors.AnswerLostError),
+        ('304 Not Modified', errors.AnswerLostError),
+        ('400 Bad Request', errors.UnavailableError),
+        ('500 Internal Server Error', errors.AnswerLostError),
+        ('503 Service Unavailable', errors.UnavailableError),
+    ],
+)
+@pytest.mark.parametrize('call', [_append, _load])
+async def test_status_of_a_call_with_side_effects(
+    session: aiohttp.ClientSession,
+    call: _Call,
+    status: str,
+    error: type[errors.PlatformError],
+) -> None:
+    """Guards against a call that counts as without effect and had one.
+
+    Its writer would send it again under another id.
+    """
+    answer = raw_server.framed(b'', status=status)
+    server = raw_server.RawServer(lambda _: answer, lambda _: b'')
+    async with raw_server.running(server):
+        with pytest.raises(errors.PlatformError) as raised:
+            await call(session, server.url)
+    assert raised.type is error
+
+
+@pytest.mark.parametrize('framing', ['length', 'chunks', 'none'])
+@pytest.mark.parametrize(
+    'surplus',
+    [
+        raw_server.framed(b'{"offset": 8, "time_ms": 2}'),
+        raw_server.framed(b'{}', status='503 Service Unavailable'),
+        b'\x00\xffno answer\r\n\r\n',
+        b'9',
+        b' ',
+    ],
+    ids=['other', 'refusal', 'no answer', 'digit', 'space'],
+)
+@pytest.mark.parametrize('timing', [raw_server.Timing.AT_ONCE, _LATE])
+async def test_append_with_surplus_bytes(
+    session: aiohttp.ClientSession,
+    framing: str,
+    surplus: bytes,
+    timing: raw_server.Timing,
+) -> None:
+    """Guards against a wrong offset or refusal from bytes after an answer."""
+    document = orjson.dumps({'offset': 7, 'time_ms': 1})
+    answer = raw_server.framed(document, framing=framing)
+    server = raw_server.RawServer(
+        lambda _: answer, lambda _: surplus, timing, closes=framing == 'none'
+    )
+    async with raw_server.running(server):
+        try:
+            appended = await _append(session, server.url)
+        except errors.AnswerLostError:
+            return
+    assert appended == log.Appended(7, 1)
+
+
+@pytest.mark.parametrize('body', [b'', b'{}', b'[]', b'{"offset": 7', b'null'])
+async def test_append_with_an_invalid_answer(
+    session: aiohttp.ClientSession, body: bytes
+) -> None:
+    """Guards against an append that counts as failed and may be in the log.
+
+    Bill rows would then be appended again without a search for the first ones.
+    """
+    answer = raw_server.framed(body)
+    server = raw_server.RawServer(lambda _: answer, lambda _: b'')
+    async with raw_server.running(server):
+        with pytest.raises(errors.AnswerLostError):
+            await _append(session, server.url)
--- a/packages/daemon/tests/gateway/test_second_answers.py
+++ b/packages/daemon/tests/gateway/test_second_answers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+import tracemalloc
 from typing import Any
 
 import aiohttp
@@ -12,7 +13,8 @@
 import pytest
 from hypothesis import strategies as st
 
-from yuccarouter.gateway import answer_ends, connections
+from yuccarouter import answer_ends
+from yuccarouter.gateway import connections
 
 _EVENTS = b''.join(b'id: %d\ndata: event %d\n\n' % (n, n) for n in range(1, 5))
 _TEXT = b'the text of an answer. ' * 8
@@ -435,3 +437,19 @@
     for _ in range(answer_ends.MAX_REPEAT_BYTES // 65536 + 1):
         answer_end.feed(b'x' * 65536)
     assert answer_end.end is answer_ends.End.UNKNOWN
+
+
+def test_memory_of_a_long_body() -> None:
+    """Guards against memory that grows with a body without an end."""
+    answer_end = answer_ends.BodyEnd(_HEAD)
+    received = b'x' * 65536
+    tracemalloc.start()
+    for _ in range(512):
+        assert answer_end.feed(received) == received
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert peak_bytes < 3 * answer_ends.MAX_REPEAT_BYTES
+    # The body is too long to be compared with a second one.
+    answer_end.feed(_HEAD + received)
+    answer_end.close()
+    assert answer_end.end is answer_ends.End.UNKNOWN
