Check the counts in a peer's digest

A digest with a count of answers below 0 ended the process: the comparison of versions divided by zero in the task that writes steps of roll-outs. Counts of 16 digits kept it busy for longer than 20 s, as its sum has as many terms as their square root, and two backlogs of 1.7e308 requests raised OverflowError at each choice of an endpoint. The counts were converted with int() and float(), which also accept texts such as 'nan'. They are now checked with numbers.py as other messages are, counts of answers up to 10**8, and a digest out of range is logged as malformed.

--- a/packages/daemon/src/yuccarouter/gateway/endpoints.py
+++ b/packages/daemon/src/yuccarouter/gateway/endpoints.py
@@ -9,7 +9,7 @@
 import attrs
 import eliot
 
-from yuccarouter.gateway import endpoint_notices, model
+from yuccarouter.gateway import endpoint_notices, model, numbers
 from yuccarouter_common import clocks
 
 if TYPE_CHECKING:
@@ -206,7 +206,11 @@
         """
         now_ms = clocks.monotonic_ms()
         reported = {
-            name: PeerBacklog(int(in_flight), float(pending_prefill_ms), now_ms)
+            name: PeerBacklog(
+                numbers.integer(in_flight),
+                numbers.number(pending_prefill_ms),
+                now_ms,
+            )
             for name, (in_flight, pending_prefill_ms) in backlog.items()
         }
         idle = PeerBacklog(0, 0, now_ms)
--- a/packages/daemon/src/yuccarouter/gateway/rollout_control.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollout_control.py
@@ -12,6 +12,7 @@
 
 from yuccarouter.gateway import (
     latency_judge,
+    numbers,
     ports,
     rollouts,
     routes,
@@ -33,6 +34,9 @@
 _UNKNOWN_VERSION_WAIT_MS: Final = 1500.0
 # Delay after another daemon wrote first; reads may lag behind by seconds.
 _CONFLICT_RETRY_MS: Final = 1000.0
+# Larger counts of a peer's answers are malformed. The comparison of versions
+# takes as many steps as the square root of the count.
+_MAX_ANSWERS: Final = 10**8
 
 
 @attrs.define
@@ -382,7 +386,12 @@
 
 def _tallies(counts: dict[str, list[int]]) -> dict[str, rollouts.Tally]:
     return {
-        route: rollouts.Tally(int(good), int(bad), int(slow))
+        route: rollouts.Tally(
+            *(
+                numbers.integer(count, _MAX_ANSWERS)
+                for count in (good, bad, slow)
+            )
+        )
         for route, (good, bad, slow) in counts.items()
     }
 
--- a/packages/daemon/tests/gateway/test_bad_messages.py
+++ b/packages/daemon/tests/gateway/test_bad_messages.py
@@ -40,8 +40,9 @@
 ANY_JSON = st.recursive(
     st.none()
     | st.booleans()
-    | st.integers(-(2**40), 2**40)
+    | st.integers(-(2**63), 2**64 - 1)
     | st.floats()
+    | st.sampled_from([1.7e308, 'nan', 'inf', '1'])
     | st.text(max_size=4),
     lambda inner: (
         st.lists(inner, max_size=3)
@@ -136,6 +137,66 @@
     receiver.use_state()
 
 
+@pytest.mark.parametrize(
+    'backlog',
+    [
+        [1.7e308, 1],
+        [2**64 - 1, 1],
+        [1, 1.7e308],
+        [-9, 1],
+        [1, -9],
+        [1, 'nan'],
+        ['1', 1],
+        [True, 1],
+    ],
+)
+def test_backlog_out_of_range(backlog: list[Any]) -> None:
+    """Guards against a peer's backlog that makes all calls fail.
+
+    The sum of two huge backlogs raised OverflowError at each choice of an
+    endpoint. A negative one or NaN drew all calls to an endpoint.
+    """
+    receiver = Receiver()
+    for name in ('d2', 'd3'):
+        digest = {**VALID_DIGEST, 'name': name, 'work': {'e1': backlog}}
+        payload = orjson.dumps(digest)
+        receiver.gossip.datagram_received(payload, ('10.0.0.2', 7300))
+    receiver.use_state()
+    view = receiver.gateway.directory.get('e1')
+    assert view is not None
+    assert view.occupancy(clocks.monotonic_ms()) == 0
+    assert view.backlog_ms(clocks.monotonic_ms()) == 0
+
+
+@pytest.mark.parametrize(
+    ('new', 'old'),
+    [
+        ([1, 4, 0], [-20, 0, 0]),
+        ([-9, 4, 0], [20, 0, 0]),
+        ([1, 4, 0], [20, -9, 0]),
+        ([2**53 * 44 // 100, 2**53 * 56 // 100, 0], [2**52, 2**52, 0]),
+        ([1, 4, 0], [1e300, 1, 0]),
+        (['1', '4', '0'], [20, 0, 0]),
+        ([True, 4, 0], [20, 0, 0]),
+    ],
+)
+def test_evidence_out_of_range(new: list[Any], old: list[Any]) -> None:
+    """Guards against a peer's counts that end the process or block it.
+
+    The test for a harmful version divided by zero, and took minutes for counts
+    of 16 digits.
+    """
+    receiver = Receiver()
+    evidence = [1, 'engine', {'r': new}, {'r': old}]
+    payload = orjson.dumps({**VALID_DIGEST, 'rollouts': [evidence]})
+    receiver.gossip.datagram_received(payload, ('10.0.0.2', 7300))
+    receiver.use_state()
+    assert not receiver.control.evidence('engine').new
+    payload = orjson.dumps(VALID_DIGEST)
+    receiver.gossip.datagram_received(payload, ('10.0.0.2', 7300))
+    assert receiver.control.evidence('engine').new
+
+
 @hypothesis.given(payload=st.binary(max_size=200))
 def test_any_datagram(payload: bytes) -> None:
     """Guards against a crash by foreign datagrams at the peers' port."""
