--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -557,12 +557,17 @@
 
 
 def prefill_tokens(call: model.Call, chosen: choice.Choice) -> float:
-    """Return the prompt tokens that the endpoint has not cached."""
+    """Return the prompt tokens that the endpoint has not cached.
+
+    A caller may state more tokens of its parts than of the whole prompt.
+    """
     generation = call.generation
     if generation is None:
         return 0
     shared_tokens = sum(part.tokens for part in generation.parts[:-1])
-    return generation.prompt_tokens - shared_tokens + chosen.uncached_tokens
+    return max(
+        0, generation.prompt_tokens - shared_tokens + chosen.uncached_tokens
+    )
 
 
 def _record_no_answer(out: OutgoingCall, view: endpoints.EndpointView) -> None:
