Bound the rate limits that endpoints state

An endpoint that stated a limit of 1.7e308 requests per second made all requests fail with status 500, also those to other services, and peers and the stored copies took the limit over: the share of a daemon was infinite, and its conversion to an integer raised OverflowError at each choice of an endpoint. Records and digests accepted infinite and negative rates, NaN and texts too.

--- a/packages/daemon/src/yuccarouter/gateway/rate_limits.py
+++ b/packages/daemon/src/yuccarouter/gateway/rate_limits.py
@@ -72,7 +72,7 @@
     return Statement(
         numbers.integer(started_ms),
         numbers.integer(version),
-        None if per_s is None else max(0, float(per_s)),
+        None if per_s is None else numbers.number(per_s),
     )
 
 
--- a/packages/daemon/tests/gateway/test_rate_limits.py
+++ b/packages/daemon/tests/gateway/test_rate_limits.py
@@ -12,6 +12,7 @@
 import math
 import random
 from collections.abc import Iterable
+from typing import Any
 
 import attrs
 import pytest
@@ -257,3 +258,19 @@
     sending = [share for share in shares if share is not None]
     assert len(sending) == 5
     assert math.isclose(sum(1000 / share.interval_ms for share in sending), 1)
+
+
+@pytest.mark.parametrize(
+    'per_s', [1.7e308, math.inf, math.nan, 'nan', 'inf', '1', -1, True, [1]]
+)
+def test_malformed_rate(per_s: Any) -> None:
+    """Guards against a rate of a peer or a record that makes all calls fail.
+
+    An infinite share of the limit can't be converted to an integer.
+    """
+    own = limits()
+    with pytest.raises(ValueError, match='number'):
+        own.merge({ENDPOINT: [1, 1, per_s]}, 0)
+    assert own.exhausted(0) == {}
+    own.merge({ENDPOINT: [1, 1, 2]}, 0)
+    assert own.exhausted(0).keys() == {ENDPOINT}
