Accept a time to retry of nine digits at most

A refusal of the store whose Retry-After had 5,000 digits ended the process: int() raised ValueError, which the readers of the store's topics don't expect beside PlatformError, so that the task that follows the list failed. The digits were checked and their number was not, and digits that are not ASCII passed too. Evidence: the cases of 5,000 and of 400 digits of test_odd_time_to_retry failed before. Other values than one to nine ASCII digits now count as no time, for which the default of one second holds as before.

--- a/packages/common/src/yuccarouter_common/platform/exchanges.py
+++ b/packages/common/src/yuccarouter_common/platform/exchanges.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from typing import TYPE_CHECKING, Final, TypeVar
 
 import aiohttp
@@ -20,6 +21,9 @@
 _HTTP_UNAVAILABLE: Final = 503
 # Used when a 429 has no Retry-After that is a number of seconds.
 _DEFAULT_RETRY_AFTER_MS: Final = 1000
+# The conversion of thousands of digits raises an error of its own.
+_SECONDS: Final = re.compile('[0-9]{1,9}')
+_MS_PER_S: Final = 1000
 
 _Answer = TypeVar('_Answer')
 _ONLY_OK: Final = frozenset((_HTTP_OK,))
@@ -135,6 +139,6 @@
 
 def _retry_after_ms(response: aiohttp.ClientResponse) -> int:
     seconds = response.headers.get('Retry-After', '')
-    return (
-        int(seconds) * 1000 if seconds.isdecimal() else _DEFAULT_RETRY_AFTER_MS
-    )
+    if _SECONDS.fullmatch(seconds):
+        return int(seconds) * _MS_PER_S
+    return _DEFAULT_RETRY_AFTER_MS
