--- a/packages/daemon/src/yuccarouter/gateway/offsets.py
+++ b/packages/daemon/src/yuccarouter/gateway/offsets.py
@@ -12,6 +12,8 @@
 from typing import Final
 
 _NUMBER_BITS: Final = 40
+# The largest number of a record in a generation.
+MAX_NUMBER: Final = (1 << _NUMBER_BITS) - 1
 
 
 def encode(generation: int, number: int) -> int:
@@ -26,4 +28,4 @@
 
 def number(offset: int) -> int:
     """Return the number that the store knows an offset by."""
-    return offset & ((1 << _NUMBER_BITS) - 1)
+    return offset & MAX_NUMBER
