Check the offsets and records of a peer's messages

A peer's answer that was no JSON object, or listed a key that was a list, ended the process: AttributeError and TypeError were not expected where it was read. The offset of a record or of a digest beyond 64 bits was taken over; the daemon then sent it on to its peers, which JSON can't hold, and fetched records from that peer at each round. Offsets were converted with int(), without a limit. Numbers of records are now below 2**40, as in the store, generations at most 10**9, and keys texts; otherwise the message is logged and left.

--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -14,7 +14,7 @@
 import orjson
 from aiohttp import web
 
-from yuccarouter.gateway import addresses, model, offsets, ports
+from yuccarouter.gateway import addresses, model, numbers, offsets, ports
 from yuccarouter_common import clocks, records
 
 if TYPE_CHECKING:
@@ -44,6 +44,7 @@
     aiohttp.ClientError,
     asyncio.TimeoutError,
     records.ShapeError,
+    AttributeError,
     LookupError,
     TypeError,
     ValueError,
@@ -56,6 +57,8 @@
     TypeError,
     ValueError,
 )
+# A store is restored less often.
+_MAX_GENERATION: Final = 10**9
 _RECORDS_PATH: Final = '/records'
 _RECORDS_TIMEOUT_S: Final = 0.8
 # Time that a record may take from the store to this daemon, beyond the poll
@@ -274,10 +277,25 @@
 
 
 def _offset(generation: Any, number: Any) -> int:
-    """Return an offset of a message, -1 for one before all records."""
-    if int(number) < 0:
+    """Return an offset of a message, -1 for one before all records.
+
+    Raises ``ValueError``.
+    """
+    if number == -1:
         return -1
-    return offsets.encode(int(generation), int(number))
+    return offsets.encode(
+        numbers.integer(generation, _MAX_GENERATION),
+        numbers.integer(number, offsets.MAX_NUMBER),
+    )
+
+
+def _entry(generation: Any, key: Any, value: Any, number: Any) -> ports.Entry:
+    """Return a record of a message; raises ``TypeError`` or ``ValueError``."""
+    if not isinstance(key, str):
+        raise TypeError('a record without a key')
+    return ports.Entry(
+        key, base64.b64decode(value), _offset(generation, number)
+    )
 
 
 def records_app(replicas: list[topics.Topic]) -> web.Application:
@@ -452,12 +470,10 @@
             timeout=aiohttp.ClientTimeout(total=_RECORDS_TIMEOUT_S),
         ) as answer:
             document = records.loads(await answer.read())
-            generation = int(document.get('generation', known_generation))
+            generation = document.get('generation', known_generation)
             missing = [
-                ports.Entry(
-                    key, base64.b64decode(value), _offset(generation, offset)
-                )
-                for key, value, offset in document['records']
+                _entry(generation, key, value, number)
+                for key, value, number in document['records']
             ]
             present = frozenset(document['present'])
             newest = _offset(generation, document['newest'])
--- a/packages/daemon/tests/gateway/test_bad_messages.py
+++ b/packages/daemon/tests/gateway/test_bad_messages.py
@@ -197,6 +197,33 @@
     assert receiver.control.evidence('engine').new
 
 
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'newest': {'t': 1e300}},
+        {'newest': {'t': 2**40}},
+        {'newest': {'t': '5'}},
+        {'newest': {'t': 5.5}},
+        {'newest': {'t': None}},
+        {'newest': {'t': 5}, 'generations': {'t': 1e300}},
+        {'newest': {'t': 5}, 'generations': {'t': 2**64 - 1}},
+        {'newest': {'t': 5}, 'generations': {'t': -1}},
+        {'newest': {'t': 5}, 'generations': []},
+    ],
+)
+def test_offset_out_of_range(fields: dict[str, Any]) -> None:
+    """Guards against a peer that seems to be ahead of all others for ever.
+
+    Records would be fetched from it at each round. The largest offset, sent
+    on to peers, could not be encoded, which ended the process.
+    """
+    receiver = Receiver()
+    payload = orjson.dumps({**VALID_DIGEST, **fields})
+    receiver.gossip.datagram_received(payload, ('10.0.0.2', 7300))
+    assert not receiver.gossip.known_peers
+    receiver.use_state()
+
+
 @hypothesis.given(payload=st.binary(max_size=200))
 def test_any_datagram(payload: bytes) -> None:
     """Guards against a crash by foreign datagrams at the peers' port."""
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -153,6 +153,60 @@
     assert replica.table.entries['b'].value == b'{"x":1}'
 
 
+@pytest.mark.parametrize(
+    'changes',
+    [
+        None,
+        {'records': None},
+        {'records': [['k', 'eA==']]},
+        {'records': [['k', 'a', 5]]},
+        {'records': [['k', 'eA==', 1e300]]},
+        {'records': [['k', 'eA==', 2**64 - 1]]},
+        {'records': [['k', 'eA==', '5']]},
+        {'records': [[5, 'eA==', 5]]},
+        {'records': [[['k'], 'eA==', 5]]},
+        {'present': [['k']]},
+        {'present': None},
+        {'newest': 1e300},
+        {'generation': 1e300},
+        {'generation': None},
+        {'generation': 2**64 - 1},
+    ],
+)
+async def test_malformed_records_of_a_peer(changes: Any) -> None:
+    """Guards against a peer's answer that ends the process.
+
+    A document that was no object raised an error that was not expected, and
+    the offset of a record beyond 64 bits can't be sent on to peers.
+    """
+    sound = {
+        'records': [['k', 'eA==', 5]],
+        'present': ['k'],
+        'newest': 5,
+        'generation': 0,
+    }
+    document = [1] if changes is None else {**sound, **changes}
+    documents = [document, sound]
+
+    async def serve(request: web.Request) -> web.Response:
+        return web.Response(body=orjson.dumps(documents.pop(0)))
+
+    app = web.Application()
+    app.router.add_get('/records', serve)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    address = model.Address('127.0.0.1', runner.addresses[0][1])
+    replica = topic()
+    async with aiohttp.ClientSession() as session:
+        for is_known in (False, True):
+            await peers._fetch(session, peers.Peer(address, 0, {}), replica)
+            assert ('k' in replica.table.entries) is is_known
+            orjson.dumps(peers.encode_newest([replica]))
+    await runner.cleanup()
+
+
 async def test_records_of_a_peer_after_a_restore() -> None:
     """Guards against a daemon that keeps records which a restore has undone.
 
