--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -13,6 +13,7 @@
 
 from yuccarouter.gateway import (
     attempts,
+    caller_connections,
     events,
     metrics,
     model_escalation,
@@ -364,10 +365,11 @@
             status=opened.head.status,
             headers=multidict.CIMultiDict(opened.head.headers),
         )
-        if relay.out.gateway.is_draining:
-            relay.response.force_close()
+        if relay.out.gateway.stop.has_begun:
+            caller_connections.close_after_last(relay.request, relay.response)
         relay.response.enable_chunked_encoding()
         metrics.observe_first_byte(relay.out.route.kind, relay.out.elapsed_ms())
+        relay.out.is_answer_begun = True
         await relay.response.prepare(relay.request)
     await _await_write(relay, relay.response.write(complete_events))
 
--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -16,7 +16,7 @@
 import attrs
 import gateway_makers as make
 import pytest
-from aiohttp import client_reqrep
+from aiohttp import client_reqrep, web
 
 from yuccarouter.gateway import (
     answer_progress,
@@ -34,6 +34,7 @@
     retries,
     retry_budget,
     rollouts,
+    stopping,
 )
 from yuccarouter_common import clocks, refusals
 
@@ -108,6 +109,8 @@
         process_id=1,
         gossip=None,
         session=Session(*results),
+        stop=stopping.Stop(),
+        endpoint_waits_ms=lambda service: [],
         platform=types.SimpleNamespace(
             encode_attempt=lambda call, attempt: (),
             decode_answer=lambda response: response.head,
@@ -378,3 +381,62 @@
     now_ms = clocks.monotonic_ms()
     peer.merge(out.gateway.crash_evidence.message(now_ms), now_ms)
     assert len(peer.message(now_ms)) == 1
+
+
+@pytest.mark.parametrize(
+    ('remaining_ms', 'is_port_closed', 'expected'),
+    [
+        (5000, False, True),
+        (500, False, True),
+        (50, False, False),
+        (5000, True, True),
+        (500, True, False),
+    ],
+)
+def test_time_that_a_stop_leaves(
+    remaining_ms: float, is_port_closed: bool, expected: bool
+) -> None:
+    """Guards against sending calls that a stop cuts before their answer.
+
+    The call has 1,000 ms and an objective of 100 ms.
+    """
+    out = outgoing(allowed_retries=0)
+    stop = out.gateway.stop
+    stop.requests_end_ms = clocks.monotonic_ms() + remaining_ms
+    stop.is_port_closed = is_port_closed
+    assert out.can_end_before_stop() is expected
+
+
+@pytest.mark.parametrize(
+    ('remaining_ms', 'result', 'status', 'outcome'),
+    [
+        (5000, answer(is_signed=False), 200, ''),
+        (50, answer(is_signed=False), 502, refusals.UNKNOWN),
+        (50, NO_CONNECTION, 503, refusals.NOT_RUN),
+    ],
+)
+async def test_retries_before_a_stop(
+    remaining_ms: float, result: Any, status: int, outcome: str
+) -> None:
+    """Guards against a retry that the stop cuts before its answer.
+
+    The caller can ask another daemon if it is told at once.
+    """
+    out = outgoing(result, answer(), allowed_retries=2)
+    stop = out.gateway.stop
+    stop.requests_end_ms = clocks.monotonic_ms() + remaining_ms
+
+    async def attempt(chosen: choice.Choice) -> web.StreamResponse:
+        async with attempts.open_attempt(out, chosen, '', '', 1000):
+            return web.Response(status=200)
+
+    def choose() -> choice.Choice | None:
+        return out.next_endpoint('')
+
+    try:
+        answered = await retries.until_answered(out, choose, attempt)
+    except refusals.RefusalError as refusal:
+        assert (refusal.status, refusal.outcome) == (status, outcome)
+        assert out.sends == 1
+    else:
+        assert answered.status == status
