--- a/packages/daemon/src/yuccarouter/admission/calls.py
+++ b/packages/daemon/src/yuccarouter/admission/calls.py
@@ -18,9 +18,9 @@
 # Ends calls without a deadline when the endpoint hangs.
 _READ_TIMEOUT_S: Final = 300.0
 _CANCEL_TIMEOUT_S: Final = 2.0
-# Shorter than the idle timeout of common HTTP servers, so that a call is
-# rarely sent on a connection that the endpoint is closing.
-_KEEPALIVE_S: Final = 4.0
+_CHUNK_BYTES: Final = 64 * 1024
+# Bounds the memory for one answer or report of the endpoint.
+_MAX_BODY_BYTES: Final = 8 * 1024 * 1024
 _COMPLETIONS_PATH: Final = '/v1/chat/completions'
 _JSON: Final = 'application/json'
 
@@ -40,15 +40,17 @@
 def new_session() -> aiohttp.ClientSession:
     """Return the session that all calls to the endpoint share.
 
-    The agent's concurrency limiter bounds the calls, so the connector has no
-    limit.
+    Each call has a connection of its own: on a reused one, a second or late
+    answer would be taken for the answer to the next call. The agent's
+    concurrency limiter bounds the calls, so the connector has no limit.
     """
     trace_config = aiohttp.TraceConfig()
     trace_config.on_connection_create_start.append(_on_connection)
-    trace_config.on_connection_reuseconn.append(_on_connection)
     trace_config.on_request_headers_sent.append(_on_headers_sent)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=_KEEPALIVE_S),
+        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        # The calls of different callers must not share cookies.
+        cookie_jar=aiohttp.DummyCookieJar(),
         trace_configs=[trace_config],
         timeout=aiohttp.ClientTimeout(
             total=None,
@@ -89,6 +91,19 @@
         raise errors.NotConnectedError(f'not connected: {fault}') from fault
 
 
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Read an answer to its end.
+
+    Raises ``BrokenCallError`` when it is too large.
+    """
+    body = bytearray()
+    async for part in response.content.iter_chunked(_CHUNK_BYTES):
+        body += part
+        if len(body) > _MAX_BODY_BYTES:
+            raise errors.BrokenCallError('the answer is too large')
+    return bytes(body)
+
+
 async def cancel(
     session: aiohttp.ClientSession, url: str, attempt_id: str
 ) -> bool:
@@ -123,8 +138,8 @@
     session: aiohttp.ClientSession, context: SimpleNamespace, details: Any
 ) -> None:
     progress: CallProgress | None = context.trace_request_ctx
-    # aiohttp repeats GET, PUT and DELETE calls on a new connection when a
-    # kept-alive one breaks. A repeat could run a non-idempotent call twice.
+    # aiohttp repeats GET, PUT and DELETE calls on a new connection when the
+    # first one breaks. A repeat could run a non-idempotent call twice.
     if progress is not None and progress.sent:
         raise aiohttp.ClientConnectionError('connection lost')
 
