--- a/packages/daemon/src/yuccarouter/gateway/answer_ends.py
+++ b/packages/daemon/src/yuccarouter/gateway/answer_ends.py
@@ -15,18 +15,24 @@
 import attrs
 
 _LINE: Final = re.compile(rb'[^\n]*\n')
-_STATUS_LINE: Final = re.compile(rb'HTTP/\d\.\d [1-5]\d\d(?: [^\r\n]*)?\r?\n')
+# Each match extends to the end of its line, so that searching a line that has
+# many such starts takes linear time.
+_STATUS_LINE: Final = re.compile(rb'HTTP/\d\.\d [1-5]\d\d(?:[ \r][^\n]*)?\n')
 _HEADER_LINE: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\n]*\n")
 # What ends so may go on with the rest of a status line or of a header line.
 _STATUS_LINE_START: Final = re.compile(
     rb'(?:H|HT|HTT|HTTP|HTTP/|HTTP/\d|HTTP/\d\.|HTTP/\d\.\d|HTTP/\d\.\d '
-    rb"|HTTP/\d\.\d [1-5]\d?|HTTP/\d\.\d [1-5]\d\d(?: [A-Za-z '-]*)?\r?)\Z"
+    rb'|HTTP/\d\.\d [1-5]\d?|HTTP/\d\.\d [1-5]\d\d(?:[ \r][^\n]*)?)\Z'
+)
+# If a body ends so, it is taken for one that another answer cut short. Texts
+# with other characters after a status rather mention one.
+_CUT_STATUS_LINE: Final = re.compile(
+    rb'HTTP/\d(?:\.|\.\d|\.\d '
+    rb"|\.\d [1-5]\d?|\.\d [1-5]\d\d(?: [A-Za-z '-]*)?\r?)?\Z"
 )
 _HEADER_LINE_START: Final = re.compile(
     rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+(?::[^\n]*)?)?\r?"
 )
-# Texts rarely end in a longer start of a status line, and often in a shorter.
-_MIN_STATUS_LINE_START_BYTES: Final = len(b'HTTP/1')
 _CONTROL_CHARACTER: Final = re.compile(rb'[\x00-\x08\x0b\x0c\x0e-\x1f]')
 _EMPTY_LINES: Final = frozenset((b'\n', b'\r\n'))
 _EVENT_FIELDS: Final = frozenset((b'id', b'event', b'data', b'retry'))
@@ -66,7 +72,8 @@
     Each line of an event is text, and is a comment or starts with a known
     field, which a status line never does. A status line after a complete event
     starts another answer, and an endpoint sends that only after the end of the
-    first. Any other line may stand in place of a part of the stream.
+    first. Any other line may stand in place of a part of the stream, and so may
+    a status line that no event precedes, as in a stream that is resumed.
     ``extra_fields`` are the fields that the platform's events have besides the
     standard ones.
     """
@@ -74,6 +81,7 @@
     extra_fields: frozenset[bytes] = frozenset()
     end: End = End.OPEN
     _is_in_event: bool = False
+    _has_events: bool = False
     _incomplete: bytearray = attrs.field(factory=bytearray)
 
     def feed(self, received: bytes) -> bytes:
@@ -103,12 +111,17 @@
             self._is_in_event = False
         elif self._is_event_line(line):
             self._is_in_event = True
-        elif not self._is_in_event and _STATUS_LINE.fullmatch(line):
+            self._has_events |= not line.startswith(b':')
+        elif self._is_after_event and _STATUS_LINE.fullmatch(line):
             self.end = End.WHOLE
         else:
             self.end = End.UNKNOWN
         return self.end is End.OPEN
 
+    @property
+    def _is_after_event(self) -> bool:
+        return self._has_events and not self._is_in_event
+
     def _is_event_line(self, line: bytes) -> bool:
         if _CONTROL_CHARACTER.search(line):
             return False
@@ -131,6 +144,9 @@
     _passed: bytearray = attrs.field(factory=bytearray)
     # From what may be the status line of another answer on.
     _held: bytearray = attrs.field(factory=bytearray)
+    # The held bytes are searched again only once they have doubled, so that the
+    # time does not grow with the square of their number.
+    _next_search_bytes: int = 0
     _second_head: bytes = b''
 
     def feed(self, received: bytes) -> bytes:
@@ -138,7 +154,10 @@
         if self.end is not End.OPEN:
             return b''
         self._held += received
-        passed = b'' if self._second_head else self._pass_on()
+        passed = b''
+        if len(self._held) >= self._next_search_bytes:
+            passed = self._pass_on()
+            self._next_search_bytes = 2 * len(self._held)
         if len(self._held) > MAX_REPEAT_BYTES:
             self.end = End.UNKNOWN
         return passed
@@ -147,14 +166,15 @@
         """Return the rest of the body."""
         if self.end is not End.OPEN:
             return b''
+        passed = self._pass_on()
         held = bytes(self._held)
         if self._second_head:
             is_repeated = held == self._second_head + self._passed
             is_repeated &= _form(self._second_head) == _form(self.head)
             self.end = End.WHOLE if is_repeated else End.UNKNOWN
-            return b''
-        if len(held) < _MIN_STATUS_LINE_START_BYTES:
-            return held
+            return passed
+        if b'\n' not in held and _CUT_STATUS_LINE.search(held) is None:
+            return passed + held
         self.end = End.UNKNOWN
         return b''
 
@@ -163,10 +183,13 @@
 
         The second head stays empty until its last line has arrived.
         """
+        if self._second_head:
+            return b''
         held = bytes(self._held)
-        start = _STATUS_LINE_START.search(held)
+        lines_end = held.rfind(b'\n') + 1
+        start = _STATUS_LINE_START.search(held, lines_end)
         kept_from = len(held) if start is None else start.start()
-        for match in _STATUS_LINE.finditer(held):
+        for match in _STATUS_LINE.finditer(held, 0, lines_end):
             head_end = _head_end(held, match.end())
             if head_end is not None:
                 kept_from = match.start()
