Do not blame endpoints for callers that leave their streams

aiohttp reports a write to a caller that has left as ClientConnectionResetError, which is also an error of client connections. So the attempt ended as a broken stream of its endpoint: it counted against the endpoint and as a bad answer of a roll-out, looked for a crash, and could be resumed for a caller that was gone.

--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -358,6 +358,16 @@
 
 async def _write(
     relay: Relay, opened: attempts.OpenAnswer, complete_events: bytes
+) -> None:
+    try:
+        await _write_events(relay, opened, complete_events)
+    except ConnectionError as fault:
+        # aiohttp's error is one that the endpoint's connection has as well.
+        raise ConnectionResetError('caller has left') from fault
+
+
+async def _write_events(
+    relay: Relay, opened: attempts.OpenAnswer, complete_events: bytes
 ) -> None:
     if relay.response is None:
         relay.response = web.StreamResponse(
