Test answers of plain services that end with their connection at the agent

Callers get the head and body of a second answer within a success, and answers that a reset cut short as complete, where a plain service of the own fleet states no length: the agent reads with aiohttp's own connections, and judges only streams by their last event.

The cases of kind service fail and are not fixed here: 6 of test_answer_that_ends_with_its_connection and 1 of test_reset_within_an_answer.

--- a/packages/daemon/tests/admission/test_second_answers.py
+++ b/packages/daemon/tests/admission/test_second_answers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
+import struct
 from typing import Any
 
 import attrs
@@ -136,6 +139,44 @@
     assert answer == ('done', _body(_STREAM, 'a1'))
 
 
+@pytest.mark.parametrize('surplus', ['same', 'error', 'refusal'])
+@pytest.mark.parametrize('timing', [_AT_ONCE, _LATE])
+@pytest.mark.parametrize('kind', [_WHOLE, _SERVICE])
+async def test_answer_that_ends_with_its_connection(
+    call: Any, kind: str, surplus: str, timing: raw_server.Timing
+) -> None:
+    """Guards against a second answer that is a part of a caller's success."""
+    server = _server(kind, 'none', surplus, timing)
+    async with raw_server.running(server):
+        ending, received = await call(kind, server.url)
+    assert ending == 'failed' or received == _body(kind, 'a1')
+
+
+@pytest.mark.parametrize('kind', _KINDS)
+async def test_reset_within_an_answer(call: Any, kind: str) -> None:
+    """Guards against an answer without a length that was cut by a reset.
+
+    aiohttp takes the reset for the end of the answer.
+    """
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\n' + _body(kind, 'a1')[:-2])
+        await asyncio.sleep(0.05)
+        writer.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+        writer.transport.abort()
+
+    server = await asyncio.start_server(answer, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    ending, _ = await call(kind, f'http://127.0.0.1:{port}')
+    server.close()
+    assert ending == 'failed'
+
+
 async def test_stream_that_never_ends(call: Any) -> None:
     """Guards against waiting for the end of a connection that stays open.
 
