Take no status below 200 for an endpoint's final answer

Callers got 'HTTP/1.1 0', 'HTTP/1.1 99' or 101 as the answer to their request: bytes that are no answer, or one after which they wait for another. aiohttp's client returns statuses below 100 and 101 as final ones, and they were passed on if they bore a signature. Such an answer now counts as one that does not belong to the request.

The six cases of test_statuses_that_are_not_final failed before.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -38,6 +38,8 @@
 # the smallest VM, which has 128 MB.
 MAX_ANSWER_BYTES: Final = 2_097_152
 _OK: Final = 200
+# Lower ones, as that of a switch of protocols, end no request of a caller.
+_MIN_FINAL_STATUS: Final = 200
 # Share of the retry budget that is reserved for retries after failures.
 _FAILURE_RESERVE_SHARE: Final = 0.15
 
@@ -390,7 +392,8 @@
         raise AttemptError(
             'endpoint refused the request', 'refused', may_have_run=False
         )
-    if is_for_other_request or head.is_encoded or not head.is_signed:
+    is_answer = head.is_signed and head.status >= _MIN_FINAL_STATUS
+    if is_for_other_request or head.is_encoded or not is_answer:
         view.record_failure()
         _record_outcome(out, view, 'foreign_answer', status=head.status)
         raise AttemptError(
