Deliver no empty answer on the evidence of another answer's head

Callers got an empty success if an endpoint sent the head of an answer without a length, then a head of the same form, and closed: the empty body counted as one that follows once more, though both answers may have broken off after their heads. The heads may be those of two requests, as only the names of their fields are compared. Such an answer now counts as broken off.

Both cases of test_heads_of_two_answers failed before.

--- a/packages/daemon/src/yuccarouter/gateway/answer_ends.py
+++ b/packages/daemon/src/yuccarouter/gateway/answer_ends.py
@@ -135,8 +135,9 @@
 
     A body may contain the head of an answer, so that one within it does not
     show where it ends. If the answer follows once more, with a head of the same
-    form and the same body, the first one was whole. ``head`` is the answer's
-    own head.
+    form and the same body, the first one was whole, unless the bodies are empty:
+    both may have broken off after their heads. ``head`` is the answer's own
+    head.
     """
 
     head: bytes
@@ -170,6 +171,7 @@
         held = bytes(self._held)
         if self._second_head:
             is_repeated = held == self._second_head + self._passed
+            is_repeated &= bool(self._passed)
             is_repeated &= _form(self._second_head) == _form(self.head)
             self.end = End.WHOLE if is_repeated else End.UNKNOWN
             return passed
--- a/packages/daemon/tests/gateway/test_second_answers.py
+++ b/packages/daemon/tests/gateway/test_second_answers.py
@@ -324,6 +324,14 @@
         assert time.process_time() - started_s < 10
 
 
+@pytest.mark.parametrize('delay_s', _DELAYS_S)
+async def test_heads_of_two_answers(delay_s: float) -> None:
+    """Guards against an empty success if two answers end after their heads."""
+    head = make_answer(b'', 'none')
+    other = make_second("another's", head)
+    assert await receive(head, other, delay_s) is None
+
+
 @pytest.mark.parametrize('start', [b'', b': open\n\n', b'\n'])
 async def test_stream_without_events_before_another_answer(
     start: bytes,
