Look only at suspects with enough attempts for their threshold

test_memory_and_messages_are_bounded exceeded its 120 s in three runs beside other work (load 29 to 39), for it takes 37 s of processor time on this machine: each lost answer of a crash counts the crashes of every suspect, of which nearly all have a single attempt. The number of crashes is at most that of the attempts. The result is the same by construction.

--- a/packages/daemon/src/yuccarouter/gateway/crash_suspicions.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_suspicions.py
@@ -262,6 +262,9 @@
 
 
 def _reaches(attempts: list[CrashedAttempt], threshold: Threshold) -> bool:
+    # Most suspects have a single attempt, and the rest takes longer.
+    if len(attempts) < threshold.crashes:
+        return False
     requests = {attempt.repeated_request for attempt in attempts}
     return (
         len(requests) >= threshold.requests
