Deliver a repeated answer only if its head is the same to the byte

The review showed that a body cut short, the head of another request's answer with fields of the same names, and the same bytes once more counted as one answer that follows twice: only the names of the fields were compared. The head is now compared as a whole, which also needs less code.

--- a/packages/daemon/src/yuccarouter/answer_ends.py
+++ b/packages/daemon/src/yuccarouter/answer_ends.py
@@ -134,9 +134,9 @@
     """Finds the end of a body of any content.
 
     A body may contain the head of an answer, so that one within it does not
-    show where it ends. If the answer follows once more, with a head of the same
-    form and the same body, the first one was whole. ``head`` is the answer's
-    own head.
+    show where it ends. If the answer follows once more, byte by byte, the first
+    one was whole, unless its body is empty: both may have broken off after
+    their heads. ``head`` is the answer's own head.
     """
 
     head: bytes
@@ -169,9 +169,9 @@
         passed = self._pass_on()
         held = bytes(self._held)
         if self._second_head:
-            is_repeated = held == self._second_head + self._passed
-            is_repeated &= _form(self._second_head) == _form(self.head)
-            self.end = End.WHOLE if is_repeated else End.UNKNOWN
+            is_repeated = held == self.head + self._passed
+            is_whole = is_repeated and bool(self._passed)
+            self.end = End.WHOLE if is_whole else End.UNKNOWN
             return passed
         if b'\n' not in held and _CUT_STATUS_LINE.search(held) is None:
             return passed + held
@@ -219,9 +219,3 @@
     return (
         None if _HEADER_LINE_START.fullmatch(received, position) is None else 0
     )
-
-
-def _form(head: bytes) -> tuple[bytes, ...]:
-    """Return the status line of a head and the names of its fields."""
-    status_line, *lines = head.lower().splitlines()
-    return (status_line, *(line.partition(b':')[0] for line in lines))
