--- a/packages/daemon/src/yuccarouter/answer_connections.py
+++ b/packages/daemon/src/yuccarouter/answer_connections.py
@@ -17,8 +17,7 @@
 if TYPE_CHECKING:
     from aiohttp.http_parser import RawResponseMessage
 
-# Limit on the bytes before an answer's body. They include interim answers and
-# the part of the body that arrives together with the head.
+# Limit on the bytes before an answer's body, interim answers included.
 MAX_HEAD_BYTES: Final = 524_288
 _HEAD_END: Final = re.compile(rb'\r?\n\r?\n')
 _HEAD_ENDS: Final = (b'\n\n', b'\n\r\n')
