Log where operators' records come from and how long reads waited

The logs of a late configuration could not tell a read that was never answered from one that was answered late, or from a change that was read and not applied: store_lost said neither how long the failed call had been pending nor when the store had last answered, and nothing told whether a change came from a read, a load or a peer.

store_lost now has pending_ms and answered_ms_ago; records_applied gives source and age of new operators' records; a histogram has the age by topic.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -238,6 +238,7 @@
         gateway.apply_operator_record,
         _ignore,
         rewrite_grace_ms=_REWRITE_GRACE_MS,
+        logs_changes=True,
     )
     gateway.orders_topic = orders
     poll_interval_ms = gateway.conf.bounds.drain_ms / _ENDPOINT_READS_PER_DRAIN
--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -58,6 +58,12 @@
     ('route_kind',),
     buckets=_LATENCY_BUCKETS_S,
 )
+RECORD_AGE_S: Final = prometheus_client.Histogram(
+    'yuccarouter_gateway_record_age_seconds',
+    'Time from the last answer of the store to the use of a newer record',
+    ('topic', 'source'),
+    buckets=_LATENCY_BUCKETS_S,
+)
 _MS_PER_S: Final = 1000
 
 IN_PROGRESS: Final = prometheus_client.Gauge(
@@ -68,3 +74,8 @@
 def observe_first_byte(route_kind: str, elapsed_ms: float) -> None:
     """Record the time to the first byte of an answer."""
     FIRST_BYTE_S.labels(route_kind).observe(elapsed_ms / _MS_PER_S)
+
+
+def observe_record_age(topic: str, source: str, age_ms: float) -> None:
+    """Record how old a new record of a topic may be."""
+    RECORD_AGE_S.labels(topic, source).observe(age_ms / _MS_PER_S)
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -10,12 +10,12 @@
 import attrs
 import eliot
 
-from yuccarouter.gateway import offsets, ports
+from yuccarouter.gateway import metrics, offsets, ports
 from yuccarouter_common import clocks
 from yuccarouter_common.platform import errors
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
 _MS_PER_S: Final = 1000
 # Delay after a failed call. It doubles with each further failure, since refused
@@ -34,6 +34,10 @@
 # Length of an outage after which the newest records are loaded anew: a long
 # poll would not show that the store has lost records.
 _RELOAD_AFTER_MS: Final = 1000.0
+# Where a record came from, in logs and metrics.
+_FROM_READ: Final = 'read'
+_FROM_LOAD: Final = 'load'
+_FROM_PEER: Final = 'peer'
 
 
 def _ignore() -> None:
@@ -84,7 +88,8 @@
     calls for both fail, only ``probe`` is retried, for a few seconds. Records
     that a restored store lacks are kept for ``rewrite_grace_ms``, in which
     their writers may write them again. ``on_restored`` is called once for each
-    restore that this topic learns of.
+    restore that this topic learns of. New records of a topic with
+    ``logs_changes`` are logged with their source and age.
     """
 
     name: str
@@ -97,6 +102,7 @@
     probe: Topic | None = None
     rewrite_grace_ms: float = 0
     on_restored: Callable[[], None] = _ignore
+    logs_changes: bool = False
     table: Table = attrs.field(factory=Table)
     started_ms: float = attrs.field(factory=clocks.monotonic_ms)
     last_answer_ms: float = -math.inf
@@ -106,6 +112,7 @@
     consecutive_failures: int = 0
     last_failure_ms: float = -math.inf
     grace_end_ms: float | None = None
+    read_began_ms: float = -math.inf
     _call: asyncio.Timeout | None = None
 
     @property
@@ -161,8 +168,7 @@
             if removal.offset < newest_offset:
                 self.table.entries[removal.key] = removal
                 self.on_record(removal)
-        for entry in entries:
-            self._apply(entry)
+        self._apply_all(entries, _FROM_PEER, self.last_answer_ms)
 
     async def _read_once(self) -> float:
         """Read new records once and return the delay before the next call."""
@@ -175,6 +181,7 @@
             return _PEER_READ_INTERVAL_MS
         call = asyncio.timeout(None)
         self._call = call
+        self.read_began_ms = clocks.monotonic_ms()
         try:
             async with call:
                 page = await self.store.read(
@@ -184,9 +191,8 @@
             return 0
         finally:
             self._call = None
-        self._record_success()
-        for entry in page.entries:
-            self._apply(entry)
+        known_until_ms = self._record_success()
+        self._apply_all(page.entries, _FROM_READ, known_until_ms)
         self.table.next_offset = max(self.table.next_offset, page.next_offset)
         return max(
             self.poll_interval_ms, _BATCH_DELAY_MS if page.entries else 0
@@ -202,30 +208,46 @@
             self._call.reschedule(asyncio.get_running_loop().time())
 
     async def _load(self) -> None:
+        self.read_began_ms = clocks.monotonic_ms()
         page = await self.store.newest(self.name)
-        self._record_success()
+        known_until_ms = self._record_success()
         self._note_generation(page.next_offset)
         present = frozenset(entry.key for entry in page.entries)
         for removal in self._removals(present):
             self.table.entries[removal.key] = removal
             self.on_record(removal)
-        for entry in sorted(page.entries, key=lambda item: item.offset):
-            self._apply(entry)
+        ordered = sorted(page.entries, key=lambda item: item.offset)
+        self._apply_all(ordered, _FROM_LOAD, known_until_ms)
         self.table.next_offset = page.next_offset
         self.is_loaded = True
 
-    def _apply(self, entry: ports.Entry) -> None:
-        if self.table.apply(entry):
-            self.on_record(entry)
+    def _apply_all(
+        self, entries: Iterable[ports.Entry], source: str, known_until_ms: float
+    ) -> None:
+        """Apply records, and report how old the new ones may be.
+
+        That is the time since the store's answer of ``known_until_ms``, which
+        lacked them.
+        """
+        count = 0
+        for entry in entries:
+            if self.table.apply(entry):
+                count += 1
+                self.on_record(entry)
+            else:
+                _log_ignored(self.name, entry, self.table.entries[entry.key])
+        age_ms = _elapsed_ms(known_until_ms)
+        if not count or age_ms is None:
             return
-        known = self.table.entries[entry.key]
-        if known.value != entry.value:
+        metrics.observe_record_age(self.name, source, age_ms)
+        if self.logs_changes:
             eliot.log_message(
-                'record_ignored',
+                'records_applied',
                 topic=self.name,
-                key=entry.key,
-                offset=entry.offset,
-                known_offset=known.offset,
+                source=source,
+                count=count,
+                pending_ms=_elapsed_ms(self.read_began_ms),
+                age_ms=age_ms,
             )
 
     def _wait_ms(self) -> int:
@@ -281,7 +303,9 @@
         )
         return delay_ms * (0.5 + random.random())
 
-    def _record_success(self) -> None:
+    def _record_success(self) -> float:
+        """Note an answer of the store; return when the one before it came."""
+        before_ms = self.last_answer_ms
         self.consecutive_failures = 0
         now_ms = clocks.monotonic_ms()
         if self.is_failing:
@@ -294,6 +318,7 @@
             )
             self.on_reconnected(outage_ms)
         self.last_answer_ms = now_ms
+        return before_ms
 
     def _record_failure(self, fault: errors.PlatformError) -> None:
         self.consecutive_failures += 1
@@ -305,6 +330,27 @@
                 topic=self.name,
                 code=fault.code,
                 reason=fault.message,
+                pending_ms=_elapsed_ms(self.read_began_ms),
+                answered_ms_ago=_elapsed_ms(self.last_answer_ms),
             )
         if clocks.monotonic_ms() - self.last_answer_ms > _RELOAD_AFTER_MS:
             self.is_loaded = False
+
+
+def _elapsed_ms(since_ms: float) -> int | None:
+    """Return the time since an event, ``None`` if it never happened."""
+    if not math.isfinite(since_ms):
+        return None
+    return round(clocks.monotonic_ms() - since_ms)
+
+
+def _log_ignored(topic: str, entry: ports.Entry, known: ports.Entry) -> None:
+    """Log a record that is older than the known one and differs from it."""
+    if known.value != entry.value:
+        eliot.log_message(
+            'record_ignored',
+            topic=topic,
+            key=entry.key,
+            offset=entry.offset,
+            known_offset=known.offset,
+        )
