Reproduce changes that wait for a read which is never answered

In virtual time, changes of orders are applied 8.3 to 9.6 s after a silence of the store ends, of shared state up to 6.1 s, of endpoints up to 3.1 s (one of four lengths of the silence). With processes, an added route, a removed key, an evacuation and a roll-out's order are not in force 4 s after it. The limits are those of the users' settings.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -81,7 +81,7 @@
         conf = self._conf
         session = self._session
         store = self._make_store(session, conf)
-        replicas = _make_replicas(self.gateway, store)
+        replicas = make_replicas(self.gateway, store)
         gossip = await _open_gossip(self.gateway, replicas)
         _share_reads(self.gateway, gossip, replicas, session)
         shared_state = replicas[-1]
@@ -228,9 +228,10 @@
     return sorted({*present, gateway.conf.name}).index(gateway.conf.name)
 
 
-def _make_replicas(
+def make_replicas(
     gateway: state.Gateway, store: ports.Store
 ) -> list[topics.Topic]:
+    """Return replicas of the topics of orders, endpoints and shared state."""
     names = gateway.platform.topics
     orders = topics.Topic(
         names.orders,
--- a/packages/daemon/tests/gateway/gateway_store.py
+++ b/packages/daemon/tests/gateway/gateway_store.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
+import math
 from collections.abc import Sequence
 
 import attrs
@@ -95,3 +97,45 @@
         if fault == 'away':
             raise errors.UnavailableError('away')
         return fault
+
+
+_ANSWER_S = 0.01
+_CALL_TIMEOUT_S = 1.5
+
+
+@attrs.define
+class SilentStore(MemoryStore):
+    """A store whose reads wait, and which is silent for a while.
+
+    Calls that begin while it is silent are never answered, and time out. Those
+    that wait at that moment are answered as usual. Times are those of the
+    event loop, in seconds.
+    """
+
+    silent_from_s: float = math.inf
+    silent_until_s: float = math.inf
+    calls: int = 0
+
+    async def newest(self, topic: str) -> ports.Page:
+        """Return the newest records, or time out."""
+        await self._begin_call(0)
+        return await super().newest(topic)
+
+    async def read(self, topic: str, offset: int, wait_ms: int) -> ports.Page:
+        """Return the records from ``offset`` on, or time out."""
+        await self._begin_call(wait_ms / 1000)
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + wait_ms / 1000
+        while True:
+            page = await super().read(topic, offset, wait_ms)
+            if page.entries or loop.time() >= end_s:
+                return page
+            await asyncio.sleep(_ANSWER_S)
+
+    async def _begin_call(self, wait_s: float) -> None:
+        self.calls += 1
+        now_s = asyncio.get_running_loop().time()
+        if self.silent_from_s <= now_s < self.silent_until_s:
+            await asyncio.sleep(wait_s + _CALL_TIMEOUT_S)
+            raise errors.UnavailableError('silent')
+        await asyncio.sleep(_ANSWER_S)
