Count the delay of retries from the beginning of the failed call

Callers saw: requests on endpoints that had left, and by older orders, up to 0.15 s past the limit of 3 s after a silence of the store (virtual time, 4 s and 12 s of silence).

Cause: a call that is never answered fails after 1.5 s, and up to 1.8 s passed before the next one, so that the return of a silent store was noticed up to 3.3 s late; of a store that refuses calls, 1.8 s.

Evidence: test_change_after_a_silence_of_the_store[4-endpoints] failed before (KNOWN-RED.txt) and passes now; test_retry_delay_grows still holds. A silent store gets a call every 1.5 to 1.8 s from a daemon, where it got one every 1.7 to 3.3 s.

--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -23,6 +23,8 @@
 _RETRY_DELAY_MS: Final = 300.0
 _MAX_RETRY_DELAY_MS: Final = 1200.0
 _MAX_DOUBLINGS: Final = 4
+# Delay after a call that failed only after a longer time than the delay.
+_MIN_RETRY_DELAY_MS: Final = 50.0
 # Longest time without a call while the probe topic fails. The store may answer
 # for this topic all the same: perhaps only the probe topic can't be decoded.
 _MAX_PROBE_WAIT_MS: Final = 5000.0
@@ -146,7 +148,10 @@
                 self.is_loaded = False
             except errors.PlatformError as fault:
                 self._record_failure(fault)
-                await asyncio.sleep(self._retry_delay_ms() / _MS_PER_S)
+                delay_ms = _retry_delay_ms(
+                    self.consecutive_failures, self.read_began_ms
+                )
+                await asyncio.sleep(delay_ms / _MS_PER_S)
             else:
                 await asyncio.sleep(delay_ms / _MS_PER_S)
 
@@ -296,13 +301,6 @@
         waited_ms = clocks.monotonic_ms() - self.last_failure_ms
         return self.is_failing and waited_ms < _MAX_PROBE_WAIT_MS
 
-    def _retry_delay_ms(self) -> float:
-        doublings = min(self.consecutive_failures - 1, _MAX_DOUBLINGS)
-        delay_ms = min(
-            _MAX_RETRY_DELAY_MS, math.ldexp(_RETRY_DELAY_MS, doublings)
-        )
-        return delay_ms * (0.5 + random.random())
-
     def _record_success(self) -> float:
         """Note an answer of the store; return when the one before it came."""
         before_ms = self.last_answer_ms
@@ -337,6 +335,24 @@
             self.is_loaded = False
 
 
+def _retry_delay_ms(failures: int, began_ms: float) -> float:
+    """Return the delay before the next call, after one that has failed.
+
+    The delay counts from the beginning of that call. A silent store thus gets
+    a call at least as often as one that refuses calls at once, and its return
+    is noticed as early.
+    """
+    doublings = min(failures - 1, _MAX_DOUBLINGS)
+    interval_ms = min(
+        _MAX_RETRY_DELAY_MS, math.ldexp(_RETRY_DELAY_MS, doublings)
+    )
+    jitter = 0.5 + random.random()
+    return max(
+        jitter * _MIN_RETRY_DELAY_MS,
+        jitter * interval_ms - (clocks.monotonic_ms() - began_ms),
+    )
+
+
 def _elapsed_ms(since_ms: float) -> int | None:
     """Return the time since an event, ``None`` if it never happened."""
     if not math.isfinite(since_ms):
--- a/packages/daemon/tests/gateway/test_silent_store.py
+++ b/packages/daemon/tests/gateway/test_silent_store.py
@@ -88,17 +88,14 @@
 
 
 @pytest.mark.parametrize(
-    ('topic', 'silence_s'),
+    'topic',
     [
-        *(
-            pytest.param(topic, silence_s, marks=known_red)
-            for topic in ('orders', 'state')
-            for silence_s in (0.5, 1.5, 4, 12)
-        ),
-        pytest.param('endpoints', 4, marks=known_red),
-        *(('endpoints', silence_s) for silence_s in (0.5, 1.5, 12)),
+        pytest.param('orders', marks=known_red),
+        'endpoints',
+        pytest.param('state', marks=known_red),
     ],
 )
+@pytest.mark.parametrize('silence_s', [0.5, 1.5, 4, 12])
 def test_change_after_a_silence_of_the_store(
     monkeypatch: pytest.MonkeyPatch, topic: str, silence_s: float
 ) -> None:
