Check reads that wait, so that no change depends on one answer

Cause: each daemon followed the operators' orders by one read that waits up to 8 s. A store that is silent for a moment never answers the reads that began then, and such a read was ended only 9.5 s or more later. All daemons were in this state at once: a change answers the reads of all, and each begins the next one 0.2 s later. So no peer had newer records either. The replica's age counted as at most the length of the read. The same holds for the shared state at the daemons that read it for others.

Fix: a replica has an age limit from the settings (configApplyMs and evacuateMs for orders, rollbackMs for the shared state). While a read waits, further calls that don't wait show whether it misses records. One daemon does so at half the limit; digests now tell the age of its replica, and the others call the store only if nobody has confirmed theirs by 0.8 of the limit. The time for an answer of the store is at most half of contactMs. It holds whatever becomes of a call, as each daemon falls back on itself.

Ruled out: shorter waits for everyone (calls of all daemons, and a swallowed call still costs its timeout on top of its wait); only reacting to a failure of another call (none fails where one connection alone goes silent).

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -233,6 +233,7 @@
 ) -> list[topics.Topic]:
     """Return replicas of the topics of orders, endpoints and shared state."""
     names = gateway.platform.topics
+    bounds = gateway.conf.bounds
     orders = topics.Topic(
         names.orders,
         store,
@@ -240,9 +241,10 @@
         _ignore,
         rewrite_grace_ms=_REWRITE_GRACE_MS,
         logs_changes=True,
+        max_age_ms=bounds.orders_age_ms,
     )
     gateway.orders_topic = orders
-    poll_interval_ms = gateway.conf.bounds.drain_ms / _ENDPOINT_READS_PER_DRAIN
+    poll_interval_ms = bounds.drain_ms / _ENDPOINT_READS_PER_DRAIN
     others = [
         topics.Topic(
             names.endpoints,
@@ -259,6 +261,7 @@
             gateway.apply_state_record,
             _ignore,
             probe=orders,
+            max_age_ms=bounds.rollback_ms,
         ),
     ]
     for topic in others:
@@ -295,12 +298,18 @@
     """Let a few daemons of a data centre read the topics for the others.
 
     Each daemon reads the operators' orders itself, since they must take effect
-    within seconds.
+    within seconds. Of reads that wait, one daemon checks whether they miss
+    records, and tells the others.
     """
     election = peers.ReaderElection(
         gateway.conf.name, gateway.conf.data_centre, gossip, session
     )
     gossip.dependants = election.dependants
+    for topic in replicas:
+        topic.checks_first = election.checks_first
+        topic.confirmed_by_peers_ms = functools.partial(
+            peers.confirmed_ms, gossip
+        )
     for topic in replicas[1:]:
         topic.read_from_peer = election.read_from_peer
 
@@ -331,6 +340,7 @@
         'data_centre': gateway.conf.data_centre,
         'reads': [topic.name for topic in replicas if topic.is_read_from_store],
         **peers.encode_newest(replicas),
+        'ages_ms': peers.encode_ages(replicas),
         'rollouts': gateway.control.own_evidence(),
         'work': gateway.directory.own_backlog(),
         'lost': gateway.failure_reports.message(
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -71,8 +71,9 @@
 class Peer:
     """Another daemon, according to its latest digest.
 
-    ``newest`` holds the newest offset that it knows of each topic, and
-    ``reads`` the topics that it reads from the store itself without failure.
+    ``newest`` holds the newest offset that it knows of each topic,
+    ``answered_ms`` when the store last answered it, and ``reads`` the topics
+    that it reads from the store itself without failure.
     """
 
     address: model.Address
@@ -80,6 +81,7 @@
     newest: dict[str, int]
     data_centre: str = ''
     reads: tuple[str, ...] = ()
+    answered_ms: dict[str, float] = attrs.field(factory=dict)
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -120,14 +122,19 @@
         try:
             digest = records.loads(payload)
             name = str(digest['name'])
+            now_ms = clocks.monotonic_ms()
             self.known_peers[name] = Peer(
                 address=model.Address(sender[0], sender[1]),
-                received_ms=clocks.monotonic_ms(),
+                received_ms=now_ms,
                 newest=_offsets(
                     digest['newest'], digest.get('generations', {})
                 ),
                 data_centre=str(digest.get('data_centre', '')),
                 reads=tuple(digest.get('reads', ())),
+                answered_ms={
+                    str(topic): now_ms - numbers.number(age_ms)
+                    for topic, age_ms in digest.get('ages_ms', {}).items()
+                },
             )
             self._on_digest(name, digest)
         except _DIGEST_ERRORS as fault:
@@ -260,6 +267,18 @@
     }
 
 
+def encode_ages(replicas: list[topics.Topic]) -> dict[str, int]:
+    """Return the time since the store's last answer, by topic.
+
+    Topics that are read without waiting are left out.
+    """
+    return {
+        topic.name: round(topic.age_ms())
+        for topic in replicas
+        if math.isfinite(topic.max_age_ms) and math.isfinite(topic.age_ms())
+    }
+
+
 def _generation_and_number(offset: int) -> tuple[int, int]:
     """Return what peers are sent for an offset; -1 is before all records."""
     if offset < 0:
@@ -421,6 +440,18 @@
             return []
         return names
 
+    def checks_first(self) -> bool:
+        """Return whether this daemon checks reads that wait before others.
+
+        It is the first by name of those whose digests come in each interval. Of
+        many daemons, these are the ones of one data centre.
+        """
+        if len(self.gossip.members) <= _FANOUT:
+            names = self.gossip.live_names()
+        else:
+            names = self._live_in_data_centre()
+        return all(self.name < name for name in names)
+
     def _live_in_data_centre(self) -> list[str]:
         """Return the sorted names of the live peers in this data centre."""
         known_peers = self.gossip.known_peers
@@ -442,6 +473,21 @@
         return [peer for peer in peers if topic.name in peer.reads]
 
 
+def confirmed_ms(gossip: Gossip, topic: topics.Topic) -> float:
+    """Return until when a peer knows that no record is missing here.
+
+    Its replica held no newer record at the last answer of the store.
+    """
+    return max(
+        (
+            peer.answered_ms.get(topic.name, -math.inf)
+            for peer in gossip.known_peers.values()
+            if peer.newest.get(topic.name, -1) <= topic.table.newest_offset
+        ),
+        default=-math.inf,
+    )
+
+
 def most_advanced_peer(gossip: Gossip, topic: topics.Topic) -> Peer | None:
     """Return the live peer with the newest record, if it is missing here."""
     best = max(
--- a/packages/daemon/src/yuccarouter/gateway/settings.py
+++ b/packages/daemon/src/yuccarouter/gateway/settings.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import attrs
 
 from yuccarouter.gateway import model
 
+# The store answers within milliseconds; a slower one counts as unavailable.
+_MAX_STORE_TIMEOUT_MS: Final = 1500.0
+# A connection takes this long where packets cross a continent.
+_MIN_STORE_TIMEOUT_MS: Final = 200.0
+
 
 @attrs.frozen
 class Bounds:
@@ -17,7 +24,10 @@
     cold endpoint may get ``cold_overshoot`` times its rate plus ``cold_slack``
     requests per second. In a window of ``retry_window_ms``, as many retries
     are allowed as ``retry_ratio`` times the requests plus ``retry_slack``. A
-    session ends ``session_ms`` after the end of its last request.
+    session ends ``session_ms`` after the end of its last request. A confirmed
+    configuration is in force after ``apply_ms``, an evacuation after
+    ``evacuate_ms``, and the end of a bad roll-out after ``rollback_ms``. After
+    a failure of the store or of a network, that holds from ``contact_ms`` on.
     """
 
     drain_ms: float = 2000
@@ -29,6 +39,24 @@
     retry_window_ms: float = 10_000
     retry_slack: float = 56
     session_ms: float = 5000
+    apply_ms: float = 2000
+    evacuate_ms: float = 5000
+    rollback_ms: float = 5000
+    contact_ms: float = 3000
+
+    @property
+    def orders_age_ms(self) -> float:
+        """The greatest age of the operators' orders that are in force."""
+        return min(self.apply_ms, self.evacuate_ms)
+
+    @property
+    def store_timeout_ms(self) -> float:
+        """Time for an answer of the store.
+
+        It leaves time for a second call before the daemon has to be in touch.
+        """
+        timeout_ms = min(_MAX_STORE_TIMEOUT_MS, self.contact_ms / 2)
+        return max(_MIN_STORE_TIMEOUT_MS, timeout_ms)
 
 
 @attrs.frozen
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -10,7 +10,7 @@
 import attrs
 import eliot
 
-from yuccarouter.gateway import metrics, offsets, ports
+from yuccarouter.gateway import checked_reads, metrics, offsets, ports
 from yuccarouter_common import clocks
 from yuccarouter_common.platform import errors
 
@@ -38,14 +38,31 @@
 _RELOAD_AFTER_MS: Final = 1000.0
 # Where a record came from, in logs and metrics.
 _FROM_READ: Final = 'read'
+_FROM_CHECK: Final = 'check'
 _FROM_LOAD: Final = 'load'
 _FROM_PEER: Final = 'peer'
+# Shares of the age limit at which a daemon checks a read that waits: the first
+# daemon tells the others the outcome, and they check only if they don't hear
+# of it. The rest of the limit is for the answer and for applying the records.
+_FIRST_CHECK_SHARE: Final = 0.5
+_OTHER_CHECK_SHARE: Final = 0.8
+_MIN_CHECK_INTERVAL_MS: Final = 200.0
 
 
 def _ignore() -> None:
     """Ignore a restore."""
 
 
+def _checks_first() -> bool:
+    """Return that there is no peer that checks first."""
+    return True
+
+
+def _never_confirmed(_: Topic) -> float:
+    """Return that no peer has confirmed the replica."""
+    return -math.inf
+
+
 @attrs.define
 class Table:
     """The newest record of each key, by offset.
@@ -92,6 +109,11 @@
     their writers may write them again. ``on_restored`` is called once for each
     restore that this topic learns of. New records of a topic with
     ``logs_changes`` are logged with their source and age.
+
+    A long poll may never be answered, so that the replica is confirmed in other
+    ways before it is older than ``max_age_ms``: by further calls to the store,
+    or by a peer whose last answer ``confirmed_by_peers_ms`` returns. The daemon
+    for which ``checks_first`` is true calls the store before the others.
     """
 
     name: str
@@ -105,6 +127,9 @@
     rewrite_grace_ms: float = 0
     on_restored: Callable[[], None] = _ignore
     logs_changes: bool = False
+    max_age_ms: float = math.inf
+    checks_first: Callable[[], bool] = _checks_first
+    confirmed_by_peers_ms: Callable[[Topic], float] = _never_confirmed
     table: Table = attrs.field(factory=Table)
     started_ms: float = attrs.field(factory=clocks.monotonic_ms)
     last_answer_ms: float = -math.inf
@@ -115,6 +140,7 @@
     last_failure_ms: float = -math.inf
     grace_end_ms: float | None = None
     read_began_ms: float = -math.inf
+    call_began_ms: float = -math.inf
     _call: asyncio.Timeout | None = None
 
     @property
@@ -128,11 +154,6 @@
 
     def age_ms(self) -> float:
         """Return the age of the replica: the time since the last answer."""
-        if not self.is_failing and self.is_loaded and not self.poll_interval_ms:
-            # While a long poll is pending, the age is at most its length.
-            return min(
-                clocks.monotonic_ms() - self.last_answer_ms, self.long_poll_ms
-            )
         return clocks.monotonic_ms() - self.last_answer_ms
 
     async def follow(self) -> None:
@@ -149,7 +170,7 @@
             except errors.PlatformError as fault:
                 self._record_failure(fault)
                 delay_ms = _retry_delay_ms(
-                    self.consecutive_failures, self.read_began_ms
+                    self.consecutive_failures, self.call_began_ms
                 )
                 await asyncio.sleep(delay_ms / _MS_PER_S)
             else:
@@ -184,20 +205,31 @@
         self.is_read_from_peer = read is not None and await read(self)
         if self.is_read_from_peer:
             return _PEER_READ_INTERVAL_MS
+
+        async def begin_read(wait_ms: int) -> ports.Page:
+            self.call_began_ms = clocks.monotonic_ms()
+            return await self.store.read(
+                self.name, self.table.next_offset, wait_ms
+            )
+
         call = asyncio.timeout(None)
         self._call = call
         self.read_began_ms = clocks.monotonic_ms()
         try:
             async with call:
-                page = await self.store.read(
-                    self.name, self.table.next_offset, self._wait_ms()
+                page, is_from_check = await checked_reads.read(
+                    begin_read,
+                    self._wait_ms(),
+                    self._check_delay_ms,
+                    self._record_success,
                 )
         except TimeoutError:
             return 0
         finally:
             self._call = None
         known_until_ms = self._record_success()
-        self._apply_all(page.entries, _FROM_READ, known_until_ms)
+        source = _FROM_CHECK if is_from_check else _FROM_READ
+        self._apply_all(page.entries, source, known_until_ms)
         self.table.next_offset = max(self.table.next_offset, page.next_offset)
         return max(
             self.poll_interval_ms, _BATCH_DELAY_MS if page.entries else 0
@@ -214,6 +246,7 @@
 
     async def _load(self) -> None:
         self.read_began_ms = clocks.monotonic_ms()
+        self.call_began_ms = self.read_began_ms
         page = await self.store.newest(self.name)
         known_until_ms = self._record_success()
         self._note_generation(page.next_offset)
@@ -261,6 +294,19 @@
             return 0
         return math.ceil(min(self.long_poll_ms, self._grace_remaining_ms()))
 
+    def _check_delay_ms(self) -> float:
+        """Return the time until the store is asked for missed records."""
+        if math.isinf(self.max_age_ms):
+            return math.inf
+        share = _OTHER_CHECK_SHARE
+        if self.checks_first():
+            share = _FIRST_CHECK_SHARE
+        interval_ms = max(_MIN_CHECK_INTERVAL_MS, share * self.max_age_ms)
+        confirmed_ms = max(
+            self.last_answer_ms, self.confirmed_by_peers_ms(self)
+        )
+        return confirmed_ms + interval_ms - clocks.monotonic_ms()
+
     def _grace_remaining_ms(self) -> float:
         """Return the time until records are removed that a restore has lost.
 
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+import math
+from typing import Any, cast
 
 import aiohttp
 import gateway_makers as make
@@ -315,3 +316,70 @@
         'rate_limits': limits.message(),
     }
     assert len(orjson.dumps(digest)) < 7500
+
+
+@pytest.mark.parametrize(
+    ('digest', 'confirmed_ms'),
+    [
+        ({'newest': {'t': 5}, 'ages_ms': {'t': 300}}, 999_700),
+        ({'newest': {'t': 3}, 'ages_ms': {'t': 300}}, 999_700),
+        # The peer has a record that is missing here.
+        ({'newest': {'t': 6}, 'ages_ms': {'t': 300}}, -math.inf),
+        # It has never read the topic, or is an older program.
+        ({'newest': {'t': -1}, 'ages_ms': {}}, -math.inf),
+        ({'newest': {'t': 5}}, -math.inf),
+        # Malformed digests are ignored.
+        ({'newest': {'t': 5}, 'ages_ms': {'t': -1}}, -math.inf),
+        ({'newest': {'t': 5}, 'ages_ms': {'t': 'x'}}, -math.inf),
+        ({'newest': {'t': 5}, 'ages_ms': []}, -math.inf),
+    ],
+)
+def test_replicas_that_peers_confirm(
+    clock: make.Clock, digest: dict[str, Any], confirmed_ms: float
+) -> None:
+    """Guards against a replica that counts as current though records lack.
+
+    A daemon does not ask the store while a peer confirms its replica.
+    """
+    replica = topic()
+    replica.table.apply(make.entry('a', offset=5))
+    gossip = peers.Gossip(dict, lambda name, digest: None)
+    gossip.datagram_received(
+        orjson.dumps({'name': 'd2', **digest}), ('127.0.0.1', 1)
+    )
+    clock.now_ms += 100
+    assert peers.confirmed_ms(gossip, replica) == confirmed_ms
+
+
+@pytest.mark.parametrize(
+    ('peer_count', 'data_centre', 'age_ms', 'checks_first'),
+    [
+        (0, 'a', 0, True),
+        (1, 'a', 0, False),
+        (1, 'b', 0, False),
+        # Peers of another data centre are heard too seldom in a large fleet.
+        (20, 'a', 0, False),
+        (20, 'b', 0, True),
+        # The first one has not been heard for seconds.
+        (1, 'a', 3000, True),
+    ],
+)
+def test_who_checks_reads_first(
+    clock: make.Clock,
+    peer_count: int,
+    data_centre: str,
+    age_ms: float,
+    checks_first: bool,
+) -> None:
+    """Guards against calls of all daemons for what one of them can tell."""
+    gossip = peers.Gossip(dict, lambda name, digest: None)
+    for number in range(peer_count):
+        name = f'd1{number:02}'
+        gossip.add_member(name, model.Address('127.0.0.1', 1))
+        digest = {'name': name, 'newest': {}, 'data_centre': data_centre}
+        gossip.datagram_received(orjson.dumps(digest), ('127.0.0.1', 1))
+    clock.now_ms += age_ms
+    election = peers.ReaderElection(
+        'd2', 'a', gossip, cast('aiohttp.ClientSession', None)
+    )
+    assert election.checks_first() is checks_first
--- a/packages/daemon/tests/gateway/test_silent_store.py
+++ b/packages/daemon/tests/gateway/test_silent_store.py
@@ -4,19 +4,24 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import types
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 import attrs
 import gateway_makers as make
 import gateway_store
+import orjson
 import pytest
 
-from yuccarouter.gateway import daemon, ports, state
+from yuccarouter.gateway import daemon, model, peers, ports, state, topics
 from yuccarouter_common import clocks
 from yuccarouter_testkit import virtual_time
 
+if TYPE_CHECKING:
+    import aiohttp
+
 # The limits that the users state for their deployments: the time from the
 # confirmation of a change to its use, for operators' orders, for endpoints that
 # drain, and for the end of a bad roll-out, which is in the shared state.
@@ -37,8 +42,8 @@
         self.times_s.setdefault((topic, entry.value), now_s)
 
 
-async def follow(store: ports.Store, applied: Applied) -> None:
-    """Follow all topics of a daemon, as its process does."""
+def make_replicas(store: ports.Store, applied: Applied) -> list[topics.Topic]:
+    """Return replicas of all topics of a daemon, as its process has them."""
     gateway = types.SimpleNamespace(
         conf=make.conf(),
         platform=types.SimpleNamespace(topics=TOPICS),
@@ -48,12 +53,60 @@
         apply_state_record=lambda entry: applied.note('state', entry),
         directory=types.SimpleNamespace(on_store_reconnected=lambda _: None),
     )
-    replicas = daemon.make_replicas(cast('state.Gateway', gateway), store)
+    return daemon.make_replicas(cast('state.Gateway', gateway), store)
+
+
+async def follow(store: ports.Store, applied: Applied) -> None:
+    """Follow all topics of a daemon."""
     async with asyncio.TaskGroup() as tasks:
-        for topic in replicas:
+        for topic in make_replicas(store, applied):
             tasks.create_task(topic.follow())
 
 
+Fleet = list[tuple[list[topics.Topic], peers.Gossip]]
+
+
+def make_fleet(store: ports.Store, names: tuple[str, ...]) -> Fleet:
+    """Return daemons of one data centre that know each other."""
+    address = model.Address('127.0.0.1', 1)
+    fleet = []
+    for name in names:
+        replicas = make_replicas(store, Applied())
+        gossip = peers.Gossip(dict, lambda name, digest: None)
+        for other in set(names) - {name}:
+            gossip.add_member(other, address)
+        election = peers.ReaderElection(
+            name, 'a', gossip, cast('aiohttp.ClientSession', None)
+        )
+        for topic in replicas:
+            topic.checks_first = election.checks_first
+            topic.confirmed_by_peers_ms = functools.partial(
+                peers.confirmed_ms, gossip
+            )
+        fleet.append((replicas, gossip))
+    return fleet
+
+
+async def exchange_digests(fleet: Fleet) -> None:
+    """Give each daemon the digests of the others in each interval."""
+    while True:
+        digests = [
+            orjson.dumps(
+                {
+                    'name': f'd{number}',
+                    'data_centre': 'a',
+                    **peers.encode_newest(replicas),
+                    'ages_ms': peers.encode_ages(replicas),
+                }
+            )
+            for number, (replicas, _) in enumerate(fleet, start=1)
+        ]
+        for number, (_, gossip) in enumerate(fleet):
+            for digest in digests[:number] + digests[number + 1 :]:
+                gossip.datagram_received(digest, ('127.0.0.1', 1))
+        await asyncio.sleep(0.4)
+
+
 async def change_around_a_silence(
     topic: str, before_s: float, silence_s: float, after_s: float
 ) -> float:
@@ -81,20 +134,7 @@
     return applied.times_s[topic, b'3'] - store.silent_until_s
 
 
-known_red = (
-    pytest.mark.known_red,
-    pytest.mark.xfail(strict=True, reason='KNOWN-RED.txt, entry 13'),
-)
-
-
-@pytest.mark.parametrize(
-    'topic',
-    [
-        pytest.param('orders', marks=known_red),
-        'endpoints',
-        pytest.param('state', marks=known_red),
-    ],
-)
+@pytest.mark.parametrize('topic', ['orders', 'endpoints', 'state'])
 @pytest.mark.parametrize('silence_s', [0.5, 1.5, 4, 12])
 def test_change_after_a_silence_of_the_store(
     monkeypatch: pytest.MonkeyPatch, topic: str, silence_s: float
@@ -120,3 +160,49 @@
             if applied_s > max(after_s + LIMITS_S[topic], CONTACT_S):
                 late.append((before_s, after_s, round(applied_s, 2)))
     assert not late
+
+
+@pytest.mark.parametrize(
+    ('names', 'expected_calls'),
+    [
+        # Each daemon checks its orders after 1 s and its state after 2.5 s,
+        # beside reads of 8 s and those of the endpoints' topic.
+        (('d1',), 66 + 60 + 24 + 2 * 7),
+        # One of them checks for all: the others hear of it in each interval.
+        (('d1', 'd2', 'd3', 'd4'), 4 * (66 + 2 * 7) + 60 + 24),
+    ],
+)
+def test_calls_while_nothing_changes(
+    monkeypatch: pytest.MonkeyPatch,
+    names: tuple[str, ...],
+    expected_calls: int,
+) -> None:
+    """Guards against calls of each daemon for what one of them can tell.
+
+    Calls to the store are limited and charged, and there may be hundreds of
+    daemons.
+    """
+    loop = virtual_time.VirtualTimeLoop()
+    monkeypatch.setattr(clocks, 'monotonic_ms', lambda: loop.time() * 1000)
+    store = gateway_store.SilentStore()
+    for topic in ('orders', 'endpoints', 'state'):
+        store.write(topic, 'config', b'1')
+
+    async def scenario() -> None:
+        fleet = make_fleet(store, names)
+        async with asyncio.TaskGroup() as tasks:
+            running = [
+                *(
+                    tasks.create_task(topic.follow())
+                    for replicas, _ in fleet
+                    for topic in replicas
+                ),
+                tasks.create_task(exchange_digests(fleet)),
+            ]
+            await asyncio.sleep(60)
+            for task in running:
+                task.cancel()
+
+    loop.run_until_complete(scenario())
+    loop.close()
+    assert store.calls == pytest.approx(expected_calls, rel=0.06)
