--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -10,12 +10,12 @@
 import attrs
 import eliot
 
-from yuccarouter.gateway import offsets, ports
+from yuccarouter.gateway import checked_reads, metrics, offsets, ports
 from yuccarouter_common import clocks
 from yuccarouter_common.platform import errors
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
 _MS_PER_S: Final = 1000
 # Delay after a failed call. It doubles with each further failure, since refused
@@ -23,6 +23,8 @@
 _RETRY_DELAY_MS: Final = 300.0
 _MAX_RETRY_DELAY_MS: Final = 1200.0
 _MAX_DOUBLINGS: Final = 4
+# Delay after a call that failed only after a longer time than the delay.
+_MIN_RETRY_DELAY_MS: Final = 50.0
 # Longest time without a call while the probe topic fails. The store may answer
 # for this topic all the same: perhaps only the probe topic can't be decoded.
 _MAX_PROBE_WAIT_MS: Final = 5000.0
@@ -34,12 +36,33 @@
 # Length of an outage after which the newest records are loaded anew: a long
 # poll would not show that the store has lost records.
 _RELOAD_AFTER_MS: Final = 1000.0
+# Where a record came from, in logs and metrics.
+_FROM_READ: Final = 'read'
+_FROM_CHECK: Final = 'check'
+_FROM_LOAD: Final = 'load'
+_FROM_PEER: Final = 'peer'
+# Shares of the age limit at which a daemon checks a read that waits: the first
+# daemon tells the others the outcome, and they check only if they don't hear
+# of it. The rest of the limit is for the answer and for applying the records.
+_FIRST_CHECK_SHARE: Final = 0.5
+_OTHER_CHECK_SHARE: Final = 0.8
+_MIN_CHECK_INTERVAL_MS: Final = 200.0
 
 
 def _ignore() -> None:
     """Ignore a restore."""
 
 
+def _checks_first() -> bool:
+    """Return that there is no peer that checks first."""
+    return True
+
+
+def _never_confirmed(_: Topic) -> float:
+    """Return that no peer has confirmed the replica."""
+    return -math.inf
+
+
 @attrs.define
 class Table:
     """The newest record of each key, by offset.
@@ -84,7 +107,13 @@
     calls for both fail, only ``probe`` is retried, for a few seconds. Records
     that a restored store lacks are kept for ``rewrite_grace_ms``, in which
     their writers may write them again. ``on_restored`` is called once for each
-    restore that this topic learns of.
+    restore that this topic learns of. New records of a topic with
+    ``logs_changes`` are logged with their source and age.
+
+    A long poll may never be answered, so that the replica is confirmed in other
+    ways before it is older than ``max_age_ms``: by further calls to the store,
+    or by a peer whose last answer ``confirmed_by_peers_ms`` returns. The daemon
+    for which ``checks_first`` is true calls the store before the others.
     """
 
     name: str
@@ -97,6 +126,10 @@
     probe: Topic | None = None
     rewrite_grace_ms: float = 0
     on_restored: Callable[[], None] = _ignore
+    logs_changes: bool = False
+    max_age_ms: float = math.inf
+    checks_first: Callable[[], bool] = _checks_first
+    confirmed_by_peers_ms: Callable[[Topic], float] = _never_confirmed
     table: Table = attrs.field(factory=Table)
     started_ms: float = attrs.field(factory=clocks.monotonic_ms)
     last_answer_ms: float = -math.inf
@@ -106,6 +139,8 @@
     consecutive_failures: int = 0
     last_failure_ms: float = -math.inf
     grace_end_ms: float | None = None
+    read_began_ms: float = -math.inf
+    call_began_ms: float = -math.inf
     _call: asyncio.Timeout | None = None
 
     @property
@@ -119,11 +154,6 @@
 
     def age_ms(self) -> float:
         """Return the age of the replica: the time since the last answer."""
-        if not self.is_failing and self.is_loaded and not self.poll_interval_ms:
-            # While a long poll is pending, the age is at most its length.
-            return min(
-                clocks.monotonic_ms() - self.last_answer_ms, self.long_poll_ms
-            )
         return clocks.monotonic_ms() - self.last_answer_ms
 
     async def follow(self) -> None:
@@ -139,7 +169,10 @@
                 self.is_loaded = False
             except errors.PlatformError as fault:
                 self._record_failure(fault)
-                await asyncio.sleep(self._retry_delay_ms() / _MS_PER_S)
+                delay_ms = _retry_delay_ms(
+                    self.consecutive_failures, self.call_began_ms
+                )
+                await asyncio.sleep(delay_ms / _MS_PER_S)
             else:
                 await asyncio.sleep(delay_ms / _MS_PER_S)
 
@@ -161,8 +194,7 @@
             if removal.offset < newest_offset:
                 self.table.entries[removal.key] = removal
                 self.on_record(removal)
-        for entry in entries:
-            self._apply(entry)
+        self._apply_all(entries, _FROM_PEER, self.last_answer_ms)
 
     async def _read_once(self) -> float:
         """Read new records once and return the delay before the next call."""
@@ -173,20 +205,31 @@
         self.is_read_from_peer = read is not None and await read(self)
         if self.is_read_from_peer:
             return _PEER_READ_INTERVAL_MS
+
+        async def begin_read(wait_ms: int) -> ports.Page:
+            self.call_began_ms = clocks.monotonic_ms()
+            return await self.store.read(
+                self.name, self.table.next_offset, wait_ms
+            )
+
         call = asyncio.timeout(None)
         self._call = call
+        self.read_began_ms = clocks.monotonic_ms()
         try:
             async with call:
-                page = await self.store.read(
-                    self.name, self.table.next_offset, self._wait_ms()
+                page, is_from_check = await checked_reads.read(
+                    begin_read,
+                    self._wait_ms(),
+                    self._check_delay_ms,
+                    self._record_success,
                 )
         except TimeoutError:
             return 0
         finally:
             self._call = None
-        self._record_success()
-        for entry in page.entries:
-            self._apply(entry)
+        known_until_ms = self._record_success()
+        source = _FROM_CHECK if is_from_check else _FROM_READ
+        self._apply_all(page.entries, source, known_until_ms)
         self.table.next_offset = max(self.table.next_offset, page.next_offset)
         return max(
             self.poll_interval_ms, _BATCH_DELAY_MS if page.entries else 0
@@ -202,30 +245,47 @@
             self._call.reschedule(asyncio.get_running_loop().time())
 
     async def _load(self) -> None:
+        self.read_began_ms = clocks.monotonic_ms()
+        self.call_began_ms = self.read_began_ms
         page = await self.store.newest(self.name)
-        self._record_success()
+        known_until_ms = self._record_success()
         self._note_generation(page.next_offset)
         present = frozenset(entry.key for entry in page.entries)
         for removal in self._removals(present):
             self.table.entries[removal.key] = removal
             self.on_record(removal)
-        for entry in sorted(page.entries, key=lambda item: item.offset):
-            self._apply(entry)
+        ordered = sorted(page.entries, key=lambda item: item.offset)
+        self._apply_all(ordered, _FROM_LOAD, known_until_ms)
         self.table.next_offset = page.next_offset
         self.is_loaded = True
 
-    def _apply(self, entry: ports.Entry) -> None:
-        if self.table.apply(entry):
-            self.on_record(entry)
+    def _apply_all(
+        self, entries: Iterable[ports.Entry], source: str, known_until_ms: float
+    ) -> None:
+        """Apply records, and report how old the new ones may be.
+
+        That is the time since the store's answer of ``known_until_ms``, which
+        lacked them.
+        """
+        count = 0
+        for entry in entries:
+            if self.table.apply(entry):
+                count += 1
+                self.on_record(entry)
+            else:
+                _log_ignored(self.name, entry, self.table.entries[entry.key])
+        age_ms = _elapsed_ms(known_until_ms)
+        if not count or age_ms is None:
             return
-        known = self.table.entries[entry.key]
-        if known.value != entry.value:
+        metrics.observe_record_age(self.name, source, age_ms)
+        if self.logs_changes:
             eliot.log_message(
-                'record_ignored',
+                'records_applied',
                 topic=self.name,
-                key=entry.key,
-                offset=entry.offset,
-                known_offset=known.offset,
+                source=source,
+                count=count,
+                pending_ms=_elapsed_ms(self.read_began_ms),
+                age_ms=age_ms,
             )
 
     def _wait_ms(self) -> int:
@@ -234,6 +294,19 @@
             return 0
         return math.ceil(min(self.long_poll_ms, self._grace_remaining_ms()))
 
+    def _check_delay_ms(self) -> float:
+        """Return the time until the store is asked for missed records."""
+        if math.isinf(self.max_age_ms):
+            return math.inf
+        share = _OTHER_CHECK_SHARE
+        if self.checks_first():
+            share = _FIRST_CHECK_SHARE
+        interval_ms = max(_MIN_CHECK_INTERVAL_MS, share * self.max_age_ms)
+        confirmed_ms = max(
+            self.last_answer_ms, self.confirmed_by_peers_ms(self)
+        )
+        return confirmed_ms + interval_ms - clocks.monotonic_ms()
+
     def _grace_remaining_ms(self) -> float:
         """Return the time until records are removed that a restore has lost.
 
@@ -274,14 +347,9 @@
         waited_ms = clocks.monotonic_ms() - self.last_failure_ms
         return self.is_failing and waited_ms < _MAX_PROBE_WAIT_MS
 
-    def _retry_delay_ms(self) -> float:
-        doublings = min(self.consecutive_failures - 1, _MAX_DOUBLINGS)
-        delay_ms = min(
-            _MAX_RETRY_DELAY_MS, math.ldexp(_RETRY_DELAY_MS, doublings)
-        )
-        return delay_ms * (0.5 + random.random())
-
-    def _record_success(self) -> None:
+    def _record_success(self) -> float:
+        """Note an answer of the store; return when the one before it came."""
+        before_ms = self.last_answer_ms
         self.consecutive_failures = 0
         now_ms = clocks.monotonic_ms()
         if self.is_failing:
@@ -294,6 +362,7 @@
             )
             self.on_reconnected(outage_ms)
         self.last_answer_ms = now_ms
+        return before_ms
 
     def _record_failure(self, fault: errors.PlatformError) -> None:
         self.consecutive_failures += 1
@@ -305,6 +374,45 @@
                 topic=self.name,
                 code=fault.code,
                 reason=fault.message,
+                pending_ms=_elapsed_ms(self.read_began_ms),
+                answered_ms_ago=_elapsed_ms(self.last_answer_ms),
             )
         if clocks.monotonic_ms() - self.last_answer_ms > _RELOAD_AFTER_MS:
             self.is_loaded = False
+
+
+def _retry_delay_ms(failures: int, began_ms: float) -> float:
+    """Return the delay before the next call, after one that has failed.
+
+    The delay counts from the beginning of that call. A silent store thus gets
+    a call at least as often as one that refuses calls at once, and its return
+    is noticed as early.
+    """
+    doublings = min(failures - 1, _MAX_DOUBLINGS)
+    interval_ms = min(
+        _MAX_RETRY_DELAY_MS, math.ldexp(_RETRY_DELAY_MS, doublings)
+    )
+    jitter = 0.5 + random.random()
+    return max(
+        jitter * _MIN_RETRY_DELAY_MS,
+        jitter * interval_ms - (clocks.monotonic_ms() - began_ms),
+    )
+
+
+def _elapsed_ms(since_ms: float) -> int | None:
+    """Return the time since an event, ``None`` if it never happened."""
+    if not math.isfinite(since_ms):
+        return None
+    return round(clocks.monotonic_ms() - since_ms)
+
+
+def _log_ignored(topic: str, entry: ports.Entry, known: ports.Entry) -> None:
+    """Log a record that is older than the known one and differs from it."""
+    if known.value != entry.value:
+        eliot.log_message(
+            'record_ignored',
+            topic=topic,
+            key=entry.key,
+            offset=entry.offset,
+            known_offset=known.offset,
+        )
