Test the fleet's own configuration around a silence of the log

A read that began within a silence fails after at most 8 s, and the next one follows within 2 s: a change is in effect within the 13 s that the users allow, for all lengths and moments tried.

--- a/packages/daemon/tests/configuration/test_follower.py
+++ b/packages/daemon/tests/configuration/test_follower.py
@@ -10,7 +10,8 @@
 from yuccarouter.configuration import follower as followers
 from yuccarouter.configuration import store as stores
 from yuccarouter_common import apply, errors, history, model, records
-from yuccarouter_testkit import memory_log
+from yuccarouter_common.platform import errors as platform_errors
+from yuccarouter_testkit import memory_log, virtual_time
 
 
 def change(number: int, name: str = 'kochi') -> dict[str, Any]:
@@ -254,3 +255,58 @@
     await follower.poll()
     assert region(store) == '7'
     assert [void.offset for void in store.void_changes()] == [1]
+
+
+# The users' limit on the time until a change is in effect everywhere.
+EFFECT_S = 13.0
+# A read that is never answered fails 2 s after it was to end; timeouts of more
+# than 5 s end at the next full second.
+SILENT_READ_S = 8.0
+
+
+class SilentLog(memory_log.MemoryLog):
+    """A log that never answers the reads that begin within a silence."""
+
+    def __init__(self, from_s: float, until_s: float) -> None:
+        super().__init__(lambda: 0)
+        self._from_s = from_s
+        self._until_s = until_s
+
+    async def read(self, *arguments: Any, **options: Any) -> Any:
+        """Read, or fail after the time for an answer."""
+        now_s = asyncio.get_running_loop().time()
+        if self._from_s <= now_s < self._until_s:
+            wait_s = options.get('wait_ms', 0) / 1000
+            await asyncio.sleep(SILENT_READ_S if wait_s else 2)
+            raise platform_errors.UnavailableError('silent')
+        return await super().read(*arguments, **options)
+
+
+@pytest.mark.parametrize('silence_s', [0.3, 1.5, 6, 30])
+@pytest.mark.parametrize('before_s', [0.0, 0.1, 0.3])
+@pytest.mark.parametrize('after_s', [0.1, 2, 7])
+def test_change_after_a_silence_of_the_log(
+    silence_s: float, before_s: float, after_s: float
+) -> None:
+    """Guards against a change that waits for a read which is never answered.
+
+    A change just before the silence lets the next read begin within it.
+    """
+    silent_from_s = 20 + before_s
+    log = SilentLog(silent_from_s, silent_from_s + silence_s)
+    log.add(history.STREAM, 'first', change(0))
+    store = stores.Store()
+    follower = followers.Follower(log, store)
+
+    async def scenario() -> bool:
+        async with follower:
+            await asyncio.sleep(20)
+            log.add(history.STREAM, 'before', change(1))
+            await asyncio.sleep(before_s + silence_s + after_s)
+            log.add(history.STREAM, 'after', change(2))
+            await asyncio.sleep(EFFECT_S)
+            return region(store) == '2'
+
+    loop = virtual_time.VirtualTimeLoop()
+    assert loop.run_until_complete(scenario())
+    loop.close()
