Count answers that peers have told of in the age of records

Cause: a daemon whose replica peers confirm makes no calls of its own for up to 8 s, and its age counted from its own last answer. The check of reads already used the later of both.

Change: the age counts from the later one. _record_success no longer returns the time of the answer before, which its callers take themselves.

Evidence: 2 of 6 cases of test_age_of_records_in_a_confirmed_replica failed before and pass. Only the log and the histogram change; no calls do.

--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -227,7 +227,8 @@
             return 0
         finally:
             self._call = None
-        known_until_ms = self._record_success()
+        known_until_ms = self.last_answer_ms
+        self._record_success()
         source = _FROM_CHECK if is_from_check else _FROM_READ
         self._apply_all(page.entries, source, known_until_ms)
         self.table.next_offset = max(self.table.next_offset, page.next_offset)
@@ -248,7 +249,8 @@
         self.read_began_ms = clocks.monotonic_ms()
         self.call_began_ms = self.read_began_ms
         page = await self.store.newest(self.name)
-        known_until_ms = self._record_success()
+        known_until_ms = self.last_answer_ms
+        self._record_success()
         self._note_generation(page.next_offset)
         present = frozenset(entry.key for entry in page.entries)
         for removal in self._removals(present):
@@ -265,8 +267,9 @@
         """Apply records, and report how old the new ones may be.
 
         That is the time since the store's answer of ``known_until_ms``, which
-        lacked them.
+        lacked them, or since a later answer that a peer has told of.
         """
+        confirmed_ms = max(known_until_ms, self.confirmed_by_peers_ms(self))
         count = 0
         for entry in entries:
             if self.table.apply(entry):
@@ -274,7 +277,7 @@
                 self.on_record(entry)
             else:
                 _log_ignored(self.name, entry, self.table.entries[entry.key])
-        age_ms = _elapsed_ms(known_until_ms)
+        age_ms = _elapsed_ms(confirmed_ms)
         if not count or age_ms is None:
             return
         metrics.observe_record_age(self.name, source, age_ms)
@@ -347,9 +350,7 @@
         waited_ms = clocks.monotonic_ms() - self.last_failure_ms
         return self.is_failing and waited_ms < _MAX_PROBE_WAIT_MS
 
-    def _record_success(self) -> float:
-        """Note an answer of the store; return when the one before it came."""
-        before_ms = self.last_answer_ms
+    def _record_success(self) -> None:
         self.consecutive_failures = 0
         now_ms = clocks.monotonic_ms()
         if self.is_failing:
@@ -362,7 +363,6 @@
             )
             self.on_reconnected(outage_ms)
         self.last_answer_ms = now_ms
-        return before_ms
 
     def _record_failure(self, fault: errors.PlatformError) -> None:
         self.consecutive_failures += 1
--- a/packages/daemon/tests/gateway/test_topics.py
+++ b/packages/daemon/tests/gateway/test_topics.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 
 import gateway_makers as make
 import gateway_store
@@ -235,3 +236,39 @@
     await read(topic, 2)
     assert [change for change in changes if not change[1]] == [('c', b'')]
     assert topic.grace_end_ms is None
+
+
+@pytest.mark.parametrize(
+    ('confirmed_ms_ago', 'age_ms'),
+    [(300, 300), (7000, 5000), (math.inf, 5000)],
+)
+@pytest.mark.parametrize('source', ['read', 'peer'])
+async def test_age_of_records_in_a_confirmed_replica(
+    monkeypatch: pytest.MonkeyPatch,
+    clock: make.Clock,
+    source: str,
+    confirmed_ms_ago: float,
+    age_ms: float,
+) -> None:
+    """Guards against logs and metrics that call timely changes old.
+
+    A daemon whose replica peers confirm makes no calls of its own for seconds.
+    """
+    ages: list[tuple[str, float]] = []
+    monkeypatch.setattr(
+        topics.metrics,
+        'observe_record_age',
+        lambda _, source, age_ms: ages.append((source, age_ms)),
+    )
+    store = gateway_store.MemoryStore()
+    store.write(TOPIC, 'a', b'1')
+    topic, _ = follow(store)
+    await read(topic)
+    clock.now_ms += 5000
+    topic.confirmed_by_peers_ms = lambda _: clock.now_ms - confirmed_ms_ago
+    if source == 'peer':
+        topic.merge([ports.Entry('a', b'2', 1)])
+    else:
+        store.write(TOPIC, 'a', b'2')
+        await read(topic)
+    assert ages == [(source, age_ms)]
