--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -83,7 +83,7 @@
         store = self._make_store(session, conf)
         replicas = make_replicas(self.gateway, store)
         gossip = await _open_gossip(self.gateway, replicas)
-        _share_reads(self.gateway, gossip, replicas, session)
+        share_reads(self.gateway, gossip, replicas, session)
         shared_state = replicas[-1]
         stored_limits = rate_limit_records.RateLimitRecords(
             self.gateway.rate_limits,
@@ -289,7 +289,7 @@
     return gossip
 
 
-def _share_reads(
+def share_reads(
     gateway: state.Gateway,
     gossip: peers.Gossip,
     replicas: list[topics.Topic],
--- a/packages/daemon/src/yuccarouter/gateway/settings.py
+++ b/packages/daemon/src/yuccarouter/gateway/settings.py
@@ -10,7 +10,7 @@
 
 # The store answers within milliseconds; a slower one counts as unavailable.
 _MAX_STORE_TIMEOUT_MS: Final = 1500.0
-# A connection takes this long where packets cross a continent.
+# A lost packet is sent again after 200 ms; and a timeout of 0 would be none.
 _MIN_STORE_TIMEOUT_MS: Final = 200.0
 
 
--- a/packages/daemon/tests/gateway/test_checked_reads.py
+++ b/packages/daemon/tests/gateway/test_checked_reads.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import math
 
 import attrs
@@ -126,7 +125,7 @@
 @pytest.mark.parametrize('after_s', [0.5, 1.05])
 def test_cancelled_read(after_s: float) -> None:
     """Guards against calls to the store that outlive their reader."""
-    calls = Calls(NEVER, list(itertools.repeat(Answer(ABSENT, 1.5), 2)))
+    calls = Calls(NEVER, [Answer(ABSENT, 1.5)] * 2)
 
     async def scenario() -> None:
         with pytest.raises(TimeoutError):
--- a/packages/daemon/tests/gateway/test_silent_store.py
+++ b/packages/daemon/tests/gateway/test_silent_store.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import functools
 import random
 import types
 from typing import TYPE_CHECKING, cast
@@ -42,10 +41,10 @@
         self.times_s.setdefault((topic, entry.value), now_s)
 
 
-def make_replicas(store: ports.Store, applied: Applied) -> list[topics.Topic]:
-    """Return replicas of all topics of a daemon, as its process has them."""
+def make_gateway(applied: Applied, name: str = 'd1') -> state.Gateway:
+    """Return what the replicas need of a daemon's state."""
     gateway = types.SimpleNamespace(
-        conf=make.conf(),
+        conf=make.conf(name),
         platform=types.SimpleNamespace(topics=TOPICS),
         gossip=None,
         apply_operator_record=lambda entry: applied.note('orders', entry),
@@ -53,13 +52,13 @@
         apply_state_record=lambda entry: applied.note('state', entry),
         directory=types.SimpleNamespace(on_store_reconnected=lambda _: None),
     )
-    return daemon.make_replicas(cast('state.Gateway', gateway), store)
+    return cast('state.Gateway', gateway)
 
 
 async def follow(store: ports.Store, applied: Applied) -> None:
     """Follow all topics of a daemon."""
     async with asyncio.TaskGroup() as tasks:
-        for topic in make_replicas(store, applied):
+        for topic in daemon.make_replicas(make_gateway(applied), store):
             tasks.create_task(topic.follow())
 
 
@@ -69,20 +68,15 @@
 def make_fleet(store: ports.Store, names: tuple[str, ...]) -> Fleet:
     """Return daemons of one data centre that know each other."""
     address = model.Address('127.0.0.1', 1)
+    session = cast('aiohttp.ClientSession', None)
     fleet = []
     for name in names:
-        replicas = make_replicas(store, Applied())
+        gateway = make_gateway(Applied(), name)
+        replicas = daemon.make_replicas(gateway, store)
         gossip = peers.Gossip(dict, lambda name, digest: None)
         for other in set(names) - {name}:
             gossip.add_member(other, address)
-        election = peers.ReaderElection(
-            name, 'a', gossip, cast('aiohttp.ClientSession', None)
-        )
-        for topic in replicas:
-            topic.checks_first = election.checks_first
-            topic.confirmed_by_peers_ms = functools.partial(
-                peers.confirmed_ms, gossip
-            )
+        daemon.share_reads(gateway, gossip, replicas, session)
         fleet.append((replicas, gossip))
     return fleet
 
@@ -95,6 +89,11 @@
                 {
                     'name': f'd{number}',
                     'data_centre': 'a',
+                    'reads': [
+                        topic.name
+                        for topic in replicas
+                        if topic.is_read_from_store
+                    ],
                     **peers.encode_newest(replicas),
                     'ages_ms': peers.encode_ages(replicas),
                 }
@@ -169,7 +168,8 @@
         # beside reads of 8 s and those of the endpoints' topic.
         (('d1',), 66 + 60 + 24 + 2 * 7),
         # One of them checks for all: the others hear of it in each interval.
-        (('d1', 'd2', 'd3', 'd4'), 4 * (66 + 2 * 7) + 60 + 24),
+        # Two read the endpoints' topic and the shared state for the others.
+        (('d1', 'd2', 'd3', 'd4'), 2 * (66 + 7) + 4 * 7 + 60 + 24),
     ],
 )
 def test_calls_while_nothing_changes(
