--- a/packages/daemon/tests/gateway/test_rollout_control.py
+++ b/packages/daemon/tests/gateway/test_rollout_control.py
@@ -463,3 +463,26 @@
         for number in range(400)
     ]
     assert 0 < sum('v3' in versions for versions in allowed) < 100
+
+
+async def test_conflict_shows_that_records_are_missed(
+    clock: make.Clock,
+) -> None:
+    """Guards against steps that fail until a lost read is noticed.
+
+    The read of the shared state began while the store was silent, so that the
+    daemon does not know where the topic ends.
+    """
+    store = gateway_store.MemoryStore()
+    daemon = Daemon(store)
+    await daemon.read()
+    store.write(STATE, 'member/d2', b'x')
+    daemon.control.apply_order(make.order())
+    clock.now_ms += 10
+    await daemon.step()
+    assert STATUS not in store.latest(STATE)
+    assert not daemon.topic.is_loaded
+    await daemon.read()
+    clock.now_ms += 2000
+    await daemon.step()
+    assert state_of(store) == 'running'
