--- a/packages/daemon/src/yuccarouter/gateway/rollout_control.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollout_control.py
@@ -306,8 +306,8 @@
                 state.table.next_offset,
             )
         except ports.OffsetConflictError as fault:
-            # Another daemon wrote first. Its record is read before a retry, also
-            # if the read that waits for it is never answered.
+            # Another daemon wrote first. Its record is read before a retry,
+            # also if the read that waits for it is never answered.
             state.reload()
             eliot.log_message(
                 'rollout_step_overtaken',
