Take the log down within the append in the test of claims given up

Cause, as listed: the test took the log down only after it had seen the append, and the owner could read its record back before that, which is a claim that was rightly won.

Change: the log of the test goes down within the append, before its record can be read. The checks are the same, and one more: that the append was made.

--- a/packages/daemon/tests/registry/test_owner.py
+++ b/packages/daemon/tests/registry/test_owner.py
@@ -191,12 +191,11 @@
         log.delay_appends = int(fault == 'late')
         log.lose_answers = int(fault == 'lost')
         log.down = fault == 'down'
-        appends = log.appends
-        task = asyncio.create_task(one.claim(claim('a', timeout_ms=50)))
-        while log.appends == appends and not log.down:
-            await asyncio.sleep(0)
-        log.down = True
-        assert (await task).state == replies.UNAVAILABLE
+        log.fails_at_append = fault != 'down'
+        reply = await one.claim(claim('a', timeout_ms=50))
+        assert reply.state == replies.UNAVAILABLE
+        assert log.down
+        log.fails_at_append = False
         log.down = False
         log.deliver_late()
         if fault != 'down':
--- a/packages/testkit/src/yuccarouter_testkit/memory_log.py
+++ b/packages/testkit/src/yuccarouter_testkit/memory_log.py
@@ -43,14 +43,16 @@
 
     ``down`` refuses all calls. The next ``lose_answers`` appends take effect
     and lose their answers; the next ``delay_appends`` ones lose theirs and
-    take effect only at ``deliver_late``. ``delay_s`` slows each call; with
-    ``jitter`` a call takes between none and twice of it.
+    take effect only at ``deliver_late``. With ``fails_at_append`` the log is
+    down from the next append on, before anyone can read it. ``delay_s`` slows
+    each call; with ``jitter`` a call takes between none and twice of it.
     """
 
     def __init__(self, clock_ms: Callable[[], int] = clocks.wall_ms) -> None:
         self.down = False
         self.lose_answers = 0
         self.delay_appends = 0
+        self.fails_at_append = False
         self.delay_s: float = 0
         self.jitter: random.Random | None = None
         self.appends = 0
@@ -105,6 +107,7 @@
         """Append one record or fail as set up."""
         await self._call()
         self.appends += 1
+        self.down = self.fails_at_append
         if self.delay_appends:
             self.delay_appends -= 1
             self._late.append(_LateAppend(stream, append_id, payload))
