--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,10 @@
-"""A gateway is stopped in turn while a roll-out has just begun.
+"""A worker breaks off a stream without a length and then answers once more.
 
-The sessions in progress go on at the other gateway. By the rule PINNED no more
-than three of their requests may run on the new version in the first half of its
-roll-out if the request before, in the same session, ran on the old one.
+By the rule ORDER no stream may end as complete before its last piece. The worker
+sends the first of its events, breaks off between two of them, and then sends its
+whole answer again on the same connection, or an error. Where the gateway can't
+tell what is whole, it may break off the consumer's stream or go on at another
+worker.
 """
 
 from __future__ import annotations
@@ -10,7 +12,6 @@
 import asyncio
 import os
 import pathlib
-import signal
 import sys
 import traceback
 
@@ -24,73 +25,56 @@
 from stand_ins import callers, deployment, endpoints, record  # noqa: E402
 
 HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-SESSIONS = 100
-SESSION_INTERVAL_S = 4.0
-SESSION_S = 5.0
-RAMP_S = 24
-CALM_S = 4.0
-# From the order to the stop of the gateway.
-STOP_DELAY_S = 2.0
-# A stopping gateway is out of rotation after two questions without a 200.
-ROTATION_S = 2.0
-EVENTS = 3
-EVENT_S = 0.03
-MAX_CHANGED = 3
+REQUESTS = 360
+AT_ONCE = 8
+EVENTS = 12
+EVENTS_BEFORE_BREAK = 4
+EVENT_S = 0.02
+# One answer in so many of the troubled worker is broken off.
+TROUBLED_EACH = 20
+
+
+class Worker:
+    """Counts the answers of the troubled worker."""
+
+    answers = 0
 
 
 async def stream(
     endpoint: endpoints.Endpoint, run: endpoints.Run, writer: asyncio.StreamWriter
 ) -> None:
-    """Answer with a short stream."""
-    head = 'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n'
-    writer.write(endpoint.head(run, 200, head))
+    """Answer with a stream that ends with its connection."""
+    is_broken = False
+    if HAS_TROUBLE and endpoint is endpoint.deployment.endpoints[0]:
+        Worker.answers += 1
+        is_broken = Worker.answers % TROUBLED_EACH == 0
+    head = endpoint.head(
+        run, 200, 'Content-Type: text/event-stream\r\nConnection: close\r\n'
+    )
     first = int(run.headers.get('last-event-id') or 0) + 1
-    for number in range(first, EVENTS + 1):
-        writer.write(endpoints.chunk(endpoints.event(run.request, number)))
+    events = [
+        endpoints.event(run.request, number)
+        for number in range(first, EVENTS + 1)
+    ]
+    writer.write(head)
+    for event in events[:EVENTS_BEFORE_BREAK] if is_broken else events:
+        writer.write(event)
         await writer.drain()
         await asyncio.sleep(EVENT_S)
-    writer.write(b'0\r\n\r\n')
-    await writer.drain()
-
-
-class Rotation:
-    """The gateway to which the platform sends new connections."""
-
-    def __init__(self, gateways: list[deployment.Gateway]) -> None:
-        self.current = gateways[0]
-
-
-async def follow_session(
-    log: record.Record,
-    rotation: Rotation,
-    number: int,
-    until_s: float,
-    requests: dict[str, list[callers.Outcome]],
-) -> None:
-    """Send the requests of one session, one after the other."""
-    name = f's-{os.getpid()}-{number}'
-    await asyncio.sleep(number * SESSION_INTERVAL_S / SESSIONS)
-    while log.now_s() < until_s:
-        outcome = await callers.call(
-            log,
-            rotation.current,
-            'POST',
-            '/notes/x',
-            deadline_ms=5000,
-            body=b'{}',
-            extra=(
-                f'Session: {name}',
-                'X-Yuccarouter-Model: m1',
-                'X-Yuccarouter-Token-Counts: 300,20',
-                f'X-Yuccarouter-Prompt-Prefix: aa:200,{number:x}:100',
-            ),
+    if is_broken:
+        second = head + b''.join(events)
+        if Worker.answers // TROUBLED_EACH % 2 == 0:
+            second = endpoint.complete(run, 500, b'failed')
+        endpoint.log.write(
+            'broken_off', request=run.request, then=second[:12].decode()
         )
-        requests.setdefault(name, []).append(outcome)
-        await asyncio.sleep(SESSION_INTERVAL_S)
+        writer.write(second)
+    await writer.drain()
+    writer.close()
 
 
-async def play(log: record.Record) -> tuple[int, int]:
-    """Return the number of requests that changed to the new version."""
+async def play(log: record.Record) -> list[callers.Outcome]:
+    """Send the requests and return their outcomes."""
     place = deployment.Deployment(log)
     route = deployment.route(
         'notes',
@@ -103,87 +87,75 @@
         sticky=True,
     )
     service = {'name': 'engine', 'maxConnections': 370}
-    requests: dict[str, list[callers.Outcome]] = {}
+    limit = asyncio.Semaphore(AT_ONCE)
+
+    async def send(number: int) -> callers.Outcome:
+        async with limit:
+            return await callers.call(
+                log,
+                gateway,
+                'POST',
+                '/notes/x',
+                deadline_ms=5000,
+                body=b'{}',
+                extra=(
+                    'X-Yuccarouter-Model: m1',
+                    'X-Yuccarouter-Token-Counts: 300,100',
+                    f'X-Yuccarouter-Prompt-Prefix: {number:x}:200,bb:100',
+                ),
+            )
+
     try:
         await place.start(deployment.configuration([route], [service]))
         for _ in range(3):
             await endpoints.Endpoint(place, 'engine', stream).start()
-        gateways = [place.add_gateway(), place.add_gateway()]
-        for gateway in gateways:
-            await place.launch(gateway)
-        for gateway in gateways:
-            await place.wait_until_ready(gateway)
-        rotation = Rotation(gateways)
-        await asyncio.sleep(CALM_S)
-        order_s = log.now_s() + CALM_S
-        half_s = order_s + RAMP_S / 2
-        sessions = [
-            asyncio.create_task(
-                follow_session(log, rotation, number, half_s, requests)
-            )
-            for number in range(SESSIONS)
-        ]
-        await asyncio.sleep(order_s - log.now_s())
-        place.store.write(
-            'keyed.op',
-            'rollout/engine',
-            {'service': 'engine', 'target': 'v2', 'rampS': RAMP_S},
+        gateway = place.add_gateway()
+        await place.launch(gateway)
+        await place.wait_until_ready(gateway)
+        return list(
+            await asyncio.gather(*(send(number) for number in range(REQUESTS)))
         )
-        log.write('rollout_ordered', target='v2')
-        for _ in range(3):
-            await endpoints.Endpoint(
-                place, 'engine', stream, version='v2'
-            ).start()
-        await asyncio.sleep(STOP_DELAY_S)
-        if HAS_TROUBLE:
-            place.signal(gateways[0], signal.SIGTERM)
-            await asyncio.sleep(ROTATION_S)
-            rotation.current = gateways[1]
-        await asyncio.gather(*sessions)
     finally:
         await place.stop()
-    versions = {each.name: each.version for each in place.endpoints}
-    ran = {
-        request: versions[name]
-        for _, name, request in endpoints.arrivals(log, 'run')
-    }
-    changed = on_new = 0
-    for outcomes in requests.values():
-        for before, after in zip(outcomes, outcomes[1:], strict=False):
-            ended_s = before.sent_s + before.elapsed_s
-            if not (order_s <= after.sent_s < half_s):
-                continue
-            if after.sent_s - ended_s >= SESSION_S:
-                continue
-            pair = (ran.get(before.request), ran.get(after.request))
-            on_new += pair[1] == 'v2'
-            if pair == ('v1', 'v2'):
-                changed += 1
-                log.write(
-                    'version_changed',
-                    before=before.request,
-                    after=after.request,
-                )
-    return changed, on_new
 
 
 def main() -> int:
     """Play the case and return its exit status."""
     log = record.Record(FOLDER / 'record.txt')
     try:
-        changed, on_new = asyncio.run(play(log))
+        outcomes = asyncio.run(play(log))
     except Exception:
         traceback.print_exc()
         return 2
+    broken_off = {
+        line['request'] for line in log.lines if line['what'] == 'broken_off'
+    }
+    complete = [
+        each for each in outcomes if each.end == 'complete' and each.status == 200
+    ]
+    short = [
+        each
+        for each in complete
+        if each.body
+        != b''.join(
+            endpoints.event(each.request, number)
+            for number in range(1, EVENTS + 1)
+        )
+    ]
+    for each in short:
+        log.write(
+            'ended_early', request=each.request, events=each.body.count(b'id: ')
+        )
+    if HAS_TROUBLE and not broken_off:
+        return 2
     text = (
-        f'{changed} requests ran on the new version in the first half of its '
-        f'roll-out though the one before in their session ran on the old one; '
-        f'{on_new} requests of sessions in progress ran on the new one'
+        f'{len(outcomes)} streams, {len(broken_off)} broken off by the worker, '
+        f'{len(complete)} ended as complete, {len(short)} of them before the '
+        f'last piece'
     )
-    is_broken = changed > MAX_CHANGED
-    log.write('verdict', text=text, is_broken=is_broken)
+    log.write('verdict', text=text, is_broken=bool(short))
     print(text)
-    return int(is_broken)
+    return int(bool(short))
 
 
 if __name__ == '__main__':
