End streams at their route's timeout although bytes keep arriving

Callers saw streams without an answer long after their route's timeout, until they gave up, whenever an endpoint went on to send bytes of no event.

Cause: once the time limit of a read had expired, _next_chunk waited 5 ms for what a suspended process had not read yet, and took whatever arrived then as a reason to go on. The next read had a timeout of 0, expired, and waited 5 ms again: an endpoint that sends something each 5 ms was read without end, and the limit on the time between events was undone in the same way. An endpoint that sends faster than the gateway reads is not affected by the 5 ms: a read that finds bytes never meets its timeout.

Now what arrived late is taken once for each limit, and the next read without time left ends, unless the stream is complete. Streams that arrived in full during a suspension are still passed on (test_stream_outlasts_a_suspension).

Ruled out: the limit on events (MAX_EVENT_BYTES) and the timer of idle streams itself, which ignores such bytes as it should.

--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING, Final
 
 import aiohttp
@@ -321,11 +322,12 @@
     if out.may_run_again(after=0):
         idle_limit_ms = stream_timeouts.gap_timeout_ms(gap_ms)
     idle_timer = _IdleTimer(relay.buffer)
+    reader = _ChunkReader(opened.response.content)
     events_before = relay.buffer.data_count
     while True:
         idle_remaining_ms = idle_limit_ms - idle_timer.elapsed_ms()
-        chunk = await _next_chunk(
-            opened, min(idle_remaining_ms, out.remaining_ms())
+        chunk = await reader.next_chunk(
+            min(idle_remaining_ms, out.remaining_ms())
         )
         if not chunk:
             break
@@ -340,21 +342,48 @@
         raise events.OrderError('stream ended within an event')
 
 
-async def _next_chunk(opened: attempts.OpenAnswer, timeout_ms: float) -> bytes:
-    content = opened.response.content
-    try:
-        async with asyncio.timeout(max(0, timeout_ms) / _MS_PER_S):
-            return await content.readany()
-    except TimeoutError:
-        # After a suspension of this process, the timeout expires before what
-        # was sent meanwhile has been read from the socket.
+@attrs.define
+class _ChunkReader:
+    """Reads a stream up to a time limit, and what had arrived until then.
+
+    After a suspension of this process, the limit expires before what was sent
+    meanwhile has been read from the socket. That is taken once: an endpoint
+    that sends without end would otherwise be read without end.
+    """
+
+    content: aiohttp.StreamReader
+    _is_late_read: bool = False
+
+    async def next_chunk(self, timeout_ms: float) -> bytes:
+        """Return the next bytes, none at the end of the stream.
+
+        Raises ``TimeoutError`` once nothing is left of the time limit and of
+        what had arrived, and ``EndpointDisconnectedError``.
+        """
+        if timeout_ms > 0:
+            self._is_late_read = False
+            with contextlib.suppress(TimeoutError):
+                return await self._read(timeout_ms)
+        if self._is_late_read:
+            if self.content.at_eof():
+                return b''
+            raise TimeoutError
+        self._is_late_read = True
         await asyncio.sleep(_SOCKET_READ_S)
-        chunk = content.read_nowait()
-        if chunk or content.at_eof():
+        chunk = self.content.read_nowait()
+        if chunk or self.content.at_eof():
             return chunk
-        raise
-    except OSError as fault:
-        raise EndpointDisconnectedError(str(fault)) from fault
+        raise TimeoutError
+
+    async def _read(self, timeout_ms: float) -> bytes:
+        try:
+            async with asyncio.timeout(timeout_ms / _MS_PER_S):
+                return await self.content.readany()
+        except TimeoutError:
+            # A subclass of OSError.
+            raise
+        except OSError as fault:
+            raise EndpointDisconnectedError(str(fault)) from fault
 
 
 async def _write(
