Confirm replicas that peers read, and call the store when none does in time

Endpoints that drained got requests for 2.2 to 2.8 s after the store had acknowledged it, where 2.0 s are allowed, and most of the last ones were lost as the endpoints exited. It took two daemons of a data centre that were killed, frozen or cut off at that time.

Cause: in a data centre of three or more daemons, two read the endpoints' topic and the shared state for the others. A daemon took a reader from which a digest had come within 2.5 s for a successful read, also if that reader told nothing any more: the silence of a reader counted as its answer that nothing had changed. Two further faults of the same path were found on the way:

- A record that the store has dropped has no offset in a replica that was loaded after it.
Such a reader told the newest offset of its other records, with which the replica of a daemon that had not seen the removal agreed.
- The age of an answer counted from its arrival.
A process that was frozen within a call told its peers that it had just been confirmed.
And the clock stood still while a VM was suspended.

Now each replica knows until when the store has confirmed it and who told so: from the beginning of the call, in time since boot. A peer's word counts for as long as the peer was itself confirmed. Once nobody has confirmed a replica for 0.75 of its limit (drainMs for endpoints, rollbackMs for the shared state), the daemon calls the store, also while a reader still seems to be there; the rest of the limit is for the call and for requests that are already chosen. What a daemon reads itself begins where its peers' records end. A reader whose records can't be fetched counts as none.

The log tells it: endpoint_withdrawn has the age of the replica before the record that withdrew an endpoint, who had confirmed it, and the last request of this daemon; endpoint_leaving the same for a request whose answer says so.

Ruled out: the timeout of live peers alone (shorter ones only move the moment, and every daemon would pay for them), kills alone (freezes and cuts do it too).

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -452,6 +452,8 @@
             sent_ms=progress.sent_ms,
             now_ms=now_ms,
         )
+    if head.is_leaving and not view.announced.is_draining:
+        _log_leaving(out, progress, now_ms)
     if head.is_leaving or head.pause_ms is not None:
         out.gateway.directory.record_notice(
             view,
@@ -460,6 +462,24 @@
         )
 
 
+def _log_leaving(
+    out: OutgoingCall, progress: answer_progress.Progress, now_ms: float
+) -> None:
+    """Log why an endpoint that leaves counted as in use."""
+    topic = out.gateway.endpoints_topic
+    if topic is None:
+        return
+    believed = topic.newest_confirmation()
+    eliot.log_message(
+        'endpoint_leaving',
+        request=out.call.request_id,
+        endpoint=progress.view.name,
+        sent_ms_ago=round(now_ms - progress.sent_ms),
+        replica_age_ms=believed.rounded_age_ms(),
+        confirmed_by=believed.source,
+    )
+
+
 async def read_body(
     out: OutgoingCall, opened: OpenAnswer, until_ms: float
 ) -> bytes:
@@ -580,6 +600,7 @@
     out: OutgoingCall, view: endpoints.EndpointView, now_ms: float
 ) -> None:
     view.sent_since_load += 1
+    view.last_sent_ms = now_ms
     _record_session_version(out, view)
     if view.is_cold(now_ms):
         view.cold_send_times_ms.append(now_ms)
--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -254,6 +254,7 @@
             poll_interval_ms=poll_interval_ms,
             probe=orders,
             rewrite_grace_ms=_REWRITE_GRACE_MS,
+            max_age_ms=bounds.drain_ms,
         ),
         topics.Topic(
             names.state,
@@ -264,6 +265,7 @@
             max_age_ms=bounds.rollback_ms,
         ),
     ]
+    gateway.endpoints_topic = others[0]
     for topic in others:
         # A waiting call for orders may not notice the restore.
         topic.on_restored = orders.reload
@@ -307,9 +309,7 @@
     gossip.dependants = election.dependants
     for topic in replicas:
         topic.checks_first = election.checks_first
-        topic.confirmed_by_peers_ms = functools.partial(
-            peers.confirmed_ms, gossip
-        )
+        topic.confirmed_by_peers = functools.partial(peers.confirmation, gossip)
     for topic in replicas[1:]:
         topic.read_from_peer = election.read_from_peer
 
--- a/packages/daemon/src/yuccarouter/gateway/endpoints.py
+++ b/packages/daemon/src/yuccarouter/gateway/endpoints.py
@@ -52,6 +52,7 @@
     ``sent_since_load`` counts this daemon's requests since then.
     ``peer_backlog`` is by the daemon's name. ``cached`` holds, by model and
     prompt part, when the part was last prefilled, oldest first.
+    ``last_sent_ms`` is when this daemon last sent it a request.
     """
 
     announced: model.Announcement
@@ -66,6 +67,7 @@
     avoid_until_ms: float = -math.inf
     paused_until_ms: float = -math.inf
     remove_at_ms: float = math.inf
+    last_sent_ms: float = -math.inf
     peer_backlog: dict[str, PeerBacklog] = attrs.field(factory=dict)
     cold_send_times_ms: collections.deque[float] = attrs.field(
         factory=collections.deque
@@ -118,6 +120,12 @@
         self.load_received_ms = now_ms
         self.sent_since_load = 0
 
+    def sent_ms_ago(self) -> int | None:
+        """Return the time since this daemon's last request, if any."""
+        if math.isinf(self.last_sent_ms):
+            return None
+        return round(clocks.monotonic_ms() - self.last_sent_ms)
+
     def record_success(self) -> None:
         """Record a successful answer, which ends any backoff."""
         self.consecutive_failures = 0
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -14,7 +14,14 @@
 import orjson
 from aiohttp import web
 
-from yuccarouter.gateway import addresses, model, numbers, offsets, ports
+from yuccarouter.gateway import (
+    addresses,
+    confirmations,
+    model,
+    numbers,
+    offsets,
+    ports,
+)
 from yuccarouter_common import clocks, records
 
 if TYPE_CHECKING:
@@ -72,8 +79,9 @@
     """Another daemon, according to its latest digest.
 
     ``newest`` holds the newest offset that it knows of each topic,
-    ``answered_ms`` when the store last answered it, and ``reads`` the topics
-    that it reads from the store itself without failure.
+    ``confirmed_ms`` until when the store has shown it that there are no others,
+    in times of ``clocks.boot_ms``, and ``reads`` the topics that it reads from
+    the store itself without failure.
     """
 
     address: model.Address
@@ -81,7 +89,7 @@
     newest: dict[str, int]
     data_centre: str = ''
     reads: tuple[str, ...] = ()
-    answered_ms: dict[str, float] = attrs.field(factory=dict)
+    confirmed_ms: dict[str, float] = attrs.field(factory=dict)
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -122,17 +130,17 @@
         try:
             digest = records.loads(payload)
             name = str(digest['name'])
-            now_ms = clocks.monotonic_ms()
+            boot_ms = clocks.boot_ms()
             self.known_peers[name] = Peer(
                 address=model.Address(sender[0], sender[1]),
-                received_ms=now_ms,
+                received_ms=clocks.monotonic_ms(),
                 newest=_offsets(
                     digest['newest'], digest.get('generations', {})
                 ),
                 data_centre=str(digest.get('data_centre', '')),
                 reads=tuple(digest.get('reads', ())),
-                answered_ms={
-                    str(topic): now_ms - numbers.number(age_ms)
+                confirmed_ms={
+                    str(topic): boot_ms - numbers.number(age_ms)
                     for topic, age_ms in digest.get('ages_ms', {}).items()
                 },
             )
@@ -268,14 +276,14 @@
 
 
 def encode_ages(replicas: list[topics.Topic]) -> dict[str, int]:
-    """Return the time since the store's last answer, by topic.
+    """Return how long ago the store has confirmed each replica, by topic.
 
-    Topics that are read without waiting are left out.
+    What peers have told is left out: their word counts once, and expires.
     """
     return {
-        topic.name: round(topic.age_ms())
+        topic.name: math.ceil(topic.confirmation.age_ms())
         for topic in replicas
-        if math.isfinite(topic.max_age_ms) and math.isfinite(topic.age_ms())
+        if math.isfinite(topic.confirmation.at_ms)
     }
 
 
@@ -323,34 +331,42 @@
 
     async def serve_records(request: web.Request) -> web.Response:
         topic = by_name[request.query['topic']]
-        generation, newest = _generation_and_number(topic.table.newest_offset)
-        since = int(request.query['from'])
-        if int(request.query.get('generation', generation)) != generation:
-            since = 0
-        oldest = offsets.encode(generation, since)
-        newer = [
+        generation = request.query.get('generation')
+        document = records_document(
+            topic,
+            int(request.query['from']),
+            None if generation is None else int(generation),
+        )
+        return web.Response(body=orjson.dumps(document))
+
+    app = web.Application()
+    app.router.add_get(_RECORDS_PATH, serve_records)
+    return app
+
+
+def records_document(
+    topic: topics.Topic, since: int, since_generation: int | None
+) -> dict[str, Any]:
+    """Return a topic's records from the number ``since`` of a generation on."""
+    generation, newest = _generation_and_number(topic.table.newest_offset)
+    if since_generation not in {None, generation}:
+        since = 0
+    oldest = offsets.encode(generation, since)
+    entries = topic.table.entries.values()
+    return {
+        'records': [
             [
                 entry.key,
                 base64.b64encode(entry.value).decode(),
                 offsets.number(entry.offset),
             ]
-            for entry in topic.table.entries.values()
+            for entry in entries
             if entry.offset >= oldest
-        ]
-        present = [
-            entry.key for entry in topic.table.entries.values() if entry.value
-        ]
-        document = {
-            'records': newer,
-            'present': present,
-            'newest': newest,
-            'generation': generation,
-        }
-        return web.Response(body=orjson.dumps(document))
-
-    app = web.Application()
-    app.router.add_get(_RECORDS_PATH, serve_records)
-    return app
+        ],
+        'present': [entry.key for entry in entries if entry.value],
+        'newest': newest,
+        'generation': generation,
+    }
 
 
 async def fetch_missing_records(
@@ -418,14 +434,17 @@
     session: aiohttp.ClientSession
 
     async def read_from_peer(self, topic: topics.Topic) -> bool:
-        """Read a topic from a reader; return whether there is one."""
+        """Read a topic from a reader; return whether there is one.
+
+        A reader whose newer records can't be fetched counts as none.
+        """
         readers = self._readers(topic)
         if not readers:
             return False
         best = max(readers, key=lambda peer: peer.newest.get(topic.name, -1))
-        if best.newest.get(topic.name, -1) > topic.table.newest_offset:
-            await _fetch(self.session, best, topic)
-        return True
+        if best.newest.get(topic.name, -1) <= topic.table.newest_offset:
+            return True
+        return await _fetch(self.session, best, topic)
 
     def dependants(self) -> list[str]:
         """Return the names of the peers that this daemon reads for.
@@ -473,19 +492,20 @@
         return [peer for peer in peers if topic.name in peer.reads]
 
 
-def confirmed_ms(gossip: Gossip, topic: topics.Topic) -> float:
-    """Return until when a peer knows that no record is missing here.
+def confirmation(
+    gossip: Gossip, topic: topics.Topic
+) -> confirmations.Confirmation:
+    """Return the newest confirmation by a peer that no record is missing here.
 
-    Its replica held no newer record at the last answer of the store.
+    Its replica held no newer record when the store confirmed it.
     """
-    return max(
-        (
-            peer.answered_ms.get(topic.name, -math.inf)
-            for peer in gossip.known_peers.values()
-            if peer.newest.get(topic.name, -1) <= topic.table.newest_offset
-        ),
-        default=-math.inf,
-    )
+    newest = confirmations.NEVER
+    for name, peer in gossip.known_peers.items():
+        at_ms = peer.confirmed_ms.get(topic.name, -math.inf)
+        is_newer = peer.newest.get(topic.name, -1) > topic.table.newest_offset
+        if at_ms > newest.at_ms and not is_newer:
+            newest = confirmations.Confirmation(at_ms, name)
+    return newest
 
 
 def most_advanced_peer(gossip: Gossip, topic: topics.Topic) -> Peer | None:
@@ -503,7 +523,11 @@
 
 async def _fetch(
     session: aiohttp.ClientSession, peer: Peer, topic: topics.Topic
-) -> None:
+) -> bool:
+    """Fetch the records that a peer has and this daemon lacks.
+
+    Returns whether the peer has answered.
+    """
     known_generation, number = _generation_and_number(topic.table.newest_offset)
     try:
         async with session.get(
@@ -527,7 +551,7 @@
         eliot.log_message(
             'peer_fetch_failed', peer=str(peer.address), reason=str(fault)
         )
-        return
+        return False
     if missing:
         eliot.log_message(
             'records_from_peer',
@@ -535,5 +559,6 @@
             peer=str(peer.address),
             count=len(missing),
         )
-        ordered = sorted(missing, key=lambda entry: entry.offset)
-        topic.merge(ordered, present, newest)
+    ordered = sorted(missing, key=lambda entry: entry.offset)
+    topic.merge(ordered, present, newest)
+    return True
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -77,6 +77,7 @@
     crash_evidence: crash_evidence.CrashEvidence = attrs.field(init=False)
     gossip: peers.Gossip | None = None
     orders_topic: topics.Topic | None = None
+    endpoints_topic: topics.Topic | None = None
     process_id: int = attrs.field(factory=_random_id)
     stop: stopping.Stop = attrs.field(factory=stopping.Stop)
     prefill_speeds: prefill_speeds.PrefillSpeeds = attrs.field(
@@ -124,7 +125,8 @@
         topic = self.orders_topic
         if topic is None:
             return True
-        if not topic.is_failing or topic.age_ms() <= _STALE_CONFIGURATION_MS:
+        age_ms = topic.confirmation.age_ms()
+        if not topic.is_failing or age_ms <= _STALE_CONFIGURATION_MS:
             return False
         return self.gossip is None or not self.gossip.confirms(topic)
 
@@ -164,10 +166,31 @@
                 'bad_announcement', key=entry.key, reason=str(fault)
             )
             return
+        view = self.directory.get(entry.key)
+        was_in_use = view is not None and not view.announced.is_draining
         if announced is None:
             self.directory.remove(entry.key)
         else:
             self.directory.apply_announcement(announced)
+        if view is not None and was_in_use:
+            self._log_if_withdrawn(view)
+
+    def _log_if_withdrawn(self, view: endpoints.EndpointView) -> None:
+        """Log why an endpoint counted as in use until its newest record."""
+        current = self.directory.get(view.name)
+        is_in_use = current is not None and not current.announced.is_draining
+        if is_in_use or self.endpoints_topic is None:
+            return
+        believed = self.endpoints_topic.confirmation_before
+        eliot.log_message(
+            'endpoint_withdrawn',
+            endpoint=view.name,
+            is_removed=current is None,
+            in_flight=view.in_flight,
+            sent_ms_ago=view.sent_ms_ago(),
+            replica_age_ms=believed.rounded_age_ms(),
+            confirmed_by=believed.source,
+        )
 
     def apply_state_record(self, entry: ports.Entry) -> None:
         """Apply a record of the state that the daemons share."""
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -10,7 +10,13 @@
 import attrs
 import eliot
 
-from yuccarouter.gateway import checked_reads, metrics, offsets, ports
+from yuccarouter.gateway import (
+    checked_reads,
+    confirmations,
+    metrics,
+    offsets,
+    ports,
+)
 from yuccarouter_common import clocks
 from yuccarouter_common.platform import errors
 
@@ -30,9 +36,13 @@
 _MAX_PROBE_WAIT_MS: Final = 5000.0
 # Delay after a page with records, so that a burst is read with few calls.
 _BATCH_DELAY_MS: Final = 200.0
-# Interval of reading from peers. The peer's interval and this one together must
-# stay below the limit on the time to drain an endpoint.
+# Interval of reading from peers.
 _PEER_READ_INTERVAL_MS: Final = 400.0
+# Share of the age limit in which peers must have confirmed a replica that they
+# read for this daemon, before it calls the store itself. It is more than their
+# interval and that of their digests together. The rest is for the call and for
+# requests whose endpoint was chosen before it.
+_PEER_CONFIRMATION_SHARE: Final = 0.75
 # Length of an outage after which the newest records are loaded anew: a long
 # poll would not show that the store has lost records.
 _RELOAD_AFTER_MS: Final = 1000.0
@@ -58,9 +68,9 @@
     return True
 
 
-def _never_confirmed(_: Topic) -> float:
+def _never_confirmed(_: Topic) -> confirmations.Confirmation:
     """Return that no peer has confirmed the replica."""
-    return -math.inf
+    return confirmations.NEVER
 
 
 @attrs.define
@@ -68,7 +78,8 @@
     """The newest record of each key, by offset.
 
     A record that is not newer than the stored one of its key is ignored, so
-    that pages and peers may repeat records.
+    that pages and peers may repeat records. ``newest_offset`` is that of the
+    newest record that was read, also of one that the store has dropped since.
     """
 
     entries: dict[str, ports.Entry] = attrs.field(factory=dict)
@@ -84,6 +95,12 @@
         self.newest_offset = max(self.newest_offset, entry.offset)
         return True
 
+    def advance(self, next_offset: int) -> None:
+        """Record that all records before ``next_offset`` were read."""
+        self.next_offset = max(self.next_offset, next_offset)
+        if offsets.number(next_offset):
+            self.newest_offset = max(self.newest_offset, next_offset - 1)
+
     def removals(self, present: frozenset[str]) -> list[ports.Entry]:
         """Return tombstones for the stored keys that are not in ``present``."""
         # The offset is one lower, so that the record counts as new when it is
@@ -112,8 +129,9 @@
 
     A long poll may never be answered, so that the replica is confirmed in other
     ways before it is older than ``max_age_ms``: by further calls to the store,
-    or by a peer whose last answer ``confirmed_by_peers_ms`` returns. The daemon
+    or by a peer, whose newest one ``confirmed_by_peers`` returns. The daemon
     for which ``checks_first`` is true calls the store before the others.
+    ``confirmation`` is that by the store's answers to this daemon itself.
     """
 
     name: str
@@ -129,7 +147,12 @@
     logs_changes: bool = False
     max_age_ms: float = math.inf
     checks_first: Callable[[], bool] = _checks_first
-    confirmed_by_peers_ms: Callable[[Topic], float] = _never_confirmed
+    confirmed_by_peers: Callable[[Topic], confirmations.Confirmation] = (
+        _never_confirmed
+    )
+    confirmation: confirmations.Confirmation = confirmations.NEVER
+    # The newest one before the records that are being applied.
+    confirmation_before: confirmations.Confirmation = confirmations.NEVER
     table: Table = attrs.field(factory=Table)
     started_ms: float = attrs.field(factory=clocks.monotonic_ms)
     last_answer_ms: float = -math.inf
@@ -152,14 +175,15 @@
             and not self.is_read_from_peer
         )
 
-    def age_ms(self) -> float:
-        """Return the age of the replica: the time since the last answer."""
-        return clocks.monotonic_ms() - self.last_answer_ms
+    def newest_confirmation(self) -> confirmations.Confirmation:
+        """Return the newest confirmation, by the store or by a peer."""
+        by_peers = self.confirmed_by_peers(self)
+        return max(self.confirmation, by_peers, key=lambda each: each.at_ms)
 
     async def follow(self) -> None:
         """Read the topic until the task is cancelled."""
         while True:
-            if self._is_waiting_for_probe():
+            if _is_waiting_for_probe(self):
                 await asyncio.sleep(_RETRY_DELAY_MS / _MS_PER_S)
                 continue
             try:
@@ -194,19 +218,24 @@
             if removal.offset < newest_offset:
                 self.table.entries[removal.key] = removal
                 self.on_record(removal)
-        self._apply_all(entries, _FROM_PEER, self.last_answer_ms)
+        self._apply_all(entries, _FROM_PEER, self.newest_confirmation())
+        self.table.advance(newest_offset + 1)
 
     async def _read_once(self) -> float:
         """Read new records once and return the delay before the next call."""
         if not self.is_loaded or self._grace_remaining_ms() == 0:
             await self._load()
             return self.poll_interval_ms
-        read = self.read_from_peer
-        self.is_read_from_peer = read is not None and await read(self)
+        delay_ms = await self._read_from_peer()
+        self.is_read_from_peer = delay_ms > 0
         if self.is_read_from_peer:
-            return _PEER_READ_INTERVAL_MS
+            return delay_ms
+
+        call_began_ms = clocks.boot_ms()
 
         async def begin_read(wait_ms: int) -> ports.Page:
+            nonlocal call_began_ms  # noqa: WPS420
+            call_began_ms = clocks.boot_ms()
             self.call_began_ms = clocks.monotonic_ms()
             return await self.store.read(
                 self.name, self.table.next_offset, wait_ms
@@ -214,28 +243,59 @@
 
         call = asyncio.timeout(None)
         self._call = call
+        wait_ms = self._wait_ms()
         self.read_began_ms = clocks.monotonic_ms()
+        waits_from_ms = clocks.boot_ms()
         try:
             async with call:
                 page, is_from_check = await checked_reads.read(
                     begin_read,
-                    self._wait_ms(),
+                    wait_ms,
                     self._check_delay_ms,
-                    self._record_success,
+                    lambda: self._record_success(call_began_ms),
                 )
         except TimeoutError:
             return 0
         finally:
             self._call = None
-        known_until_ms = self.last_answer_ms
-        self._record_success()
+        confirmed_before = self.newest_confirmation()
+        if is_from_check:
+            self._record_success(call_began_ms)
+        elif page.entries:
+            # It may have been answered at any time since it began.
+            self._record_success(waits_from_ms)
+        else:
+            self._record_success(min(clocks.boot_ms(), waits_from_ms + wait_ms))
         source = _FROM_CHECK if is_from_check else _FROM_READ
-        self._apply_all(page.entries, source, known_until_ms)
-        self.table.next_offset = max(self.table.next_offset, page.next_offset)
+        self._apply_all(page.entries, source, confirmed_before)
+        self.table.advance(page.next_offset)
         return max(
             self.poll_interval_ms, _BATCH_DELAY_MS if page.entries else 0
         )
 
+    async def _read_from_peer(self) -> float:
+        """Read the topic from a peer and return the delay before the next read.
+
+        It is 0 if the store must be called: no peer reads the topic for this
+        daemon, or none has confirmed the replica in time. A peer that has died
+        or is cut off tells nothing, and its silence confirms nothing.
+        """
+        remaining_ms = _peer_confirmation_remaining_ms(self)
+        if self.read_from_peer is None or self.is_failing or remaining_ms <= 0:
+            return 0
+        limit_s = None
+        if math.isfinite(remaining_ms):
+            limit_s = remaining_ms / _MS_PER_S
+        try:
+            async with asyncio.timeout(limit_s):
+                is_read = await self.read_from_peer(self)
+        except TimeoutError:
+            return 0
+        if not is_read:
+            return 0
+        remaining_ms = _peer_confirmation_remaining_ms(self)
+        return max(0, min(_PEER_READ_INTERVAL_MS, remaining_ms))
+
     def reload(self) -> None:
         """Load the topic anew, also if a call waits for the next record.
 
@@ -248,28 +308,33 @@
     async def _load(self) -> None:
         self.read_began_ms = clocks.monotonic_ms()
         self.call_began_ms = self.read_began_ms
+        began_ms = clocks.boot_ms()
         page = await self.store.newest(self.name)
-        known_until_ms = self.last_answer_ms
-        self._record_success()
+        confirmed_before = self.newest_confirmation()
+        self._record_success(began_ms)
         self._note_generation(page.next_offset)
         present = frozenset(entry.key for entry in page.entries)
         for removal in self._removals(present):
             self.table.entries[removal.key] = removal
             self.on_record(removal)
         ordered = sorted(page.entries, key=lambda item: item.offset)
-        self._apply_all(ordered, _FROM_LOAD, known_until_ms)
+        self._apply_all(ordered, _FROM_LOAD, confirmed_before)
         self.table.next_offset = page.next_offset
+        self.table.advance(page.next_offset)
         self.is_loaded = True
 
     def _apply_all(
-        self, entries: Iterable[ports.Entry], source: str, known_until_ms: float
+        self,
+        entries: Iterable[ports.Entry],
+        source: str,
+        confirmed_before: confirmations.Confirmation,
     ) -> None:
         """Apply records, and report how old the new ones may be.
 
-        That is the time since the store's answer of ``known_until_ms``, which
-        lacked them, or since a later answer that a peer has told of.
+        That is the time since the newest confirmation of a replica without
+        them.
         """
-        confirmed_ms = max(known_until_ms, self.confirmed_by_peers_ms(self))
+        self.confirmation_before = confirmed_before
         count = 0
         for entry in entries:
             if self.table.apply(entry):
@@ -277,9 +342,9 @@
                 self.on_record(entry)
             else:
                 _log_ignored(self.name, entry, self.table.entries[entry.key])
-        age_ms = _elapsed_ms(confirmed_ms)
-        if not count or age_ms is None:
+        if not count or math.isinf(confirmed_before.at_ms):
             return
+        age_ms = round(confirmed_before.age_ms())
         metrics.observe_record_age(self.name, source, age_ms)
         if self.logs_changes:
             eliot.log_message(
@@ -289,6 +354,7 @@
                 count=count,
                 pending_ms=_elapsed_ms(self.read_began_ms),
                 age_ms=age_ms,
+                confirmed_by=confirmed_before.source,
             )
 
     def _wait_ms(self) -> int:
@@ -299,16 +365,13 @@
 
     def _check_delay_ms(self) -> float:
         """Return the time until the store is asked for missed records."""
-        if math.isinf(self.max_age_ms):
+        if self.poll_interval_ms or math.isinf(self.max_age_ms):
             return math.inf
         share = _OTHER_CHECK_SHARE
         if self.checks_first():
             share = _FIRST_CHECK_SHARE
         interval_ms = max(_MIN_CHECK_INTERVAL_MS, share * self.max_age_ms)
-        confirmed_ms = max(
-            self.last_answer_ms, self.confirmed_by_peers_ms(self)
-        )
-        return confirmed_ms + interval_ms - clocks.monotonic_ms()
+        return interval_ms - self.newest_confirmation().age_ms()
 
     def _grace_remaining_ms(self) -> float:
         """Return the time until records are removed that a restore has lost.
@@ -344,14 +407,14 @@
                     clocks.monotonic_ms() + self.rewrite_grace_ms
                 )
 
-    def _is_waiting_for_probe(self) -> bool:
-        if self.probe is None or not self.probe.is_failing:
-            return False
-        waited_ms = clocks.monotonic_ms() - self.last_failure_ms
-        return self.is_failing and waited_ms < _MAX_PROBE_WAIT_MS
+    def _record_success(self, confirmed_ms: float) -> None:
+        """Record an answer of the store.
 
-    def _record_success(self) -> None:
+        It had no other records than those of the answer at ``confirmed_ms``.
+        """
         self.consecutive_failures = 0
+        if confirmed_ms > self.confirmation.at_ms:
+            self.confirmation = confirmations.Confirmation(confirmed_ms)
         now_ms = clocks.monotonic_ms()
         if self.is_failing:
             self.is_failing = False
@@ -381,6 +444,21 @@
             self.is_loaded = False
 
 
+def _is_waiting_for_probe(topic: Topic) -> bool:
+    if topic.probe is None or not topic.probe.is_failing:
+        return False
+    waited_ms = clocks.monotonic_ms() - topic.last_failure_ms
+    return topic.is_failing and waited_ms < _MAX_PROBE_WAIT_MS
+
+
+def _peer_confirmation_remaining_ms(topic: Topic) -> float:
+    """Return the time until peers have to confirm a replica anew."""
+    if math.isinf(topic.max_age_ms):
+        return math.inf
+    limit_ms = _PEER_CONFIRMATION_SHARE * topic.max_age_ms
+    return limit_ms - topic.newest_confirmation().age_ms()
+
+
 def _retry_delay_ms(failures: int, began_ms: float) -> float:
     """Return the delay before the next call, after one that has failed.
 
--- a/packages/daemon/tests/gateway/conftest.py
+++ b/packages/daemon/tests/gateway/conftest.py
@@ -16,7 +16,8 @@
 
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> gateway_makers.Clock:
-    """Replace the monotonic clock by one that only the test advances."""
+    """Replace the monotonic clocks by one that only the test advances."""
     manual_clock = gateway_makers.Clock()
     monkeypatch.setattr(clocks, 'monotonic_ms', manual_clock)
+    monkeypatch.setattr(clocks, 'boot_ms', manual_clock)
     return manual_clock
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -348,7 +348,7 @@
         orjson.dumps({'name': 'd2', **digest}), ('127.0.0.1', 1)
     )
     clock.now_ms += 100
-    assert peers.confirmed_ms(gossip, replica) == confirmed_ms
+    assert peers.confirmation(gossip, replica).at_ms == confirmed_ms
 
 
 @pytest.mark.parametrize(
--- a/packages/daemon/tests/gateway/test_silent_store.py
+++ b/packages/daemon/tests/gateway/test_silent_store.py
@@ -106,6 +106,14 @@
         await asyncio.sleep(0.4)
 
 
+def use_clock_of(
+    loop: virtual_time.VirtualTimeLoop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Let the monotonic clocks show the time of a loop."""
+    for name in ('monotonic_ms', 'boot_ms'):
+        monkeypatch.setattr(clocks, name, lambda: loop.time() * 1000)
+
+
 async def change_around_a_silence(
     topic: str, before_s: float, silence_s: float, after_s: float
 ) -> float:
@@ -149,9 +157,7 @@
         before_s = 0.02 * step
         for after_s in (0.3, 1.5):
             loop = virtual_time.VirtualTimeLoop()
-            monkeypatch.setattr(
-                clocks, 'monotonic_ms', lambda loop=loop: loop.time() * 1000
-            )
+            use_clock_of(loop, monkeypatch)
             applied_s = loop.run_until_complete(
                 change_around_a_silence(topic, before_s, silence_s, after_s)
             )
@@ -183,7 +189,7 @@
     daemons.
     """
     loop = virtual_time.VirtualTimeLoop()
-    monkeypatch.setattr(clocks, 'monotonic_ms', lambda: loop.time() * 1000)
+    use_clock_of(loop, monkeypatch)
     store = gateway_store.SilentStore()
     for topic in ('orders', 'endpoints', 'state'):
         store.write(topic, 'config', b'1')
--- a/packages/daemon/tests/gateway/test_topics.py
+++ b/packages/daemon/tests/gateway/test_topics.py
@@ -10,7 +10,7 @@
 import gateway_store
 import pytest
 
-from yuccarouter.gateway import ports, topics
+from yuccarouter.gateway import confirmations, ports, topics
 
 TOPIC = 't'
 
@@ -265,7 +265,10 @@
     topic, _ = follow(store)
     await read(topic)
     clock.now_ms += 5000
-    topic.confirmed_by_peers_ms = lambda _: clock.now_ms - confirmed_ms_ago
+    confirmation = confirmations.Confirmation(
+        clock.now_ms - confirmed_ms_ago, 'd2'
+    )
+    topic.confirmed_by_peers = lambda _: confirmation
     if source == 'peer':
         topic.merge([ports.Entry('a', b'2', 1)])
     else:
