Pass on the events before a gap in a stream

A caller missed an event when an endpoint's stream skipped one and both arrived in one read: the events before the gap counted as passed on, the stream was resumed after them, and the error that the gap raised dropped them.

Now they are returned first, and the error is raised by the next call. That events arrive so in one read of a real endpoint was not reproduced.

--- a/packages/daemon/src/yuccarouter/gateway/events.py
+++ b/packages/daemon/src/yuccarouter/gateway/events.py
@@ -45,6 +45,7 @@
     last_id: int | None = None
     count: int = 0
     data_count: int = 0
+    fault: errors.RouterError | None = None
     _incomplete: bytearray = attrs.field(factory=bytearray)
 
     def feed(self, chunk: bytes) -> bytes:
@@ -52,12 +53,24 @@
 
         Events that were passed on before are dropped. Only new bytes are
         searched, so that the time is linear in the length of the stream.
-        Raises ``OrderError`` and ``EventTooLongError``.
+        Raises ``OrderError`` and ``EventTooLongError``, but returns the events
+        before the fault first: they count as passed on.
         """
+        self._raise_fault()
         search_from = max(0, len(self._incomplete) - _END_OVERLAP)
         self._incomplete += chunk
-        start = 0
         passed: list[bytes] = []
+        try:
+            self._split(search_from, passed)
+        except (OrderError, EventTooLongError) as fault:
+            self.fault = fault
+        if not passed:
+            self._raise_fault()
+        return b''.join(passed)
+
+    def _split(self, search_from: int, passed: list[bytes]) -> None:
+        """Move the complete events that are new to ``passed``."""
+        start = 0
         for end in _EVENT_END.finditer(self._incomplete, search_from):
             event = bytes(self._incomplete[start : end.end()])
             start = end.end()
@@ -68,16 +81,20 @@
             raise EventTooLongError(
                 f'event of {len(self._incomplete)} bytes is incomplete'
             )
-        return b''.join(passed)
+
+    def _raise_fault(self) -> None:
+        if self.fault is not None:
+            raise self.fault
 
     @property
     def is_at_event_end(self) -> bool:
         """Whether the stream ended at the end of an event."""
-        return not self._incomplete.strip()
+        return self.fault is None and not self._incomplete.strip()
 
     def discard_incomplete(self) -> None:
         """Discard an incomplete event before the stream is resumed."""
         self._incomplete.clear()
+        self.fault = None
 
     def _accept(self, event: bytes) -> bool:
         """Count an event and return whether it is passed on."""
--- a/packages/daemon/tests/gateway/test_streams.py
+++ b/packages/daemon/tests/gateway/test_streams.py
@@ -45,25 +45,33 @@
 
 
 @pytest.mark.parametrize(
-    ('last', 'chunk', 'is_rejected'),
+    ('last', 'chunk', 'passed', 'is_rejected'),
     [
-        (None, make_event(1), False),
-        (None, make_event(4), False),
-        (3, make_event(4), False),
-        (3, make_event(5), True),
-        (3, make_event(4) + make_event(6), True),
+        (None, make_event(1), make_event(1), False),
+        (None, make_event(4), make_event(4), False),
+        (3, make_event(4), make_event(4), False),
+        (3, make_event(5), b'', True),
+        (3, make_event(4) + make_event(6), make_event(4), True),
     ],
 )
 def test_missing_events(
-    last: int | None, chunk: bytes, is_rejected: bool
+    last: int | None, chunk: bytes, passed: bytes, is_rejected: bool
 ) -> None:
-    """Guards against a stream that continues after missing events."""
+    """Guards against a stream that continues after missing events.
+
+    An event before the gap counts as passed on: it must not be lost, as the
+    stream is resumed after it.
+    """
     buffer = events.EventBuffer(last_id=last)
+    if passed:
+        assert buffer.feed(chunk) == passed
     if is_rejected:
+        assert passed == b'' or not buffer.is_at_event_end
         with pytest.raises(events.OrderError):
-            buffer.feed(chunk)
-    else:
-        assert buffer.feed(chunk) == chunk
+            buffer.feed(b'' if passed else chunk)
+        assert buffer.last_id == (4 if passed else last)
+        buffer.discard_incomplete()
+        assert buffer.feed(b'') == b''
 
 
 def test_incomplete_event() -> None:
