Bound the work on bytes of an answer that make no progress

Requests to other services were refused or timed out (19 of 30, up to 3.9 s late) while one endpoint sent empty lines or comments in a stream as fast as they were read, or blank lines in place of a status line on many connections at once. The event loop was busy for seconds; calls to sound endpoints timed out meanwhile.

Cause: each empty line and each comment was an event of its own, and each blank line a head: up to 131,072 of them in one read of 256 KiB, handled in one turn of the loop. Their number had no bound in a stream, since the limit on an event's length counts each anew; in a head it was 512 KiB, 0.1 million heads.

Now a connection receives at most 16 KiB in a turn; empty lines in succession are one delimiter; more than 16 KiB of comments and empty lines between two events with data end the attempt as one without progress; and so do more than 64 interim answers or blank lines before a head. Ordinary comments that keep a connection open are far below that (test_stalled_stream_that_sends_comments, test_slow_stream).

Evidence: test_requests_to_streams and test_requests_to_plain_services, 21 places in an answer, fast and slow, from one of three endpoints.

--- a/packages/daemon/src/yuccarouter/answer_connections.py
+++ b/packages/daemon/src/yuccarouter/answer_connections.py
@@ -19,6 +19,12 @@
 
 # Limit on the bytes before an answer's body, interim answers included.
 MAX_HEAD_BYTES: Final = 524_288
+# Limit on interim answers, and on blank lines in place of heads: each of them
+# costs time. An endpoint sends one or two of them.
+MAX_INTERIM_HEADS: Final = 64
+# What is received on one connection in a turn of the event loop, so that a
+# connection on which much arrives doesn't delay the others.
+_MAX_RECEIVED_BYTES: Final = 16_384
 _HEAD_END: Final = re.compile(rb'\r?\n\r?\n')
 _HEAD_ENDS: Final = (b'\n\n', b'\n\r\n')
 # Length of the longest delimiter, less one: it may be split between two reads.
@@ -90,10 +96,17 @@
         self._on_surplus = on_surplus
         self._head = bytearray()
         self._head_bytes = 0
+        self._interim_heads = 0
         self._body: streams.StreamReader | None = None
         self._answer_end: answer_ends.AnswerEnd | None = None
         self._has_surplus = False
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit what is received at a time."""
+        super().connection_made(transport)
+        # The event loop has no public way to set the size of its reads.
+        transport.max_size = _MAX_RECEIVED_BYTES  # type: ignore[attr-defined]
+
     def data_received(self, data: bytes) -> None:
         """Process received bytes; abort if the head is too long."""
         # Without data, aiohttp resumes its parser. What was received before
@@ -168,20 +181,23 @@
         """Parse a part of a head; return whether the connection goes on."""
         self._head_bytes += len(part)
         if self._head_bytes > MAX_HEAD_BYTES:
-            # Aborting would remove the exception, and reading end without one.
-            self.abort()
-            self.set_exception(
-                aiohttp.ClientPayloadError(
-                    f'answer head exceeds {MAX_HEAD_BYTES} bytes'
-                )
-            )
-            return False
+            return self._reject_head(f'exceeds {MAX_HEAD_BYTES} bytes')
+        if self._interim_heads > MAX_INTERIM_HEADS:
+            return self._reject_head('follows too many interim answers')
         self._head += part
         self._parse(part)
         if self._body is None and self._head.endswith(_HEAD_ENDS):
             self._head.clear()
+            self._interim_heads += 1
         return self.exception() is None
 
+    def _reject_head(self, reason: str) -> bool:
+        """End the connection; return that it does not go on."""
+        # Aborting would remove the exception, and reading end without one.
+        self.abort()
+        self.set_exception(aiohttp.ClientPayloadError(f'answer head {reason}'))
+        return False
+
     def _receive_body(self, data: bytes, body: streams.StreamReader) -> None:
         if body.is_eof():
             self._record_surplus('bytes')
--- a/packages/daemon/src/yuccarouter/answer_ends.py
+++ b/packages/daemon/src/yuccarouter/answer_ends.py
@@ -14,7 +14,8 @@
 
 import attrs
 
-_LINE: Final = re.compile(rb'[^\n]*\n')
+# Empty lines in succession count as one: each line costs time.
+_LINE: Final = re.compile(rb'(?:\r?\n)+|[^\n]*\n')
 # Each match extends to the end of its line, so that searching a line that has
 # many such starts takes linear time.
 _STATUS_LINE: Final = re.compile(rb'HTTP/\d\.\d [1-5]\d\d(?:[ \r][^\n]*)?\n')
@@ -34,7 +35,7 @@
     rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+(?::[^\n]*)?)?\r?"
 )
 _CONTROL_CHARACTER: Final = re.compile(rb'[\x00-\x08\x0b\x0c\x0e-\x1f]')
-_EMPTY_LINES: Final = frozenset((b'\n', b'\r\n'))
+_LINE_ENDS: Final = (b'\n', b'\r\n')
 _EVENT_FIELDS: Final = frozenset((b'id', b'event', b'data', b'retry'))
 # Many such buffers must fit into the memory of the smallest VM.
 MAX_LINE_BYTES: Final = 1_048_576
@@ -107,7 +108,7 @@
 
     def _is_accepted(self, line: bytes) -> bool:
         """Return whether a line belongs to the stream, else set ``end``."""
-        if line in _EMPTY_LINES:
+        if line.startswith(_LINE_ENDS):
             self._is_in_event = False
         elif self._is_event_line(line):
             self._is_in_event = True
@@ -211,7 +212,7 @@
     """
     while line_end := received.find(b'\n', position) + 1:
         line = received[position:line_end]
-        if line in _EMPTY_LINES:
+        if line in _LINE_ENDS:
             return line_end
         if _HEADER_LINE.fullmatch(line) is None:
             return None
--- a/packages/daemon/src/yuccarouter/gateway/events.py
+++ b/packages/daemon/src/yuccarouter/gateway/events.py
@@ -9,12 +9,16 @@
 
 from yuccarouter_common import errors
 
-_EVENT_END: Final = re.compile(rb'\r?\n\r?\n')
+# Further empty lines belong to the same delimiter: each event costs time.
+_EVENT_END: Final = re.compile(rb'\r?\n(?:\r?\n)+')
 _ID: Final = re.compile(rb'^id: *(\d+)', re.MULTILINE)
 _DATA: Final = re.compile(rb'^data:', re.MULTILINE)
 # Length of the longest delimiter, less one: a delimiter may be split between
 # two reads.
 _END_OVERLAP: Final = 3
+# Comments and empty lines between two events with data. A comment that keeps a
+# connection open has a dozen bytes and comes each second at most.
+MAX_IDLE_BYTES: Final = 16_384
 # An event holds a few tokens. Many such buffers must fit into the memory of
 # the smallest VM.
 MAX_EVENT_BYTES: Final = 1_048_576
@@ -32,6 +36,16 @@
     code = 'event_too_long'
 
 
+class NoProgressError(errors.RouterError):
+    """More than ``MAX_IDLE_BYTES`` came without an event with data."""
+
+    code = 'stream_without_progress'
+
+
+# What a stream may violate.
+ERRORS: Final = (OrderError, EventTooLongError, NoProgressError)
+
+
 @attrs.define
 class EventBuffer:
     """Splits a stream into events and checks that their ids are consecutive.
@@ -47,14 +61,15 @@
     data_count: int = 0
     fault: errors.RouterError | None = None
     _incomplete: bytearray = attrs.field(factory=bytearray)
+    _idle_bytes: int = 0
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the events that ``chunk`` completes.
 
         Events that were passed on before are dropped. Only new bytes are
         searched, so that the time is linear in the length of the stream.
-        Raises ``OrderError`` and ``EventTooLongError``, but returns the events
-        before the fault first: they count as passed on.
+        Raises one of ``ERRORS``, but returns the events before the fault first:
+        they count as passed on.
         """
         self._raise_fault()
         search_from = max(0, len(self._incomplete) - _END_OVERLAP)
@@ -62,7 +77,7 @@
         passed: list[bytes] = []
         try:
             self._split(search_from, passed)
-        except (OrderError, EventTooLongError) as fault:
+        except ERRORS as fault:
             self.fault = fault
         if not passed:
             self._raise_fault()
@@ -76,6 +91,8 @@
             start = end.end()
             if self._accept(event):
                 passed.append(event)
+            if self._idle_bytes > MAX_IDLE_BYTES:
+                raise NoProgressError(f'{self._idle_bytes} bytes of no event')
         del self._incomplete[:start]
         if len(self._incomplete) > MAX_EVENT_BYTES:
             raise EventTooLongError(
@@ -94,13 +111,18 @@
     def discard_incomplete(self) -> None:
         """Discard an incomplete event before the stream is resumed."""
         self._incomplete.clear()
+        self._idle_bytes = 0
         self.fault = None
 
     def _accept(self, event: bytes) -> bool:
         """Count an event and return whether it is passed on."""
         if not self._check_id(event):
             return False
-        self.data_count += _DATA.search(event) is not None
+        if _DATA.search(event) is None:
+            self._idle_bytes += len(event)
+        else:
+            self._idle_bytes = 0
+            self.data_count += 1
         return True
 
     def _check_id(self, event: bytes) -> bool:
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -57,8 +57,7 @@
 # Errors that end an endpoint's stream after its head has arrived.
 _STREAM_ERRORS: Final = (
     aiohttp.ClientError,
-    events.OrderError,
-    events.EventTooLongError,
+    *events.ERRORS,
     EndpointDisconnectedError,
 )
 
