Bound the memory of all unfinished answers together

Error answers without end from two of three endpoints took a gateway from 51 MB to 316 MB within 200 requests (bodies of success to 210 MB): a process over the limit of its VM is ended, with the requests of all its callers.

Cause: each answer was bounded (2 MiB, 1 MiB for an event), their sum was not. And what an ended attempt had received lived on until its request was answered: the error that is kept for the caller referred by its traceback to the frames, and these to the chunks and to the connection's copy.

Now AnswerMemory counts what all unfinished answers hold, twice where they state no length. Errors are kept without their frames. Two searches that took most of the time on bytes without a line's end are skipped, and comments in succession are handled as one.

Ruled out: a lower limit for each answer (it would take sound large ones, and the sum stays unbounded), the receive buffers (144 KiB each at most).

--- a/packages/daemon/src/yuccarouter/answer_connections.py
+++ b/packages/daemon/src/yuccarouter/answer_connections.py
@@ -165,6 +165,8 @@
                 )
             elif self._answer_end is not None:
                 self._pass_on(self._answer_end.close(), body)
+        # Errors of the answer refer to this connection, and may be kept.
+        self._answer_end = None
         super().connection_lost(exc)
 
     def _find_head_end(self, data: bytes, position: int) -> int:
--- a/packages/daemon/src/yuccarouter/answer_ends.py
+++ b/packages/daemon/src/yuccarouter/answer_ends.py
@@ -14,8 +14,8 @@
 
 import attrs
 
-# Empty lines in succession count as one: each line costs time.
-_LINE: Final = re.compile(rb'(?:\r?\n)+|[^\n]*\n')
+# Empty lines and comments in succession count as one: each line costs time.
+_LINE: Final = re.compile(rb'(?::[^\n]*+\n|\r?\n)++|[^\n]*\n')
 # Each match extends to the end of its line, so that searching a line that has
 # many such starts takes linear time.
 _STATUS_LINE: Final = re.compile(rb'HTTP/\d\.\d [1-5]\d\d(?:[ \r][^\n]*)?\n')
@@ -25,6 +25,8 @@
     rb'(?:H|HT|HTT|HTTP|HTTP/|HTTP/\d|HTTP/\d\.|HTTP/\d\.\d|HTTP/\d\.\d '
     rb'|HTTP/\d\.\d [1-5]\d?|HTTP/\d\.\d [1-5]\d\d(?:[ \r][^\n]*)?)\Z'
 )
+# Searched first, as the pattern takes much longer.
+_STATUS_LINE_PREFIX: Final = b'H'
 # If a body ends so, it is taken for one that another answer cut short. Texts
 # with other characters after a status rather mention one.
 _CUT_STATUS_LINE: Final = re.compile(
@@ -35,7 +37,9 @@
     rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+(?::[^\n]*)?)?\r?"
 )
 _CONTROL_CHARACTER: Final = re.compile(rb'[\x00-\x08\x0b\x0c\x0e-\x1f]')
+_EMPTY_LINE_ENDS: Final = (b'\n\n', b'\n\r\n')
 _LINE_ENDS: Final = (b'\n', b'\r\n')
+_IDLE_STARTS: Final = (b':', *_LINE_ENDS)
 _EVENT_FIELDS: Final = frozenset((b'id', b'event', b'data', b'retry'))
 # Many such buffers must fit into the memory of the smallest VM.
 MAX_LINE_BYTES: Final = 1_048_576
@@ -108,11 +112,13 @@
 
     def _is_accepted(self, line: bytes) -> bool:
         """Return whether a line belongs to the stream, else set ``end``."""
-        if line.startswith(_LINE_ENDS):
+        if line in _LINE_ENDS or line.endswith(_EMPTY_LINE_ENDS):
             self._is_in_event = False
+            if _CONTROL_CHARACTER.search(line):
+                self.end = End.UNKNOWN
         elif self._is_event_line(line):
             self._is_in_event = True
-            self._has_events |= not line.startswith(b':')
+            self._has_events |= not line.startswith(_IDLE_STARTS)
         elif self._is_after_event and _STATUS_LINE.fullmatch(line):
             self.end = End.WHOLE
         else:
@@ -126,7 +132,7 @@
     def _is_event_line(self, line: bytes) -> bool:
         if _CONTROL_CHARACTER.search(line):
             return False
-        name = line.rstrip(b'\r\n').partition(b':')[0]
+        name = line.lstrip(b'\r\n').rstrip(b'\r\n').partition(b':')[0]
         return not name or name in _EVENT_FIELDS or name in self.extra_fields
 
 
@@ -188,7 +194,10 @@
             return b''
         held = bytes(self._held)
         lines_end = held.rfind(b'\n') + 1
-        start = _STATUS_LINE_START.search(held, lines_end)
+        first = held.find(_STATUS_LINE_PREFIX, lines_end)
+        start = None
+        if first >= 0:
+            start = _STATUS_LINE_START.search(held, first)
         kept_from = len(held) if start is None else start.start()
         for match in _STATUS_LINE.finditer(held, 0, lines_end):
             head_end = _head_end(held, match.end())
--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -15,6 +15,7 @@
 from aiohttp import hdrs, web
 
 from yuccarouter.gateway import (
+    answer_memory,
     answer_progress,
     connections,
     crash_evidence,
@@ -51,6 +52,12 @@
 _MAX_CRASHES: Final = 2
 
 
+class MemoryExceededError(errors.RouterError):
+    """An answer was ended, as all unfinished ones held too much memory."""
+
+    code = 'memory_exceeded'
+
+
 class AttemptError(errors.RouterError):
     """Raised when an attempt ends without a usable answer.
 
@@ -227,6 +234,8 @@
     head: model.AnswerHead
     view: endpoints.EndpointView
     progress: answer_progress.Progress
+    holding: answer_memory.Holding
+    memory: answer_memory.AnswerMemory
 
     @property
     def sent_ms(self) -> float:
@@ -241,6 +250,15 @@
             return 'chunks'
         return 'length' if hdrs.CONTENT_LENGTH in headers else 'none'
 
+    def resize(self, held_bytes: int) -> None:
+        """Set how much of the answer its reader holds.
+
+        Until the end of an answer without a length is known, its connection
+        holds it as well.
+        """
+        copies = 2 if self.framing == 'none' else 1
+        self.memory.resize(self.holding, copies * held_bytes)
+
 
 @contextlib.asynccontextmanager
 async def open_attempt(
@@ -279,11 +297,17 @@
         finally:
             view.pending_prefill_ms -= prefill_ms
         first_token_ms = clocks.monotonic_ms() - sent_ms - backlog_ms
+        memory = out.gateway.answer_memory
+
+        def end() -> None:
+            response.content.set_exception(MemoryExceededError('ended'))
+
         try:
-            opened = _checked_answer(out, response, progress)
-            if uncached_tokens and opened.head.status == _OK:
-                speeds.record(model_name, first_token_ms, uncached_tokens)
-            yield opened
+            with memory.hold(view.name, end) as holding:
+                opened = _checked_answer(out, response, progress, holding)
+                if uncached_tokens and opened.head.status == _OK:
+                    speeds.record(model_name, first_token_ms, uncached_tokens)
+                yield opened
         finally:
             response.close()
             _end_attempt(out, progress)
@@ -400,6 +424,7 @@
     out: OutgoingCall,
     response: aiohttp.ClientResponse,
     progress: answer_progress.Progress,
+    holding: answer_memory.Holding,
 ) -> OpenAnswer:
     """Return the answer; raises ``AttemptError`` if its head is rejected."""
     view = progress.view
@@ -434,7 +459,8 @@
     if generation is not None:
         parts = [part.name for part in generation.parts]
         view.record_cached(progress.model, parts, now_ms)
-    return OpenAnswer(response, head, view, progress)
+    memory = out.gateway.answer_memory
+    return OpenAnswer(response, head, view, progress, holding, memory)
 
 
 def _record_notices(
@@ -490,7 +516,7 @@
     remaining_ms = until_ms - clocks.monotonic_ms()
     try:
         async with asyncio.timeout(max(0, remaining_ms) / _MS_PER_S):
-            body = await _read_bounded(opened.response)
+            body = await _read_bounded(opened)
     except TimeoutError as fault:
         record_timeout(out, opened)
         raise AttemptError(
@@ -506,8 +532,13 @@
             may_have_run=True,
             lost=opened.progress,
         ) from fault
+    except MemoryExceededError as fault:
+        record_endless(out, opened, fault.code)
+        raise AttemptError(
+            fault.message, fault.code, may_have_run=True
+        ) from fault
     if body is None:
-        record_failure(out, opened, 'endless_answer')
+        record_endless(out, opened, 'endless_answer')
         raise AttemptError(
             'answer exceeds the size limit', 'endless_answer', may_have_run=True
         )
@@ -515,19 +546,25 @@
     return body
 
 
-async def _read_bounded(response: aiohttp.ClientResponse) -> bytes | None:
+async def _read_bounded(opened: OpenAnswer) -> bytes | None:
     """Return a body, ``None`` if it exceeds ``MAX_ANSWER_BYTES``."""
     chunks: list[bytes] = []
+    response = opened.response
     length = response.content_length or 0
     if length > MAX_ANSWER_BYTES:
         return None
     length = 0
-    async for chunk in response.content.iter_any():
-        length += len(chunk)
-        if length > MAX_ANSWER_BYTES:
-            return None
-        chunks.append(chunk)
-    return b''.join(chunks)
+    try:
+        async for chunk in response.content.iter_any():
+            length += len(chunk)
+            if length > MAX_ANSWER_BYTES:
+                return None
+            opened.resize(length)
+            chunks.append(chunk)
+        return b''.join(chunks)
+    finally:
+        # An error that is kept refers to this frame.
+        chunks.clear()
 
 
 def response_with(opened: OpenAnswer, body: bytes) -> web.Response:
@@ -590,6 +627,20 @@
     )
 
 
+def record_endless(
+    out: OutgoingCall, opened: OpenAnswer, outcome: str, reason: str = ''
+) -> None:
+    """Record an answer beyond a limit, here and for the other daemons.
+
+    Its endpoint is avoided for a while: each further request to it would hold
+    as much memory.
+    """
+    record_failure(out, opened, outcome, reason)
+    now_ms = clocks.monotonic_ms()
+    opened.view.record_no_answer(now_ms)
+    out.gateway.failure_reports.report_failure(opened.view.name, now_ms)
+
+
 def _record_sound_request(out: OutgoingCall) -> None:
     out.gateway.crash_evidence.record_answer(
         out.service, out.suspects, clocks.monotonic_ms()
--- a/packages/daemon/src/yuccarouter/gateway/cold_limit.py
+++ b/packages/daemon/src/yuccarouter/gateway/cold_limit.py
@@ -6,6 +6,9 @@
 
 import attrs
 
+from yuccarouter.gateway import bootstrap
+from yuccarouter_common import clocks
+
 if TYPE_CHECKING:
     from collections import deque
 
@@ -46,6 +49,11 @@
     return share
 
 
+def process_age_ms() -> float:
+    """Return how long this process has run."""
+    return clocks.monotonic_ms() - bootstrap.PROCESS_STARTED_MS
+
+
 def may_send(sends_ms: deque[float], per_s: int, now_ms: float) -> bool:
     """Return whether one more request stays within the rate limit."""
     while sends_ms and sends_ms[0] <= now_ms - _WINDOW_MS:
--- a/packages/daemon/src/yuccarouter/gateway/events.py
+++ b/packages/daemon/src/yuccarouter/gateway/events.py
@@ -9,8 +9,10 @@
 
 from yuccarouter_common import errors
 
-# Further empty lines belong to the same delimiter: each event costs time.
-_EVENT_END: Final = re.compile(rb'\r?\n(?:\r?\n)+')
+_EVENT_END: Final = re.compile(rb'\r?\n\r?\n')
+# Empty lines and events that are comments. They are split off together, as each
+# event costs time.
+_IDLE_EVENTS: Final = re.compile(rb'(?:(?::[^\n]*+\n)*+\r?\n)++')
 _ID: Final = re.compile(rb'^id: *(\d+)', re.MULTILINE)
 _DATA: Final = re.compile(rb'^data:', re.MULTILINE)
 # Length of the longest delimiter, less one: a delimiter may be split between
@@ -76,7 +78,10 @@
         self._incomplete += chunk
         passed: list[bytes] = []
         try:
-            self._split(search_from, passed)
+            # Searching bytes without a line's end takes most of the time.
+            if b'\n' in chunk:
+                self._split(search_from, passed)
+            self._check_length()
         except ERRORS as fault:
             self.fault = fault
         if not passed:
@@ -86,14 +91,23 @@
     def _split(self, search_from: int, passed: list[bytes]) -> None:
         """Move the complete events that are new to ``passed``."""
         start = 0
-        for end in _EVENT_END.finditer(self._incomplete, search_from):
-            event = bytes(self._incomplete[start : end.end()])
-            start = end.end()
+        while end := self._event_end(start, search_from):
+            event = bytes(self._incomplete[start:end])
+            start = end
             if self._accept(event):
                 passed.append(event)
             if self._idle_bytes > MAX_IDLE_BYTES:
                 raise NoProgressError(f'{self._idle_bytes} bytes of no event')
         del self._incomplete[:start]
+
+    def _event_end(self, start: int, search_from: int) -> int:
+        """Return where the event from ``start`` on ends, 0 if it goes on."""
+        end = _IDLE_EVENTS.match(self._incomplete, start)
+        if end is None:
+            end = _EVENT_END.search(self._incomplete, max(start, search_from))
+        return 0 if end is None else end.end()
+
+    def _check_length(self) -> None:
         if len(self._incomplete) > MAX_EVENT_BYTES:
             raise EventTooLongError(
                 f'event of {len(self._incomplete)} bytes is incomplete'
@@ -108,6 +122,11 @@
         """Whether the stream ended at the end of an event."""
         return self.fault is None and not self._incomplete.strip()
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """The length of the incomplete event."""
+        return len(self._incomplete)
+
     def discard_incomplete(self) -> None:
         """Discard an incomplete event before the stream is resumed."""
         self._incomplete.clear()
--- a/packages/daemon/src/yuccarouter/gateway/retries.py
+++ b/packages/daemon/src/yuccarouter/gateway/retries.py
@@ -84,7 +84,7 @@
         if fault.lost is not None:
             await lost_answers.investigate(out, fault.lost)
         if not outcomes.may_have_run:
-            outcomes.fault = fault
+            outcomes.fault = _without_frames(fault)
         return None
     if answer is not None and _is_final(out, answer):
         return answer
@@ -92,5 +92,15 @@
     return None
 
 
+def _without_frames(fault: attempts.AttemptError) -> attempts.AttemptError:
+    """Return an error without its traceback.
+
+    The frames refer to what the attempt has received.
+    """
+    fault.__cause__ = None
+    fault.__context__ = None
+    return fault.with_traceback(None)
+
+
 def _is_final(out: attempts.OutgoingCall, answer: web.StreamResponse) -> bool:
     return answer.status < _SERVER_ERROR or not out.route.is_idempotent
--- a/packages/daemon/src/yuccarouter/gateway/settings.py
+++ b/packages/daemon/src/yuccarouter/gateway/settings.py
@@ -12,6 +12,8 @@
 _MAX_STORE_TIMEOUT_MS: Final = 1500.0
 # A lost packet is sent again after 200 ms; and a timeout of 0 would be none.
 _MIN_STORE_TIMEOUT_MS: Final = 200.0
+# The memory of the smallest VM, for deployments that state none.
+_DEFAULT_MEMORY_BYTES: Final = 128_000_000.0
 
 
 @attrs.frozen
@@ -65,7 +67,8 @@
 
     ``listen`` is the callers' address, ``ready`` that of readiness probes, and
     ``peer`` the TCP and UDP address for other daemons. ``is_first_start`` is
-    true only when the whole deployment starts for the first time.
+    true only when the whole deployment starts for the first time. A process
+    that uses more than ``memory_bytes`` is ended.
     """
 
     name: str
@@ -78,3 +81,4 @@
     store: model.Address
     bounds: Bounds
     is_first_start: bool = False
+    memory_bytes: float = _DEFAULT_MEMORY_BYTES
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -11,7 +11,7 @@
 import orjson
 
 from yuccarouter.gateway import (
-    bootstrap,
+    answer_memory,
     choice,
     cold_limit,
     crash_evidence,
@@ -75,6 +75,7 @@
     failure_reports: failure_reports.FailureReports = attrs.field(init=False)
     rate_limits: rate_limits.RateLimits = attrs.field(init=False)
     crash_evidence: crash_evidence.CrashEvidence = attrs.field(init=False)
+    answer_memory: answer_memory.AnswerMemory = attrs.field(init=False)
     gossip: peers.Gossip | None = None
     orders_topic: topics.Topic | None = None
     endpoints_topic: topics.Topic | None = None
@@ -94,6 +95,9 @@
             return self.gossip.sharing_names() if self.gossip else ()
 
         bounds = self.conf.bounds
+        self.answer_memory = answer_memory.AnswerMemory(
+            answer_memory.limit_bytes(self.conf.memory_bytes)
+        )
         self.failure_reports = failure_reports.FailureReports(self.conf.name)
         self.rate_limits = rate_limits.RateLimits(
             self.conf.name, self.directory.started_ms, sharing_names
@@ -267,9 +271,7 @@
             bounds.cold_slack,
             self.daemon_count,
         )
-        return cold_limit.share_after_start(
-            share, clocks.monotonic_ms() - bootstrap.PROCESS_STARTED_MS
-        )
+        return cold_limit.share_after_start(share, cold_limit.process_age_ms())
 
     def choose(
         self,
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -54,10 +54,16 @@
     code = 'caller_stalled'
 
 
-# Errors that end an endpoint's stream after its head has arrived.
+# Errors that end an endpoint's stream after its head has arrived: those of
+# bytes without end, and others.
+_ENDLESS_ERRORS: Final = (
+    events.EventTooLongError,
+    events.NoProgressError,
+    attempts.MemoryExceededError,
+)
 _STREAM_ERRORS: Final = (
     aiohttp.ClientError,
-    *events.ERRORS,
+    events.OrderError,
     EndpointDisconnectedError,
 )
 
@@ -300,6 +306,11 @@
             'silent_stream',
             may_have_run=True,
         ) from fault
+    except _ENDLESS_ERRORS as fault:
+        attempts.record_endless(out, opened, fault.code, fault.message)
+        raise attempts.AttemptError(
+            fault.message, fault.code, may_have_run=True
+        ) from fault
     except _STREAM_ERRORS as fault:
         attempts.record_failure(out, opened, 'broken_stream', str(fault))
         raise attempts.AttemptError(
@@ -331,6 +342,7 @@
         if not chunk:
             break
         complete = relay.buffer.feed(chunk)
+        opened.resize(relay.buffer.incomplete_bytes)
         opened.progress.record_events(
             relay.buffer.data_count - events_before, clocks.monotonic_ms()
         )
--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import math
 import types
 from typing import Any
 
@@ -19,6 +20,7 @@
 from aiohttp import client_reqrep, web
 
 from yuccarouter.gateway import (
+    answer_memory,
     answer_progress,
     attempts,
     choice,
@@ -110,6 +112,7 @@
         gossip=None,
         session=Session(*results),
         stop=stopping.Stop(),
+        answer_memory=answer_memory.AnswerMemory(math.inf),
         endpoint_waits_ms=lambda service: [],
         platform=types.SimpleNamespace(
             encode_attempt=lambda call, attempt: (),
