Reject heads of answers that go on with another answer

An unsafe request ran a second time, or its caller got another request's answer, after an endpoint's answer had broken off within its head and another one followed.

Cause: the two heads were parsed as one, with the status and the id of the first and the headers of both.

--- a/packages/daemon/src/yuccarouter/answer_connections.py
+++ b/packages/daemon/src/yuccarouter/answer_connections.py
@@ -26,6 +26,8 @@
 # connection on which much arrives doesn't delay the others.
 _MAX_RECEIVED_BYTES: Final = 16_384
 _HEAD_END: Final = re.compile(rb'\r?\n\r?\n')
+# No header's value holds one; it starts another answer.
+_STATUS_LINE: Final = re.compile(rb'HTTP/\d\.\d [1-5]\d\d')
 _HEAD_ENDS: Final = (b'\n\n', b'\n\r\n')
 # Length of the longest delimiter, less one: it may be split between two reads.
 _HEAD_END_OVERLAP: Final = 3
@@ -187,8 +189,11 @@
         if self._interim_heads > MAX_INTERIM_HEADS:
             return self._reject_head('follows too many interim answers')
         self._head += part
+        is_complete = self._head.endswith(_HEAD_ENDS)
+        if is_complete and _STATUS_LINE.search(self._head.lstrip(), 1):
+            return self._reject_head('goes on with another answer')
         self._parse(part)
-        if self._body is None and self._head.endswith(_HEAD_ENDS):
+        if self._body is None and is_complete:
             self._head.clear()
             self._interim_heads += 1
         return self.exception() is None
