--- a/packages/daemon/tests/gateway/test_streams.py
+++ b/packages/daemon/tests/gateway/test_streams.py
@@ -74,6 +74,45 @@
         assert buffer.feed(b'') == b''
 
 
+@pytest.mark.parametrize(
+    ('unit', 'count', 'is_rejected'),
+    [
+        # A comment each second in a quarter of an hour.
+        (b': keep-alive\n\n', 1000, False),
+        (b'\n', 16_000, False),
+        (b': keep-alive\n\n', 1300, True),
+        (b'\n', 17_000, True),
+        (b'event: x\n\n', 2000, True),
+    ],
+)
+@pytest.mark.parametrize('chunk_bytes', [7, 16_384])
+def test_bytes_between_events(
+    unit: bytes, count: int, is_rejected: bool, chunk_bytes: int
+) -> None:
+    """Guards against a stream that goes on without an event with data.
+
+    An event with data counts as progress, however many comments precede it.
+    """
+    buffer = events.EventBuffer()
+    filler = unit * count
+
+    def feed(data: bytes) -> bytes:
+        starts = range(0, len(data), chunk_bytes)
+        parts = [data[start : start + chunk_bytes] for start in starts]
+        return b''.join(map(buffer.feed, parts))
+
+    if is_rejected:
+        with pytest.raises(events.NoProgressError):
+            # What precedes the fault is returned first.
+            feed(filler + unit * 2)
+            buffer.feed(b'')
+    else:
+        for number in (1, 2, 3):
+            sent = filler + make_event(number)
+            assert feed(sent) == sent
+        assert buffer.data_count == 3
+
+
 def test_incomplete_event() -> None:
     """Guards against a truncated stream that is taken for a complete one."""
     buffer = events.EventBuffer()
