--- a/packages/daemon/src/yuccarouter/gateway/settings.py
+++ b/packages/daemon/src/yuccarouter/gateway/settings.py
@@ -68,7 +68,8 @@
     ``listen`` is the callers' address, ``ready`` that of readiness probes, and
     ``peer`` the TCP and UDP address for other daemons. ``is_first_start`` is
     true only when the whole deployment starts for the first time. A process
-    that uses more than ``memory_bytes`` is ended.
+    that uses more than ``memory_bytes`` is ended. ``controls_overload`` turns
+    on admission, fair shares and choice of models by load for all services.
     """
 
     name: str
@@ -82,3 +83,4 @@
     bounds: Bounds
     is_first_start: bool = False
     memory_bytes: float = _DEFAULT_MEMORY_BYTES
+    controls_overload: bool = False
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -144,6 +144,13 @@
             return False
         return any(True for _ in self.directory)
 
+    def controls_load(self, service: str) -> bool:
+        """Return whether admission and choice of models follow the load.
+
+        Other services are served without regard to organisations' shares.
+        """
+        return self.conf.controls_overload
+
     def apply_operator_record(self, entry: ports.Entry) -> None:
         """Apply a record that an operator wrote."""
         platform = self.platform
