--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -144,13 +144,6 @@
             return False
         return any(True for _ in self.directory)
 
-    def controls_load(self, service: str) -> bool:
-        """Return whether admission and choice of models follow the load.
-
-        Other services are served without regard to organisations' shares.
-        """
-        return self.conf.controls_overload
-
     def apply_operator_record(self, entry: ports.Entry) -> None:
         """Apply a record that an operator wrote."""
         platform = self.platform
@@ -349,6 +342,14 @@
             self.gossip.apply_member_record(name, entry.value)
 
 
+def controls_load(gateway: Gateway, service: str) -> bool:
+    """Return whether admission and choice of models follow the load.
+
+    Other services are served without regard to organisations' shares.
+    """
+    return gateway.conf.controls_overload
+
+
 def member_record(conf: settings.GatewaySettings) -> tuple[str, bytes]:
     """Return the key and value that announce this daemon's peer address."""
     value = orjson.dumps([conf.peer.host, conf.peer.port])
