Survive signals to reload the settings during the start

The bootstrap now counts these signals before it opens the callers' port, and the settings are reloaded once the handler is installed. Blocking the signal was not chosen: a counter needs no change of the signal mask.

--- a/packages/daemon/src/yuccarouter/gateway/bootstrap.py
+++ b/packages/daemon/src/yuccarouter/gateway/bootstrap.py
@@ -1,13 +1,15 @@
-"""Opens the callers' port before the libraries are loaded.
+"""Opens the callers' port and accepts signals before the libraries are loaded.
 
 Loading them takes a good part of a second. Callers that connect meanwhile wait
 in the backlog of the listening socket instead of being refused. This module
-therefore imports no library. It uses ``_socket`` because ``socket`` imports
-``enum`` and ``selectors``, which takes as long as the rest of this module.
+therefore imports no library. It uses ``_socket`` and ``_signal`` because
+``socket`` and ``signal`` import ``enum``, which takes as long as the rest of
+this module.
 """
 
 from __future__ import annotations
 
+import _signal  # type: ignore[import-not-found]
 import _socket
 import os
 import time
@@ -22,6 +24,31 @@
 _CERTIFICATE_FILE_VARIABLE = 'SSL_CERT_FILE'
 
 
+# Number of signals to reload the settings that came before the settings can be
+# reloaded.
+_early_reloads = [0]
+
+
+def accept_reload_signals() -> None:
+    """Count signals to reload the settings instead of ending the process.
+
+    The default action of SIGHUP ends a process that has not installed its
+    handler yet.
+    """
+    _signal.signal(_signal.SIGHUP, _count_reload)
+
+
+def take_early_reloads() -> int:
+    """Return the number of signals since the last call."""
+    count = _early_reloads[0]
+    _early_reloads[0] = 0
+    return count
+
+
+def _count_reload(_number: int, _frame: object) -> None:
+    _early_reloads[0] += 1
+
+
 def skip_certificates() -> None:
     """Prevent the HTTP library from loading root certificates."""
     os.environ.setdefault(_CERTIFICATE_FILE_VARIABLE, os.devnull)
--- a/packages/daemon/src/yuccarouter/gateway/program.py
+++ b/packages/daemon/src/yuccarouter/gateway/program.py
@@ -9,7 +9,7 @@
 import eliot
 
 from yuccarouter import lifecycle
-from yuccarouter.gateway import logs, reload
+from yuccarouter.gateway import bootstrap, logs, reload
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -44,6 +44,9 @@
     log_task = asyncio.create_task(log.run())
     reloader = reload.Reloader(role.gateway, load, settings_path)
     loop.add_signal_handler(signal.SIGHUP, reloader.apply)
+    if bootstrap.take_early_reloads():
+        # The settings may have changed after they were read.
+        reloader.apply()
     role.run(reloader.run)
     status = await lifecycle.run_role(role, stop)
     eliot.log_message('stopped', name=conf.name, status=status)
