Log the configuration that decided each request, with its age

A request that an old configuration decided could not be traced: the log named the version in force at the end of the request, and not since when it was unconfirmed. request_ended now names the version at the decision, how long ago the replica was confirmed, and by whom; a histogram shows the ages.

--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -64,6 +64,11 @@
     ('topic', 'source'),
     buckets=_LATENCY_BUCKETS_S,
 )
+CONFIGURATION_AGE_S: Final = prometheus_client.Histogram(
+    'yuccarouter_gateway_configuration_age_seconds',
+    'Time since the configuration that decided a request was last confirmed',
+    buckets=_LATENCY_BUCKETS_S,
+)
 _MS_PER_S: Final = 1000
 
 IN_PROGRESS: Final = prometheus_client.Gauge(
@@ -79,3 +84,8 @@
 def observe_record_age(topic: str, source: str, age_ms: float) -> None:
     """Record how old a new record of a topic may be."""
     RECORD_AGE_S.labels(topic, source).observe(age_ms / _MS_PER_S)
+
+
+def observe_configuration_age(age_ms: float) -> None:
+    """Record when the configuration that decided a request was confirmed."""
+    CONFIGURATION_AGE_S.observe(age_ms / _MS_PER_S)
--- a/packages/daemon/src/yuccarouter/gateway/request_handler.py
+++ b/packages/daemon/src/yuccarouter/gateway/request_handler.py
@@ -81,6 +81,20 @@
     return make
 
 
+@attrs.frozen
+class _AppliedConfiguration:
+    """The configuration that decided about a request, at that moment.
+
+    ``age_ms`` is the time since the replica of the operators' orders was last
+    confirmed as complete, ``None`` if it never was, and ``confirmed_by`` names
+    the peer that confirmed it, or the store.
+    """
+
+    version: int = -1
+    age_ms: int | None = None
+    confirmed_by: str = ''
+
+
 @attrs.define
 class _Exchange:
     """A caller's request; ``out`` is set once it was read completely."""
@@ -91,6 +105,7 @@
     arrived_ms: float
     route: model.Route | None = None
     out: attempts.OutgoingCall | None = None
+    applied: _AppliedConfiguration = _AppliedConfiguration()
 
 
 async def _serve_call(exchange: _Exchange) -> web.StreamResponse:
@@ -135,6 +150,7 @@
 
 async def _answer(exchange: _Exchange) -> web.StreamResponse:
     gateway = exchange.gateway
+    exchange.applied = _applied_configuration(gateway)
     route = _find_route(gateway, exchange.call)
     exchange.route = route
     organisation = _authenticate(gateway, exchange.call, route)
@@ -146,6 +162,18 @@
     return await _forward(out, exchange.request)
 
 
+def _applied_configuration(gateway: state.Gateway) -> _AppliedConfiguration:
+    if gateway.table is None or gateway.orders_topic is None:
+        return _AppliedConfiguration()
+    confirmation = gateway.orders_topic.newest_confirmation()
+    age_ms = confirmation.rounded_age_ms()
+    if age_ms is not None:
+        metrics.observe_configuration_age(age_ms)
+    return _AppliedConfiguration(
+        gateway.table.configuration.version, age_ms, confirmation.source
+    )
+
+
 def _find_route(gateway: state.Gateway, call: model.Call) -> model.Route:
     if gateway.table is None:
         raise refusal_responses.not_configured()
@@ -248,7 +276,7 @@
     route = exchange.route
     kind = route.kind.value if route else ''
     metrics.ANSWERS.labels(kind, str(status), code).inc()
-    table = exchange.gateway.table
+    applied = exchange.applied
     eliot.log_message(
         'request_ended',
         request=exchange.call.request_id,
@@ -256,5 +284,7 @@
         status=status,
         code=code,
         elapsed_ms=round(clocks.monotonic_ms() - exchange.arrived_ms),
-        configuration=table.configuration.version if table else -1,
+        configuration=applied.version,
+        configuration_age_ms=applied.age_ms,
+        confirmed_by=applied.confirmed_by,
     )
