Keep sessions on their version across daemons in a canary

Each daemon knew only the sessions that it had served itself, so that a session in progress moved to the new version in the first half of a roll-out when its next request reached another daemon. Daemons now report the versions of the sessions that the draw selects to two owners by rendezvous hashing, and ask them for up to 30 ms about selected sessions that they don't know; without an answer the old version is kept, and none moves in the first second after the order. session_versions.py is now sessions/versions.py, with keys that are hashes. The names of sessions that are not UTF-8 no longer fail in the draw.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -667,11 +667,8 @@
 ) -> None:
     """Record the version on which a session's newest request runs or ran."""
     if out.call.session:
-        out.gateway.control.sessions.record(
-            out.service,
-            out.call.session,
-            view.announced.version,
-            clocks.monotonic_ms(),
+        out.gateway.session_exchange.record(
+            out.service, out.call.session, view.announced.version
         )
 
 
--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -21,6 +21,7 @@
     state,
     topics,
 )
+from yuccarouter.gateway.sessions import exchange, messages
 from yuccarouter_common import clocks
 from yuccarouter_common.platform import errors as platform_errors
 
@@ -100,6 +101,7 @@
         background: list[Callable[[], Coroutine[Any, Any, None]]] = [
             *(topic.follow for topic in replicas),
             gossip.run,
+            self.gateway.session_exchange.run,
             functools.partial(
                 peers.fetch_missing_records, session, gossip, replicas
             ),
@@ -214,6 +216,8 @@
         conf.bounds.session_ms,
     )
     gateway = state.Gateway(conf, platform, session, control)
+    gateway.session_exchange = exchange.make_exchange(gateway)
+    control.on_order = gateway.session_exchange.on_order
     return gateway
 
 
@@ -284,6 +288,7 @@
         functools.partial(apply_digest, gateway),
     )
     gateway.gossip = gossip
+    gossip.receivers[messages.FIELD] = gateway.session_exchange.receive
     address = gateway.conf.peer
     await asyncio.get_running_loop().create_datagram_endpoint(
         lambda: gossip, local_addr=(address.host, address.port)
--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -52,6 +52,11 @@
     'yuccarouter_gateway_rate_limited_endpoints',
     'Endpoints that state a rate limit',
 )
+SESSION_QUESTIONS: Final = prometheus_client.Counter(
+    'yuccarouter_gateway_session_questions',
+    'Sessions whose version this daemon asked their owners for, by outcome',
+    ('outcome',),
+)
 FIRST_BYTE_S: Final = prometheus_client.Histogram(
     'yuccarouter_gateway_first_byte_seconds',
     'Time from the arrival of a request to the first byte of its answer',
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -100,6 +100,8 @@
     their sorted names, and ``known_peers`` the senders of digests by name.
     ``dependants`` returns the names of the peers that get every digest. While
     ``has_news`` is set, the next digest does not wait for its interval.
+    ``receivers`` process messages that are no digests, by the field that tells
+    them apart; ``transport`` sends such messages.
     """
 
     def __init__(
@@ -109,7 +111,7 @@
     ) -> None:
         self._make_digest = make_digest
         self._on_digest = on_digest
-        self._transport: asyncio.DatagramTransport | None = None
+        self.transport: asyncio.DatagramTransport | None = None
         self._next_index = 0
         self._started_ms = clocks.monotonic_ms()
         self.members: dict[str, model.Address] = {}
@@ -117,18 +119,25 @@
         self.known_peers: dict[str, Peer] = {}
         self.dependants: Callable[[], list[str]] = list
         self.has_news = asyncio.Event()
+        self.receivers: dict[
+            str, Callable[[dict[str, Any], tuple[str | Any, int]], None]
+        ] = {}
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for sending."""
         # The event loop's transport is not a subclass of the abstract one.
-        self._transport = cast('asyncio.DatagramTransport', transport)
+        self.transport = cast('asyncio.DatagramTransport', transport)
 
     def datagram_received(
         self, payload: bytes, sender: tuple[str | Any, int]
     ) -> None:
-        """Process a peer's digest; a malformed one is logged and ignored."""
+        """Process a peer's message; a malformed one is logged and ignored."""
         try:
             digest = records.loads(payload)
+            for field, receive in self.receivers.items():
+                if field in digest:
+                    receive(digest, sender)
+                    return
             name = str(digest['name'])
             boot_ms = clocks.boot_ms()
             self.known_peers[name] = Peer(
@@ -239,7 +248,7 @@
 
     def send(self) -> None:
         """Send the digest to the next members in turn and to the dependants."""
-        if self._transport is None or not self.members:
+        if self.transport is None or not self.members:
             return
         payload = orjson.dumps(self._make_digest())
         if len(payload) > _MAX_DATAGRAM_BYTES:
@@ -252,7 +261,7 @@
         ]
         for name in {*next_members, *self.dependants()} & self.members.keys():
             address = self.members[name]
-            self._transport.sendto(payload, (address.host, address.port))
+            self.transport.sendto(payload, (address.host, address.port))
         self._next_index += _FANOUT
 
 
--- a/packages/daemon/src/yuccarouter/gateway/rollout_control.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollout_control.py
@@ -15,9 +15,8 @@
     numbers,
     ports,
     rollouts,
-    routes,
-    session_versions,
 )
+from yuccarouter.gateway.sessions import decisions, versions
 from yuccarouter_common import clocks, records
 from yuccarouter_common.platform import errors
 
@@ -69,10 +68,20 @@
             _merged(part.old for part in parts),
         )
 
+    def draw(self, exposure_share: float) -> decisions.Draw:
+        """Return which sessions the phase gives to the new version."""
+        share = rollouts.new_version_share(self.phase, exposure_share)
+        if self.due_phase is rollouts.Phase.ROLLED_BACK:
+            share = 0
+        return decisions.Draw(self.order.service, self.order.target, share)
+
 
 class RolloutControl:
     """All roll-outs of a deployment, as this daemon sees them.
 
+    ``by_service`` holds the newest roll-out of each service. ``on_order`` is
+    called with the service of each new order.
+
     There is no leader. Each step is a conditional append to the topic of
     shared state, which succeeds only if nothing was written since the topic
     was read. One daemon's step wins and the others read it.
@@ -85,11 +94,12 @@
         write_rank: Callable[[], int],
         session_ms: float = 0,
     ) -> None:
-        self.sessions = session_versions.SessionVersions(session_ms)
+        self.sessions = versions.SessionVersions(session_ms)
+        self.on_order: Callable[[str], None] = _ignore_order
         self._encode_status = encode_status
-        self._exposure_share = exposure_share
+        self.exposure_share = exposure_share
         self._write_rank = write_rank
-        self._rollouts: dict[str, Rollout] = {}
+        self.by_service: dict[str, Rollout] = {}
         self._phases: dict[str, dict[str, Any]] = {}
         self._first_seen_ms: dict[tuple[str, str], float] = {}
         self.latencies = latency_judge.LatencyJudge(
@@ -103,7 +113,7 @@
         An order that is written again after a restore of the store goes on in
         its phase.
         """
-        known = self._rollouts.get(order.service)
+        known = self.by_service.get(order.service)
         if known is not None and not order.is_newer_than(known.order):
             return
         if known is not None and order.repeats(known.order):
@@ -113,7 +123,7 @@
             return
         now_ms = clocks.monotonic_ms()
         rollout = Rollout(order, order_read_ms=now_ms, phase_read_ms=now_ms)
-        self._rollouts[order.service] = rollout
+        self.by_service[order.service] = rollout
         eliot.log_message(
             'rollout_ordered',
             service=order.service,
@@ -121,13 +131,14 @@
             order=order.number,
         )
         self._apply_phase(rollout)
+        self.on_order(order.service)
 
     def state_changed(self, entry: ports.Entry) -> None:
         """Apply a phase that a daemon wrote, or its loss in a restore."""
         if not entry.key.startswith(_PHASE_PREFIX):
             return
         service = entry.key.removeprefix(_PHASE_PREFIX)
-        rollout = self._rollouts.get(service)
+        rollout = self.by_service.get(service)
         if not entry.value:
             self._phases.pop(service, None)
             if rollout is not None:
@@ -161,14 +172,11 @@
 
         The draw depends on the session and the version, and its share only
         grows, so that a session moves to it once and never back. During the
-        canary, sessions in progress stay on their version.
+        canary, sessions in progress stay on their version, and new ones get the
+        new version only once all daemons know the order.
         """
-        present = {
-            view.announced.version
-            for view in views
-            if view.announced.service == service
-        }
-        rollout = self._rollouts.get(service)
+        present = versions_present(service, views)
+        rollout = self.by_service.get(service)
         if rollout is None:
             return frozenset(
                 version
@@ -176,16 +184,17 @@
                 if self._is_established(service, version, len(present))
             )
         target = rollout.order.target
-        share = rollouts.new_version_share(rollout.phase, self._exposure_share)
-        if rollout.due_phase is rollouts.Phase.ROLLED_BACK:
-            share = 0
-        elif rollout.phase is rollouts.Phase.CANARY:
-            version = self.sessions.version(
-                service, session, clocks.monotonic_ms()
+        draw = rollout.draw(self.exposure_share)
+        is_drawn = decisions.is_selected(draw, session)
+        if is_drawn and rollout.phase is rollouts.Phase.CANARY:
+            now_ms = clocks.monotonic_ms()
+            is_drawn = decisions.may_move(
+                self.sessions.version(service, session, now_ms),
+                target,
+                present,
+                now_ms - rollout.order_read_ms,
             )
-            if version in present - {target}:
-                share = 0
-        if routes.hash_fraction(f'{service}/{target}/{session}') < share:
+        if is_drawn:
             return frozenset((target,)) & present or _old_versions(
                 rollout, present
             )
@@ -193,7 +202,7 @@
 
     def fallback_versions(self, service: str, session: str) -> frozenset[str]:
         """Return the versions to use when the drawn ones have no endpoint."""
-        rollout = self._rollouts.get(service)
+        rollout = self.by_service.get(service)
         if rollout is None:
             return frozenset()
         if rollout.phase in {rollouts.Phase.RAMP, rollouts.Phase.FULL}:
@@ -205,7 +214,7 @@
         self, view: endpoints.EndpointView, route: str, answers: rollouts.Tally
     ) -> None:
         """Record answers as evidence in a roll-out of their service."""
-        rollout = self._rollouts.get(view.announced.service)
+        rollout = self.by_service.get(view.announced.service)
         if rollout is None or rollout.phase.is_final:
             return
         tallies = rollout.own_new if self._is_new(view) else rollout.own_old
@@ -213,7 +222,7 @@
 
     def _is_new(self, view: endpoints.EndpointView) -> bool:
         """Return whether an endpoint runs the version of the newest order."""
-        rollout = self._rollouts.get(view.announced.service)
+        rollout = self.by_service.get(view.announced.service)
         return (
             rollout is not None
             and view.announced.version == rollout.order.target
@@ -228,13 +237,13 @@
                 _counts(rollout.own_new),
                 _counts(rollout.own_old),
             ]
-            for service, rollout in self._rollouts.items()
+            for service, rollout in self.by_service.items()
             if not rollout.phase.is_final
         ]
 
     def evidence(self, service: str) -> rollouts.Evidence:
         """Return all daemons' evidence of the newest roll-out of a service."""
-        return self._rollouts[service].evidence()
+        return self.by_service[service].evidence()
 
     def merge_peer_evidence(self, peer: str, digest: list[Any]) -> None:
         """Record a peer's evidence, which replaces its earlier one.
@@ -243,7 +252,7 @@
         its earlier process has counted remains.
         """
         for number, service, new, old in digest:
-            rollout = self._rollouts.get(service)
+            rollout = self.by_service.get(service)
             if rollout is not None and rollout.order.number == number:
                 rollout.peers[peer] = rollouts.Evidence(
                     _tallies(new), _tallies(old)
@@ -260,7 +269,7 @@
         self, store: ports.Store, state: topics.Topic
     ) -> None:
         """Write the steps that are due."""
-        for rollout in list(self._rollouts.values()):
+        for rollout in list(self.by_service.values()):
             if self._is_due(rollout, clocks.monotonic_ms()):
                 await self._write_step(store, state, rollout)
 
@@ -372,6 +381,34 @@
         return now_ms - first_seen_ms >= _UNKNOWN_VERSION_WAIT_MS
 
 
+def versions_present(
+    service: str, views: Iterable[endpoints.EndpointView]
+) -> set[str]:
+    """Return the versions of a service's endpoints."""
+    return {
+        view.announced.version
+        for view in views
+        if view.announced.service == service
+    }
+
+
+def canary(control: RolloutControl, service: str) -> decisions.Draw | None:
+    """Return the draw of a service's canary, ``None`` if there is none.
+
+    The canary covers the first half of the ordered time: a daemon ends it only
+    after more than that since it has read the order.
+    """
+    rollout = control.by_service.get(service)
+    if rollout is None or rollout.phase is not rollouts.Phase.CANARY:
+        return None
+    draw = rollout.draw(control.exposure_share)
+    return draw if draw.share > 0 else None
+
+
+def _ignore_order(service: str) -> None:
+    """Ignore an order."""
+
+
 def _old_versions(rollout: Rollout, present: set[str]) -> frozenset[str]:
     """Return the versions to use while the new one has no endpoint."""
     if rollout.phase is rollouts.Phase.COMPLETED:
--- a/packages/daemon/src/yuccarouter/gateway/routes.py
+++ b/packages/daemon/src/yuccarouter/gateway/routes.py
@@ -75,4 +75,6 @@
 
 def hash_fraction(name: str) -> float:
     """Return the hash of a name as a fraction, the same in every daemon."""
-    return xxhash.xxh3_64_intdigest(name.encode()) / _HASH_RANGE
+    # Callers may send bytes that are not UTF-8, decoded as surrogates.
+    encoded = name.encode(errors='surrogateescape')
+    return xxhash.xxh3_64_intdigest(encoded) / _HASH_RANGE
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Versions of the sessions in progress while a roll-out is in its canary."""
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/decisions.py
@@ -0,0 +1,107 @@
+"""Decides whether a session moves to the new version during a canary."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from yuccarouter.gateway import routes
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+# Time for all daemons to read an order and to report their sessions to the
+# owners. No session moves to the new version before.
+_SETTLING_MS: Final = 1000.0
+
+
+@attrs.frozen
+class Draw:
+    """The draw of the sessions that get ``target``, the new version.
+
+    ``share`` is theirs among all sessions of the service.
+    """
+
+    service: str
+    target: str
+    share: float
+
+
+@attrs.frozen
+class Answer:
+    """What an owner knows of a session.
+
+    ``version`` is that of its newest request, ``age_ms`` ago; ``None`` if the
+    owner knows none. ``is_certain`` is true if the owner has been up for the
+    time of a session: one that it does not know is then a new one.
+    """
+
+    version: str | None
+    age_ms: float
+    is_certain: bool
+
+
+def is_selected(draw: Draw, session: str) -> bool:
+    """Return whether the draw gives the new version to a session.
+
+    The draw depends on the session and the version, so that all daemons agree.
+    """
+    name = f'{draw.service}/{draw.target}/{session}'
+    return routes.hash_fraction(name) < draw.share
+
+
+def may_move(
+    version: str | None,
+    target: str,
+    present: Collection[str],
+    order_age_ms: float,
+) -> bool:
+    """Return whether a selected session may run on the new version.
+
+    ``version`` is the session's, ``None`` if it is not in progress, and
+    ``present`` are the versions of the service's endpoints.
+    """
+    if version is None:
+        return order_age_ms >= _SETTLING_MS
+    return version == target or version not in present
+
+
+def is_settled(answers: Collection[Answer], asked: int) -> bool:
+    """Return whether the answers that are missing can't change the decision.
+
+    A session that one owner does not know may be known to the other, if the
+    report to the first one was lost.
+    """
+    return len(answers) >= asked or any(
+        answer.version is not None for answer in answers
+    )
+
+
+def is_answered(answers: Collection[Answer]) -> bool:
+    """Return whether the answers show a session's version, or a new session."""
+    return any(
+        answer.version is not None or answer.is_certain for answer in answers
+    )
+
+
+def version_to_keep(
+    answers: Collection[Answer], target: str, present: Collection[str]
+) -> tuple[str, float] | None:
+    """Return the version to stay on, and the age of its newest request.
+
+    ``None`` means that the session is new, or that no other version than the
+    new one has an endpoint. Without an answer, the session may be in progress
+    and stays on the old version.
+    """
+    known = [
+        (answer.version, answer.age_ms)
+        for answer in answers
+        if answer.version is not None
+    ]
+    if known:
+        return min(known, key=lambda each: each[1])
+    old = sorted(set(present) - {target})
+    if is_answered(answers) or not old:
+        return None
+    return old[0], 0
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
@@ -0,0 +1,256 @@
+"""Reports the versions of sessions to their owners, and asks the owners."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import functools
+import itertools
+import random
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+import eliot
+
+from yuccarouter.gateway import metrics, model, rollout_control
+from yuccarouter.gateway.sessions import (
+    decisions,
+    messages,
+    owners,
+    versions,
+)
+from yuccarouter_common import clocks
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Iterable
+
+    from yuccarouter.gateway import state
+
+# The longest wait for the owners' answers. A daemon answers within a few
+# milliseconds; a request of the session waits meanwhile.
+_ANSWER_TIMEOUT_MS: Final = 30.0
+# Sessions that are looked up in one step when an order arrives. With 400
+# daemons a step takes about 10 ms, in which no request is served.
+_SESSIONS_PER_STEP: Final = 25
+
+
+@attrs.define
+class _Pending:
+    """A question that waits for the answers of the ``asked`` owners."""
+
+    asked: frozenset[str]
+    answers: dict[str, decisions.Answer] = attrs.field(factory=dict)
+    is_settled: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def record(self, owner: str, answer: decisions.Answer) -> None:
+        """Record an owner's answer; a datagram may arrive twice."""
+        if owner in self.asked:
+            self.answers[owner] = answer
+        if decisions.is_settled(self.answers.values(), len(self.asked)):
+            self.is_settled.set()
+
+
+@attrs.frozen
+class Network:
+    """Access to the other daemons.
+
+    ``names`` returns those that share requests with this one, ``find`` the
+    address of a daemon, ``None`` if it is unknown, and ``send`` sends a
+    datagram.
+    """
+
+    names: Callable[[], tuple[str, ...]]
+    find: Callable[[str], tuple[str, int] | None]
+    send: Callable[[bytes, tuple[str, int]], None]
+
+
+@attrs.define
+class SessionExchange:
+    """What the daemons tell each other of sessions during a canary.
+
+    Only sessions that the draw selects for the new version are exchanged; the
+    others stay on the old one anyway. ``canary`` returns the draw of a
+    service's canary, ``None`` if there is none, and ``present`` the versions of
+    its endpoints.
+    """
+
+    name: str
+    sessions: versions.SessionVersions
+    network: Network
+    canary: Callable[[str], decisions.Draw | None]
+    present: Callable[[str], Collection[str]]
+    started_ms: float
+    _orders: asyncio.Queue[str] = attrs.field(factory=asyncio.Queue)
+    _pending: dict[int, _Pending] = attrs.field(factory=dict)
+
+    def record(self, service: str, session: str, version: str) -> None:
+        """Record a request's version, and report it if others need it."""
+        now_ms = clocks.monotonic_ms()
+        self.sessions.record(service, session, version, now_ms)
+        canary = self.canary(service)
+        if canary is not None and decisions.is_selected(canary, session):
+            key = versions.session_key(service, session)
+            payload = messages.encode_reports(
+                [messages.Report(key, version, 0)]
+            )
+            for owner in self._owners(key):
+                self._send(payload, owner)
+
+    async def look_up(
+        self,
+        service: str,
+        session: str,
+        timeout_ms: float = _ANSWER_TIMEOUT_MS,
+    ) -> None:
+        """Learn the version of a selected session that is not known here.
+
+        Returns without a wait if there is no need to ask.
+        """
+        canary = self.canary(service) if session else None
+        if canary is None or not decisions.is_selected(canary, session):
+            return
+        asked_ms = clocks.monotonic_ms()
+        key = versions.session_key(service, session)
+        if self.sessions.newest(key, asked_ms) is not None:
+            return
+        answers = await self._ask(key, timeout_ms)
+        if decisions.is_answered(answers):
+            metrics.SESSION_QUESTIONS.labels('answered').inc()
+        else:
+            metrics.SESSION_QUESTIONS.labels('unanswered').inc()
+            eliot.log_message('session_unanswered', service=service, key=key)
+        kept = decisions.version_to_keep(
+            answers, canary.target, self.present(service)
+        )
+        if kept is not None:
+            version, age_ms = kept
+            self.sessions.merge(key, version, clocks.monotonic_ms() - age_ms)
+
+    def receive(self, message: dict[str, Any], sender: tuple[str, int]) -> None:
+        """Process a datagram.
+
+        Raises ``LookupError``, ``TypeError`` or ``ValueError`` if it is
+        malformed.
+        """
+        content = messages.decode(message)
+        now_ms = clocks.monotonic_ms()
+        if isinstance(content, messages.Question):
+            answer = self._answer(content.key, now_ms)
+            reply = messages.Reply(content.number, self.name, answer)
+            self.network.send(messages.encode_reply(reply), sender)
+        elif isinstance(content, messages.Reply):
+            # The answer may come after the wait has ended.
+            pending = self._pending.get(content.number)
+            if pending is not None:
+                pending.record(content.owner, content.answer)
+        else:
+            for report in content:
+                self.sessions.merge(
+                    report.key, report.version, now_ms - report.age_ms
+                )
+
+    def on_order(self, service: str) -> None:
+        """Have the sessions of a service reported to their owners."""
+        self._orders.put_nowait(service)
+
+    async def run(self) -> None:
+        """Report sessions after each order until cancelled."""
+        while True:
+            await self.report_sessions(await self._orders.get())
+
+    async def report_sessions(self, service: str) -> None:
+        """Report the selected sessions in progress to their owners."""
+        canary = self.canary(service)
+        if canary is None:
+            return
+        now_ms = clocks.monotonic_ms()
+        selected = (
+            messages.Report(key, newest.version, now_ms - newest.at_ms)
+            for key, newest in self.sessions.in_progress(service, now_ms)
+            if decisions.is_selected(canary, newest.session)
+        )
+        by_owner: dict[str, list[messages.Report]] = {}
+        for step in _batches(selected, _SESSIONS_PER_STEP):
+            for report in step:
+                for owner in self._owners(report.key):
+                    by_owner.setdefault(owner, []).append(report)
+            await asyncio.sleep(0)
+        for owner, reports in by_owner.items():
+            for batch in _batches(reports, messages.MAX_REPORTS):
+                self._send(messages.encode_reports(batch), owner)
+
+    async def _ask(
+        self, key: str, timeout_ms: float
+    ) -> Collection[decisions.Answer]:
+        """Return the answers of a session's owners that arrive in time."""
+        metrics.SESSION_QUESTIONS.labels('asked').inc()
+        pending = _Pending(frozenset(self._owners(key)))
+        number = random.getrandbits(messages.QUESTION_BITS)
+        self._pending[number] = pending
+        payload = messages.encode_question(messages.Question(number, key))
+        try:
+            for owner in pending.asked - {self.name}:
+                self._send(payload, owner)
+            pending.record(self.name, self._answer(key, clocks.monotonic_ms()))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(timeout_ms / model.MS_PER_S):
+                    await pending.is_settled.wait()
+        finally:
+            self._pending.pop(number)
+        return pending.answers.values()
+
+    def _answer(self, key: str, now_ms: float) -> decisions.Answer:
+        newest = self.sessions.newest(key, now_ms)
+        up_ms = now_ms - self.started_ms
+        return decisions.Answer(
+            None if newest is None else newest.version,
+            0 if newest is None else now_ms - newest.at_ms,
+            is_certain=up_ms >= self.sessions.session_timeout_ms,
+        )
+
+    def _owners(self, key: str) -> tuple[str, ...]:
+        names = {*self.network.names(), self.name}
+        return owners.owners(key, tuple(sorted(names)))
+
+    def _send(self, payload: bytes, name: str) -> None:
+        """Send a datagram to another daemon if its address is known."""
+        if name == self.name:
+            return
+        address = self.network.find(name)
+        if address is not None:
+            self.network.send(payload, address)
+
+
+def _batches(
+    reports: Iterable[messages.Report], size: int
+) -> Iterable[list[messages.Report]]:
+    """Return the reports in lists of at most ``size``."""
+    iterator = iter(reports)
+    return iter(lambda: list(itertools.islice(iterator, size)), [])
+
+
+def make_exchange(gateway: state.Gateway) -> SessionExchange:
+    """Return the exchange of a gateway, which uses its gossip's port."""
+
+    def names() -> tuple[str, ...]:
+        return gateway.gossip.sharing_names() if gateway.gossip else ()
+
+    def find(name: str) -> tuple[str, int] | None:
+        members = gateway.gossip.members if gateway.gossip else {}
+        address = members.get(name)
+        return (address.host, address.port) if address else None
+
+    def send(payload: bytes, address: tuple[str, int]) -> None:
+        if gateway.gossip and gateway.gossip.transport:
+            gateway.gossip.transport.sendto(payload, address)
+
+    return SessionExchange(
+        gateway.conf.name,
+        gateway.control.sessions,
+        Network(names, find, send),
+        functools.partial(rollout_control.canary, gateway.control),
+        functools.partial(
+            rollout_control.versions_present, views=gateway.directory
+        ),
+        clocks.monotonic_ms(),
+    )
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -32,6 +32,7 @@
     import aiohttp
 
     from yuccarouter.gateway import peers, ports, settings, topics
+    from yuccarouter.gateway.sessions import exchange
 
 MEMBER_PREFIX: Final = 'member/'
 # Errors that a malformed record may raise in its decoder. All daemons read
@@ -76,6 +77,7 @@
     rate_limits: rate_limits.RateLimits = attrs.field(init=False)
     crash_evidence: crash_evidence.CrashEvidence = attrs.field(init=False)
     answer_memory: answer_memory.AnswerMemory = attrs.field(init=False)
+    session_exchange: exchange.SessionExchange = attrs.field(init=False)
     gossip: peers.Gossip | None = None
     orders_topic: topics.Topic | None = None
     endpoints_topic: topics.Topic | None = None
