--- a/packages/daemon/src/yuccarouter/gateway/rollout_control.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollout_control.py
@@ -75,6 +75,12 @@
             share = 0
         return decisions.Draw(self.order.service, self.order.target, share)
 
+    def holds_sessions(self, now_ms: float) -> bool:
+        """Return whether sessions in progress stay on their version."""
+        return rollouts.holds_sessions(
+            self.phase, self.order, now_ms - self.order_read_ms
+        )
+
 
 class RolloutControl:
     """All roll-outs of a deployment, as this daemon sees them.
@@ -184,10 +190,10 @@
                 if self._is_established(service, version, len(present))
             )
         target = rollout.order.target
+        now_ms = clocks.monotonic_ms()
         draw = rollout.draw(self.exposure_share)
         is_drawn = decisions.is_selected(draw, session)
-        if is_drawn and rollout.phase is rollouts.Phase.CANARY:
-            now_ms = clocks.monotonic_ms()
+        if is_drawn and rollout.holds_sessions(now_ms):
             is_drawn = decisions.may_move(
                 self.sessions.version(service, session, now_ms),
                 target,
@@ -395,11 +401,10 @@
 def canary(control: RolloutControl, service: str) -> decisions.Draw | None:
     """Return the draw of a service's canary, ``None`` if there is none.
 
-    The canary covers the first half of the ordered time: a daemon ends it only
-    after more than that since it has read the order.
+    It is ``None`` as well once sessions in progress may move.
     """
     rollout = control.by_service.get(service)
-    if rollout is None or rollout.phase is not rollouts.Phase.CANARY:
+    if rollout is None or not rollout.holds_sessions(clocks.monotonic_ms()):
         return None
     draw = rollout.draw(control.exposure_share)
     return draw if draw.share > 0 else None
--- a/packages/daemon/src/yuccarouter/gateway/rollouts.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollouts.py
@@ -123,6 +123,19 @@
     return 0 if phase is Phase.ROLLED_BACK else 1
 
 
+def holds_sessions(
+    phase: Phase, order: model.RolloutOrder, elapsed_ms: float
+) -> bool:
+    """Return whether sessions in progress stay on their version.
+
+    They do in the canary, which covers the first half of the ordered time. A
+    canary that still lacks answers after it gets them from such sessions: a
+    service may have no others.
+    """
+    late_ms = _LATE_CANARY_SHARE * order.ramp_ms
+    return phase is Phase.CANARY and elapsed_ms < late_ms
+
+
 def next_phase(
     phase: Phase,
     order: model.RolloutOrder,
--- a/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
@@ -22,7 +22,7 @@
 from yuccarouter_common import clocks
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterable
+    from collections.abc import Callable, Collection, Iterable, Iterator
 
     from yuccarouter.gateway import state
 
@@ -85,8 +85,11 @@
 
     def record(self, service: str, session: str, version: str) -> None:
         """Record a request's version, and report it if others need it."""
-        now_ms = clocks.monotonic_ms()
-        self.sessions.record(service, session, version, now_ms)
+        self.sessions.record(service, session, version, clocks.monotonic_ms())
+        with _errors_logged():
+            self._report(service, session, version)
+
+    def _report(self, service: str, session: str, version: str) -> None:
         canary = self.canary(service)
         if canary is not None and decisions.is_selected(canary, session):
             key = versions.session_key(service, session)
@@ -106,6 +109,12 @@
 
         Returns without a wait if there is no need to ask.
         """
+        with _errors_logged():
+            await self._look_up(service, session, timeout_ms)
+
+    async def _look_up(
+        self, service: str, session: str, timeout_ms: float
+    ) -> None:
         canary = self.canary(service) if session else None
         if canary is None or not decisions.is_selected(canary, session):
             return
@@ -156,7 +165,9 @@
     async def run(self) -> None:
         """Report sessions after each order until cancelled."""
         while True:
-            await self.report_sessions(await self._orders.get())
+            service = await self._orders.get()
+            with _errors_logged():
+                await self.report_sessions(service)
 
     async def report_sessions(self, service: str) -> None:
         """Report the selected sessions in progress to their owners."""
@@ -221,6 +232,16 @@
             self.network.send(payload, address)
 
 
+@contextlib.contextmanager
+def _errors_logged() -> Iterator[None]:
+    """Log an error instead of raising it: requests are served without it."""
+    try:
+        yield
+    except Exception as fault:
+        eliot.log_message('session_exchange_failed', reason=repr(fault))
+        eliot.write_traceback()
+
+
 def _batches(
     reports: Iterable[messages.Report], size: int
 ) -> Iterable[list[messages.Report]]:
--- a/packages/daemon/tests/gateway/test_rollout_control.py
+++ b/packages/daemon/tests/gateway/test_rollout_control.py
@@ -406,6 +406,14 @@
         )
     clock.now_ms += idle_ms
     assert control.allowed_versions('engine', session, views) == expected, case
+    if expected == {'v1'}:
+        # A canary without answers would never end.
+        clock.now_ms += 14_400 - 1000 - idle_ms
+        control.sessions.record('engine', session, 'v1', clock.now_ms - 1)
+        clock.now_ms -= 1
+        assert control.allowed_versions('engine', session, views) == {'v1'}
+        clock.now_ms += 1
+        assert control.allowed_versions('engine', session, views) == {'v2'}
 
 
 def new_sessions(daemon: Daemon) -> set[int]:
