Decode endpoints' current speeds, and add the interfaces of capacity

Endpoints of some services state in a fourth figure of their load report how long work takes at this moment, and it was ignored.

--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Current capacity of endpoints, and the expected times of requests."""
--- a/packages/daemon/src/yuccarouter/gateway/choice.py
+++ b/packages/daemon/src/yuccarouter/gateway/choice.py
@@ -83,12 +83,17 @@
 
 @attrs.frozen
 class Choice:
-    """The chosen endpoint, its cost and the number of candidates."""
+    """The chosen endpoint, its cost and the number of candidates.
+
+    ``expected_ms`` is the expected time to the answer, or to the first event of
+    a stream, if the request is sent there now.
+    """
 
     endpoint: endpoints.EndpointView
     cost: float
     candidates: int
     uncached_tokens: int
+    expected_ms: float = 0
 
 
 def choose(
@@ -128,6 +133,7 @@
         cost=cost,
         candidates=len(candidates),
         uncached_tokens=uncached_tokens(chosen, requirements),
+        expected_ms=expected_ms(chosen, requirements, now_ms),
     )
 
 
--- a/packages/daemon/src/yuccarouter/gateway/model.py
+++ b/packages/daemon/src/yuccarouter/gateway/model.py
@@ -218,11 +218,16 @@
 
 @attrs.frozen
 class Load:
-    """The load that an endpoint reports."""
+    """The load that an endpoint reports.
+
+    ``time_percent`` is how long work takes there at this moment, where 100 is
+    the usual time; ``None`` if the endpoint does not state it.
+    """
 
     running: int
     waiting: int
     slots: int
+    time_percent: int | None = None
 
 
 @attrs.frozen
@@ -235,7 +240,8 @@
     ``rate_limit_per_s`` is the rate of requests that the endpoint accepts from
     all daemons together, ``None`` if it states none. ``is_leaving`` is true if
     the endpoint is about to stop. ``pause_ms`` is the time in which it wants no
-    request from this daemon, ``None`` if it states none.
+    request from this daemon, ``None`` if it states none. ``malformed_load`` is
+    the text of a load report with malformed figures, shortened.
     """
 
     status: int
@@ -250,6 +256,7 @@
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
     pause_ms: float | None = None
+    malformed_load: str = ''
 
 
 def prompt_tokens(call: Call) -> int:
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -26,6 +26,7 @@
     stopping,
     stream_timeouts,
 )
+from yuccarouter.gateway.capacity import speeds
 from yuccarouter_common import clocks, records
 
 if TYPE_CHECKING:
@@ -76,6 +77,7 @@
     rate_limits: rate_limits.RateLimits = attrs.field(init=False)
     crash_evidence: crash_evidence.CrashEvidence = attrs.field(init=False)
     answer_memory: answer_memory.AnswerMemory = attrs.field(init=False)
+    speeds: speeds.EndpointSpeeds = attrs.field(init=False)
     gossip: peers.Gossip | None = None
     orders_topic: topics.Topic | None = None
     endpoints_topic: topics.Topic | None = None
@@ -94,10 +96,15 @@
         def sharing_names() -> tuple[str, ...]:
             return self.gossip.sharing_names() if self.gossip else ()
 
+        def service_of(endpoint: str) -> str | None:
+            view = self.directory.get(endpoint)
+            return view.announced.service if view else None
+
         bounds = self.conf.bounds
         self.answer_memory = answer_memory.AnswerMemory(
             answer_memory.limit_bytes(self.conf.memory_bytes)
         )
+        self.speeds = speeds.EndpointSpeeds(service_of)
         self.failure_reports = failure_reports.FailureReports(self.conf.name)
         self.rate_limits = rate_limits.RateLimits(
             self.conf.name, self.directory.started_ms, sharing_names
@@ -347,7 +354,9 @@
 
     Other services are served without regard to organisations' shares.
     """
-    return gateway.conf.controls_overload
+    return gateway.conf.controls_overload or gateway.speeds.reports_speed(
+        service, clocks.monotonic_ms()
+    )
 
 
 def member_record(conf: settings.GatewaySettings) -> tuple[str, bytes]:
