Choose endpoints by their current speed, without herding

A choice knew neither how fast an endpoint is at this moment nor that other daemons see the same idle endpoint, and took 79 ms at 810 endpoints with 400 peers, nearly all of it to sum up idle peers. Where the load is controlled, a choice now examines a random sample of at most 16 endpoints, computes the expected time from learned times and the current factor, and takes the less loaded one of two of nearly equal cost; figures spread in digests, long reads are announced at once, and a broken stream returns to its endpoint only if no other can take it. Peers without requests at an endpoint are no longer kept in its view, which leaves the sums unchanged.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -27,6 +27,7 @@
     request_digests,
     rollouts,
 )
+from yuccarouter.gateway.capacity import observations
 from yuccarouter_common import clocks, errors
 
 if TYPE_CHECKING:
@@ -92,6 +93,7 @@
     that are not chosen again. ``has_run`` is true once an answer was
     discarded; a refusal must then not say that the call has not run.
     ``part_ids`` are the parts of the prompt that other prompts may share.
+    ``last_endpoint`` is the one that got the newest attempt.
     ``crashes`` counts the crashes that a new one of them, or the request as a
     whole, may have caused. ``is_answer_begun`` is true once a part of the
     answer was passed to the caller.
@@ -111,6 +113,7 @@
     allowed_deliveries: int = 1
     runs: int = 0
     tried: frozenset[str] = frozenset()
+    last_endpoint: str = ''
     has_run: bool = False
     crashes: int = 0
     is_answer_begun: bool = False
@@ -278,10 +281,17 @@
     sent_ms = clocks.monotonic_ms()
     speeds = out.gateway.prefill_speeds
     uncached_tokens = prefill_tokens(out.call, chosen)
-    prefill_ms = speeds.expected_ms(model_name, uncached_tokens)
     backlog_ms = view.backlog_ms(sent_ms)
+    prefill_ms = observations.usual_read_ms(
+        out.gateway, chosen, model_name, uncached_tokens, sent_ms
+    )
     progress = answer_progress.Progress(
-        view, out.route.name, model_name, uncached_tokens, sent_ms
+        view,
+        out.route.name,
+        model_name,
+        uncached_tokens,
+        sent_ms,
+        time_factor=chosen.time_factor,
     )
     with out.gateway.control.latencies.follow(progress):
         _record_send(out, view, sent_ms)
@@ -296,7 +306,7 @@
             raise
         finally:
             view.pending_prefill_ms -= prefill_ms
-        first_token_ms = clocks.monotonic_ms() - sent_ms - backlog_ms
+        elapsed_ms = clocks.monotonic_ms() - sent_ms
         memory = out.gateway.answer_memory
 
         def end() -> None:
@@ -306,7 +316,12 @@
             with memory.hold(view.name, end) as holding:
                 opened = _checked_answer(out, response, progress, holding)
                 if uncached_tokens and opened.head.status == _OK:
-                    speeds.record(model_name, first_token_ms, uncached_tokens)
+                    speeds.record(
+                        model_name, elapsed_ms - backlog_ms, uncached_tokens
+                    )
+                observations.record_read(
+                    out.gateway, opened, elapsed_ms, backlog_ms
+                )
                 yield opened
         finally:
             response.close()
@@ -430,8 +445,7 @@
     view = progress.view
     head = out.gateway.platform.decode_answer(response)
     now_ms = clocks.monotonic_ms()
-    if head.load is not None:
-        view.record_load(head.load, now_ms)
+    observations.record_load(out.gateway, view, head, now_ms)
     is_for_other_request = head.request_id not in {'', out.call.request_id}
     if not (is_for_other_request or head.is_misdirected):
         _record_notices(out, head, progress, now_ms)
@@ -592,6 +606,7 @@
         _record_sound_request(out)
     _record_session_version(out, opened.view)
     elapsed_ms = clocks.monotonic_ms() - opened.sent_ms
+    observations.record_service(out, opened, elapsed_ms)
     is_slow = out.gateway.control.latencies.record_success(
         opened.progress, elapsed_ms
     )
@@ -660,6 +675,7 @@
     out.deliveries += 1
     out.runs += 1
     out.tried |= {view.name}
+    out.last_endpoint = view.name
 
 
 def _record_session_version(
--- a/packages/daemon/src/yuccarouter/gateway/capacity/speeds.py
+++ b/packages/daemon/src/yuccarouter/gateway/capacity/speeds.py
@@ -9,7 +9,7 @@
 import attrs
 import eliot
 
-from yuccarouter.gateway import numbers
+from yuccarouter.gateway import metrics, numbers
 
 # An endpoint takes this share of the usual time where it reports no time.
 _USUAL_PERCENT: Final = 100
@@ -29,6 +29,10 @@
 _MAX_SENT_AGE_MS: Final = 600.0
 # Differences up to this share of the mean don't change a choice.
 _MIN_DIFFERENCE_SHARE: Final = 0.25
+# Endpoints above this multiple of the mean count as slow in the metrics.
+_SLOW_RATIO: Final = 1.5
+# Endpoints whose malformed load reports have been logged.
+_MAX_MALFORMED: Final = 1000
 # Bounds of a message: the other fields of a digest need the rest of it.
 _MAX_SENT: Final = 16
 _MAX_SENT_BYTES: Final = 400
@@ -78,6 +82,17 @@
     service_of: Callable[[str], str | None]
     _figures: dict[str, _Figure] = attrs.field(factory=dict)
     _means: dict[str, _Mean] = attrs.field(factory=dict)
+    _malformed: set[str] = attrs.field(factory=set)
+
+    def record_malformed(self, endpoint: str, text: str) -> None:
+        """Log a malformed load report, once for each endpoint."""
+        if endpoint in self._malformed:
+            return
+        if len(self._malformed) < _MAX_MALFORMED:
+            self._malformed.add(endpoint)
+            eliot.log_message(
+                'malformed_load_report', endpoint=endpoint, report=text
+            )
 
     def record(
         self, endpoint: str, time_percent: int | None, now_ms: float
@@ -185,7 +200,20 @@
             means.setdefault(figure.service, _Mean()).add(figure)
         for service in self._means.keys() - means.keys():
             eliot.log_message('service_without_speed', service=service)
+            metrics.MEAN_TIME_FACTOR.labels(service).set(1)
+            metrics.SLOW_ENDPOINTS.labels(service).set(0)
         self._means = means
+        self._observe(now_ms)
+
+    def _observe(self, now_ms: float) -> None:
+        slow = dict.fromkeys(self._means, 0)
+        for figure in self._figures.values():
+            mean = self.mean_factor(figure.service, now_ms)
+            slow[figure.service] += figure.factor > _SLOW_RATIO * mean
+        for service, count in slow.items():
+            mean = self.mean_factor(service, now_ms)
+            metrics.MEAN_TIME_FACTOR.labels(service).set(mean)
+            metrics.SLOW_ENDPOINTS.labels(service).set(count)
 
 
 def _time_of(item: tuple[str, _Figure]) -> float:
--- a/packages/daemon/src/yuccarouter/gateway/choice.py
+++ b/packages/daemon/src/yuccarouter/gateway/choice.py
@@ -16,6 +16,7 @@
     prefill_speeds,
     senders,
 )
+from yuccarouter.gateway.capacity import work
 
 # Costs are in units of the value of one plain request. An answer within its
 # objective has its full value, so that expected time costs little until it
@@ -58,6 +59,8 @@
     ``max_in_flight`` limits this daemon's requests at an endpoint, 0 for no
     limit. ``prefill_ms_per_token`` holds for an idle engine.
     ``shared_parts`` are the parts of the prompt that other prompts may share.
+    ``estimates`` are given where the load is controlled; elsewhere the expected
+    time does not depend on the current speed of endpoints.
     """
 
     service: str
@@ -79,6 +82,7 @@
     shared_parts: tuple[model.PromptPart, ...] = ()
     model_cost: float = 0
     body_bytes: int = 0
+    estimates: work.Estimates | None = None
 
 
 @attrs.frozen
@@ -86,7 +90,8 @@
     """The chosen endpoint, its cost and the number of candidates.
 
     ``expected_ms`` is the expected time to the answer, or to the first event of
-    a stream, if the request is sent there now.
+    a stream, if the request is sent there now. ``time_factor`` is the factor of
+    the endpoint's current speed, ``None`` where the load is not controlled.
     """
 
     endpoint: endpoints.EndpointView
@@ -94,6 +99,7 @@
     candidates: int
     uncached_tokens: int
     expected_ms: float = 0
+    time_factor: float | None = None
 
 
 def choose(
@@ -225,12 +231,8 @@
     def weight(view: endpoints.EndpointView) -> int:
         return xxhash.xxh3_64_intdigest(f'{last_part}/{view.name}'.encode())
 
-    saved_cost = _prefill_cost(
-        requirements, sum(part.tokens for part in requirements.shared_parts)
-    )
-    bonuses = {
-        max(candidates, key=weight).name: _GLOBAL_AFFINITY_SHARE * saved_cost
-    }
+    global_bonus, local_bonus = affinity_costs(requirements)
+    bonuses = {max(candidates, key=weight).name: global_bonus}
     local = [
         view
         for view in candidates
@@ -238,10 +240,21 @@
     ]
     if local:
         name = max(local, key=weight).name
-        bonuses.setdefault(name, _LOCAL_AFFINITY_SHARE * saved_cost)
+        bonuses.setdefault(name, local_bonus)
     return bonuses
 
 
+def affinity_costs(requirements: Requirements) -> tuple[float, float]:
+    """Return the bonus of the endpoint for all daemons, and the local one's."""
+    saved_cost = _prefill_cost(
+        requirements, sum(part.tokens for part in requirements.shared_parts)
+    )
+    return (
+        _GLOBAL_AFFINITY_SHARE * saved_cost,
+        _LOCAL_AFFINITY_SHARE * saved_cost,
+    )
+
+
 def expected_ms(
     view: endpoints.EndpointView, requirements: Requirements, now_ms: float
 ) -> float:
@@ -266,13 +279,84 @@
     return requirements.objective_ms * rounds / 2
 
 
+@attrs.define
+class CurrentTimes:
+    """Expected times at an endpoint, at its current speed.
+
+    ``expected_ms`` is the time to the answer, or to the first event of a
+    prompt's answer, and ``cost`` that of the time of the whole answer.
+    """
+
+    factor: float
+    occupancy: int
+    backlog_ms: float
+    expected_ms: float
+    cost: float
+
+
+def current_times(
+    view: endpoints.EndpointView,
+    requirements: Requirements,
+    estimates: work.Estimates,
+    now_ms: float,
+) -> CurrentTimes:
+    """Return the expected times if the call is sent to an endpoint now.
+
+    Prompts wait for the reads before them. Plain requests that find no free
+    slot wait for the requests before them.
+    """
+    factor = estimates.time_factor(view.name, now_ms)
+    occupancy, backlog_ms = view.occupancy_and_backlog_ms(now_ms)
+    if requirements.prompt_tokens:
+        cached_tokens = sum(
+            part.tokens for part in requirements.shared_parts
+        ) - uncached_tokens(view, requirements)
+        read_ms = estimates.read_ms(requirements.prompt_tokens - cached_tokens)
+        expected = factor * (backlog_ms + read_ms)
+        token_ms = occupancy * _TOKEN_MS_PER_RUNNING
+        answer_ms = expected + requirements.output_tokens * token_ms
+    else:
+        slots = max(1, view.announced.slots)
+        queued = max(0, occupancy + 1 - slots)
+        expected = estimates.service_ms * factor * (1 + queued / slots)
+        answer_ms = expected
+    cost = _time_cost(answer_ms, requirements)
+    return CurrentTimes(factor, occupancy, backlog_ms, expected, cost)
+
+
+def _time_cost(answer_ms: float, requirements: Requirements) -> float:
+    objective_ms = max(_MIN_OBJECTIVE_MS, requirements.objective_ms)
+    lateness = answer_ms / objective_ms
+    value = 1 + requirements.prompt_tokens / _TOKENS_PER_EXTRA_VALUE
+    return value * lateness * lateness
+
+
 def _cost(
     view: endpoints.EndpointView, requirements: Requirements, now_ms: float
 ) -> float:
-    objective_ms = max(_MIN_OBJECTIVE_MS, requirements.objective_ms)
-    lateness = expected_ms(view, requirements, now_ms) / objective_ms
-    value = 1 + requirements.prompt_tokens / _TOKENS_PER_EXTRA_VALUE
-    cost: float = value * lateness * lateness
+    return cost_with(
+        _time_cost(expected_ms(view, requirements, now_ms), requirements),
+        view,
+        requirements,
+        now_ms,
+        is_full=view.occupancy(now_ms) >= view.announced.slots,
+    )
+
+
+def cost_with(
+    time_cost: float,
+    view: endpoints.EndpointView,
+    requirements: Requirements,
+    now_ms: float,
+    *,
+    is_full: bool,
+) -> float:
+    """Return an endpoint's cost, given that of its answer's expected time.
+
+    ``is_full`` is true if the request may have to wait for a slot, and the
+    expected time does not contain that wait.
+    """
+    cost = time_cost
     cost += _FAILURE_COST * view.failure_share
     if view.announced.data_centre != requirements.local_data_centre:
         cost += _CROSS_DATA_CENTRE_COST_PER_BYTE * (
@@ -280,7 +364,7 @@
         )
     if view.is_cold(now_ms):
         cost += _COLD_COST
-    if view.occupancy(now_ms) >= view.announced.slots:
+    if is_full:
         cost += _FULL_COST
     return cost + _prefill_cost(
         requirements, uncached_tokens(view, requirements)
--- a/packages/daemon/src/yuccarouter/gateway/endpoints.py
+++ b/packages/daemon/src/yuccarouter/gateway/endpoints.py
@@ -106,6 +106,20 @@
         )
         return self.pending_prefill_ms + peers_ms
 
+    def occupancy_and_backlog_ms(self, now_ms: float) -> tuple[int, float]:
+        """Return the occupancy and the backlog, in a single pass."""
+        since_ms = now_ms - _MAX_LOAD_AGE_MS
+        in_flight = self.in_flight
+        backlog_ms = self.pending_prefill_ms
+        for backlog in self.peer_backlog.values():
+            if backlog.received_ms >= since_ms:
+                in_flight += backlog.in_flight
+                backlog_ms += backlog.pending_prefill_ms
+        if self.load is not None and self.load_received_ms >= since_ms:
+            reported = self.load.running + self.load.waiting
+            in_flight = max(in_flight, reported + self.sent_since_load)
+        return in_flight, backlog_ms
+
     def _recent_peer_backlog(self, now_ms: float) -> list[PeerBacklog]:
         since_ms = now_ms - _MAX_LOAD_AGE_MS
         return [
@@ -160,7 +174,10 @@
 
 
 class Directory:
-    """All endpoints in use, by id."""
+    """All endpoints in use, by id.
+
+    ``changes`` counts the changes of which endpoints there are, and where.
+    """
 
     def __init__(self) -> None:
         self._views: dict[str, EndpointView] = {}
@@ -169,6 +186,8 @@
         )
         self._notices = endpoint_notices.EndpointNotices()
         self._reannouncement_grace_until_ms = -math.inf
+        self._next_expiry_ms = math.inf
+        self.changes = 0
 
     def __iter__(self) -> Iterator[EndpointView]:
         """Iterate over the endpoints that are not removed."""
@@ -221,9 +240,13 @@
             )
             for name, (in_flight, pending_prefill_ms) in backlog.items()
         }
-        idle = PeerBacklog(0, 0, now_ms)
         for view in self._views.values():
-            view.peer_backlog[peer] = reported.get(view.name, idle)
+            # Idle peers are left out: sums over hundreds of them at hundreds
+            # of endpoints would take most of the time of a choice.
+            view.peer_backlog.pop(peer, None)
+            peer_backlog = reported.get(view.name)
+            if peer_backlog is not None:
+                view.peer_backlog[peer] = peer_backlog
 
     def on_store_reconnected(self, outage_ms: float) -> None:
         """Start a grace period for announcements that expired in an outage."""
@@ -282,15 +305,23 @@
             view.remove_at_ms = min(
                 view.remove_at_ms, self._reannouncement_grace_until_ms
             )
+            self._next_expiry_ms = min(self._next_expiry_ms, view.remove_at_ms)
             return
         self._remove_view(view)
 
     def expire(self) -> None:
         """Remove endpoints whose grace period ended without announcement."""
         now_ms = clocks.monotonic_ms()
+        if now_ms < self._next_expiry_ms:
+            return
+        self._next_expiry_ms = math.inf
         for view in list(self._views.values()):
             if now_ms >= view.remove_at_ms:
                 self._remove_view(view)
+            else:
+                self._next_expiry_ms = min(
+                    self._next_expiry_ms, view.remove_at_ms
+                )
 
     def _add(self, announced: model.Announcement) -> None:
         last_incarnation = self._removed.get(announced.endpoint)
@@ -303,6 +334,7 @@
         if notice.is_leaving:
             announced = attrs.evolve(announced, is_draining=True)
         cold_ms = announced.cold_remaining_ms
+        self.changes += 1
         self._views[announced.endpoint] = EndpointView(
             announced,
             cold_until_ms=clocks.monotonic_ms() + cold_ms,
@@ -321,6 +353,7 @@
     def _update(
         self, view: EndpointView, announced: model.Announcement
     ) -> None:
+        self.changes += _is_moved(view.announced, announced)
         _replace_announced(
             view, announced, is_leaving=self._notices.of(announced).is_leaving
         )
@@ -331,6 +364,7 @@
 
     def _remove_view(self, view: EndpointView) -> None:
         self._views.pop(view.name, None)
+        self.changes += 1
         self._removed[view.name] = view.announced.incarnation
         self._removed.move_to_end(view.name)
         if len(self._removed) > _MAX_REMOVED:
@@ -338,6 +372,15 @@
         eliot.log_message('endpoint_removed', endpoint=view.name)
 
 
+def _is_moved(announced: model.Announcement, other: model.Announcement) -> bool:
+    """Return whether two records differ in what endpoints are indexed by."""
+    return (
+        announced.service != other.service
+        or announced.data_centre != other.data_centre
+        or announced.version != other.version
+    )
+
+
 def _replace_announced(
     view: EndpointView, announced: model.Announcement, *, is_leaving: bool
 ) -> None:
--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -64,6 +64,20 @@
     ('topic', 'source'),
     buckets=_LATENCY_BUCKETS_S,
 )
+MEAN_TIME_FACTOR: Final = prometheus_client.Gauge(
+    'yuccarouter_gateway_mean_time_factor',
+    'Mean time of work at endpoints as a multiple of the usual one',
+    ('service',),
+)
+SLOW_ENDPOINTS: Final = prometheus_client.Gauge(
+    'yuccarouter_gateway_slow_endpoints',
+    'Endpoints that reported a time far above the mean of their service',
+    ('service',),
+)
+ANNOUNCED_READS: Final = prometheus_client.Counter(
+    'yuccarouter_gateway_announced_reads',
+    'Long reads of prompts that peers were told of at once',
+)
 _MS_PER_S: Final = 1000
 
 IN_PROGRESS: Final = prometheus_client.Gauge(
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 import random
 from typing import TYPE_CHECKING, Final
@@ -26,7 +27,14 @@
     stopping,
     stream_timeouts,
 )
-from yuccarouter.gateway.capacity import speeds
+from yuccarouter.gateway.capacity import (
+    observations,
+    room,
+    selection,
+    service_index,
+    speeds,
+    work,
+)
 from yuccarouter_common import clocks, records
 
 if TYPE_CHECKING:
@@ -78,6 +86,11 @@
     crash_evidence: crash_evidence.CrashEvidence = attrs.field(init=False)
     answer_memory: answer_memory.AnswerMemory = attrs.field(init=False)
     speeds: speeds.EndpointSpeeds = attrs.field(init=False)
+    service_index: service_index.ServiceIndex = attrs.field(init=False)
+    service_times: work.ServiceTimes = attrs.field(factory=work.ServiceTimes)
+    read_news: observations.ReadNews = attrs.field(
+        factory=observations.ReadNews
+    )
     gossip: peers.Gossip | None = None
     orders_topic: topics.Topic | None = None
     endpoints_topic: topics.Topic | None = None
@@ -105,6 +118,9 @@
             answer_memory.limit_bytes(self.conf.memory_bytes)
         )
         self.speeds = speeds.EndpointSpeeds(service_of)
+        self.service_index = service_index.ServiceIndex(
+            self.directory, self.conf.data_centre
+        )
         self.failure_reports = failure_reports.FailureReports(self.conf.name)
         self.rate_limits = rate_limits.RateLimits(
             self.conf.name, self.directory.started_ms, sharing_names
@@ -264,6 +280,7 @@
                 generation.expected_output_tokens if generation else 0
             ),
             shared_parts=generation.parts[:-1] if generation else (),
+            estimates=_estimates(self, route, service, model_name),
         )
 
     def _cold_share(
@@ -294,12 +311,12 @@
         requirements = self.requirements(
             call, route, service, tried, model_name
         )
-        chosen = choice.choose(self.directory, requirements, now_ms)
+        chosen = _choose(self, requirements, now_ms)
         if chosen is None:
             versions = self.control.fallback_versions(service, call.request_id)
             if versions:
                 requirements = attrs.evolve(requirements, versions=versions)
-                chosen = choice.choose(self.directory, requirements, now_ms)
+                chosen = _choose(self, requirements, now_ms)
         return chosen
 
     def endpoint_waits_ms(self, service: str) -> list[float]:
@@ -349,6 +366,31 @@
             self.gossip.apply_member_record(name, entry.value)
 
 
+def _estimates(
+    gateway: Gateway, route: model.Route, service: str, model_name: str
+) -> work.Estimates | None:
+    """Return the current expected times, if the load is controlled."""
+    if not controls_load(gateway, service):
+        return None
+    return work.Estimates(
+        gateway.speeds.time_factor,
+        gateway.service_times.service_ms(
+            service, route.name, route.objective_ms / 2
+        ),
+        functools.partial(gateway.service_times.read_ms, model_name),
+    )
+
+
+def _choose(
+    gateway: Gateway, requirements: choice.Requirements, now_ms: float
+) -> choice.Choice | None:
+    estimates = requirements.estimates
+    if estimates is None:
+        return choice.choose(gateway.directory, requirements, now_ms)
+    known = gateway.service_index.of(requirements.service)
+    return selection.choose(known, requirements, estimates, now_ms)
+
+
 def controls_load(gateway: Gateway, service: str) -> bool:
     """Return whether admission and choice of models follow the load.
 
@@ -359,6 +401,33 @@
     )
 
 
+def service_room(gateway: Gateway, service: str) -> room.Room:
+    """Return the room of a service's endpoints, whatever their versions."""
+    now_ms = clocks.monotonic_ms()
+    table = gateway.table
+    service_conf = table.configuration.services.get(service) if table else None
+    requirements = choice.Requirements(
+        service=service,
+        objective_ms=0,
+        versions=None,
+        tried=frozenset(),
+        out_of_service=gateway.evacuated_data_centres,
+        local_data_centre=gateway.conf.data_centre,
+        cold_share=None,
+        max_in_flight=0,
+        unreachable=gateway.failure_reports.unreachable(now_ms),
+    )
+    scope = room.Scope(
+        requirements,
+        is_engine=bool(service_conf and service_conf.model_costs),
+        service_ms=gateway.service_times.service_ms(service, ''),
+        time_factor=gateway.speeds.time_factor,
+    )
+    return room.service_room(
+        gateway.service_index.of(service).every, scope, now_ms
+    )
+
+
 def member_record(conf: settings.GatewaySettings) -> tuple[str, bytes]:
     """Return the key and value that announce this daemon's peer address."""
     value = orjson.dumps([conf.peer.host, conf.peer.port])
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -172,7 +172,11 @@
     out = relay.out
     chosen = out.next_endpoint(relay.model)
     if chosen is None and relay.response is not None:
-        # A stream in progress may resume at an endpoint that failed before.
+        # A stream in progress may resume at an endpoint that failed before, at
+        # the one that has just broken it off only if no other can take it.
+        out.tried = frozenset((out.last_endpoint,))
+        chosen = out.next_endpoint(relay.model)
+    if chosen is None and relay.response is not None:
         out.tried = frozenset()
         chosen = out.next_endpoint(relay.model)
     return chosen
--- a/packages/daemon/tests/gateway/test_bad_messages.py
+++ b/packages/daemon/tests/gateway/test_bad_messages.py
@@ -16,6 +16,7 @@
 
 from yuccarouter.gateway import (
     choice,
+    crash_evidence,
     daemon,
     endpoints,
     failure_reports,
@@ -25,6 +26,7 @@
     rollouts,
     topics,
 )
+from yuccarouter.gateway.capacity import speeds
 from yuccarouter_common import clocks
 
 VALID_DIGEST: dict[str, Any] = {
@@ -36,6 +38,7 @@
     'work': {'e1': [1, 20]},
     'lost': {'e1': {'d3': 10}},
     'rate_limits': {'e1': [1, 3, 2.5]},
+    'speeds': {'e1': [250, 100]},
 }
 ANY_JSON = st.recursive(
     st.none()
@@ -71,6 +74,10 @@
             rate_limits=rate_limits.RateLimits(
                 'd1', directory.started_ms, tuple
             ),
+            crash_evidence=crash_evidence.CrashEvidence(
+                'd1', tuple, lambda service: 2
+            ),
+            speeds=speeds.EndpointSpeeds(lambda endpoint: 'engine'),
         )
         self.gossip = peers.Gossip(
             dict,
@@ -95,6 +102,7 @@
         assert choice.choose(self.gateway.directory, need, now_ms)
         orjson.dumps(self.gateway.failure_reports.message(2, now_ms))
         self.gateway.rate_limits.exhausted(now_ms)
+        assert 0.1 <= self.gateway.speeds.time_factor('e1', now_ms) <= 100
         orjson.dumps(self.gateway.rate_limits.message())
         self.gossip.confirms(self.topic)
         peers.most_advanced_peer(self.gossip, self.topic)
