Count the demand of organisations and compute their fair shares

Under overload nothing told a daemon which organisation asks for more than its share, so a flood of one cost all others the same. Of many daemons only a part is heard before figures expire; their figures are scaled to the fleet. Nothing refuses by these shares yet, and nothing is counted where load is not controlled.

--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -64,6 +64,16 @@
     ('topic', 'source'),
     buckets=_LATENCY_BUCKETS_S,
 )
+ORGANISATIONS_ABOVE_SHARE: Final = prometheus_client.Gauge(
+    'yuccarouter_gateway_organisations_above_share',
+    'Organisations that ask for more than their fair share',
+    ('service',),
+)
+DEMAND_PER_CAPACITY: Final = prometheus_client.Gauge(
+    'yuccarouter_gateway_demand_per_capacity',
+    'Demand of the whole fleet in relation to the capacity of a service',
+    ('service',),
+)
 _MS_PER_S: Final = 1000
 
 IN_PROGRESS: Final = prometheus_client.Gauge(
--- a/packages/daemon/src/yuccarouter/gateway/model.py
+++ b/packages/daemon/src/yuccarouter/gateway/model.py
@@ -85,11 +85,15 @@
 
 @attrs.frozen
 class Organisation:
-    """A customer, with the API keys that its requests may carry."""
+    """A customer, with the API keys that its requests may carry.
+
+    Under overload, shares of a service are proportional to ``weight``.
+    """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None
+    weight: float = 1.0
 
 
 @attrs.frozen
--- a/packages/daemon/src/yuccarouter/gateway/request_handler.py
+++ b/packages/daemon/src/yuccarouter/gateway/request_handler.py
@@ -23,6 +23,7 @@
     stopping,
     streaming,
 )
+from yuccarouter.gateway.shares import demand
 from yuccarouter_common import clocks, refusals
 
 if TYPE_CHECKING:
@@ -83,7 +84,10 @@
 
 @attrs.define
 class _Exchange:
-    """A caller's request; ``out`` is set once it was read completely."""
+    """A caller's request; ``out`` is set once it was read completely.
+
+    ``counted_work_ms`` is the endpoint time by which it counts as demand.
+    """
 
     gateway: state.Gateway
     request: web.BaseRequest
@@ -91,6 +95,35 @@
     arrived_ms: float
     route: model.Route | None = None
     out: attempts.OutgoingCall | None = None
+    counted_work_ms: float = 0
+
+    def count_demand(
+        self, service: str, organisation: str, kind: model.Kind
+    ) -> None:
+        """Count the request as demand of its organisation and key."""
+        self.counted_work_ms = demand.estimated_work_ms(
+            kind, model.prompt_tokens(self.call)
+        )
+        self.gateway.demand.record_arrival(
+            service,
+            organisation,
+            self.call.key,
+            self.counted_work_ms,
+            self.arrived_ms,
+        )
+
+    def take_back_demand(self) -> None:
+        """Stop counting the request after its caller has left."""
+        if self.out is None or not self.counted_work_ms:
+            return
+        self.gateway.demand.record_departure(
+            self.out.service,
+            self.out.organisation,
+            self.call.key,
+            self.counted_work_ms,
+            arrived_ms=self.arrived_ms,
+            now_ms=clocks.monotonic_ms(),
+        )
 
 
 async def _serve_call(exchange: _Exchange) -> web.StreamResponse:
@@ -109,6 +142,7 @@
         _abort(request)
         raise asyncio.CancelledError from None
     except (asyncio.CancelledError, ConnectionError):
+        exchange.take_back_demand()
         _log_request(exchange, 0, 'caller_left')
         raise
     if exchange.gateway.stop.has_begun:
@@ -208,12 +242,15 @@
         priority = organisation.priority
     service = routes.service_for(route, random.random())
     gateway.retry_budget.record_request(service, arrived_ms)
+    organisation_name = organisation.name if organisation else ''
+    if state.controls_load(gateway, service):
+        exchange.count_demand(service, organisation_name, route.kind)
     return attempts.OutgoingCall(
         gateway=gateway,
         call=call,
         route=route,
         service=service,
-        organisation=organisation.name if organisation else '',
+        organisation=organisation_name,
         priority=min(_MAX_PRIORITY, max(0, priority)),
         body=body,
         deadline_ms=arrived_ms + timeout_ms,
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/shares/__init__.py
@@ -0,0 +1,1 @@
+"""Fair shares of organisations and their keys across all daemons."""
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -26,6 +26,7 @@
     stopping,
     stream_timeouts,
 )
+from yuccarouter.gateway.shares import demand, fleet_shares
 from yuccarouter_common import clocks, records
 
 if TYPE_CHECKING:
@@ -76,6 +77,8 @@
     rate_limits: rate_limits.RateLimits = attrs.field(init=False)
     crash_evidence: crash_evidence.CrashEvidence = attrs.field(init=False)
     answer_memory: answer_memory.AnswerMemory = attrs.field(init=False)
+    demand: demand.Demand = attrs.field(factory=demand.Demand)
+    fleet_shares: fleet_shares.FleetShares = attrs.field(init=False)
     gossip: peers.Gossip | None = None
     orders_topic: topics.Topic | None = None
     endpoints_topic: topics.Topic | None = None
@@ -94,6 +97,13 @@
         def sharing_names() -> tuple[str, ...]:
             return self.gossip.sharing_names() if self.gossip else ()
 
+        def live_daemon_count() -> int:
+            peer_names = self.gossip.unexpired_names() if self.gossip else ()
+            return 1 + len(peer_names)
+
+        def organisations() -> tuple[model.Organisation, ...]:
+            return self.table.configuration.organisations if self.table else ()
+
         bounds = self.conf.bounds
         self.answer_memory = answer_memory.AnswerMemory(
             answer_memory.limit_bytes(self.conf.memory_bytes)
@@ -105,6 +115,9 @@
         self.crash_evidence = crash_evidence.CrashEvidence(
             self.conf.name, sharing_names, self.directory.endpoint_count
         )
+        self.fleet_shares = fleet_shares.FleetShares(
+            self.demand, live_daemon_count, organisations
+        )
         self.retry_budget = retry_budget.RetryBudget(
             bounds.retry_ratio,
             bounds.retry_slack,
