--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -335,6 +335,7 @@
     gateway.rate_limits.merge(digest.get('rate_limits', {}), now_ms)
     gateway.crash_evidence.merge(digest.get('crashes', ()), now_ms)
     gateway.speeds.merge(digest.get('speeds', {}), now_ms)
+    gateway.demand.merge(name, digest.get('demand'), now_ms)
 
 
 def _make_digest(
@@ -355,6 +356,7 @@
         'rate_limits': gateway.rate_limits.message(),
         'crashes': gateway.crash_evidence.message(clocks.monotonic_ms()),
         'speeds': gateway.speeds.message(clocks.monotonic_ms()),
+        'demand': gateway.demand.message(clocks.monotonic_ms()),
     }
 
 
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -35,6 +35,7 @@
     speeds,
     work,
 )
+from yuccarouter.gateway.shares import demand, fleet_shares
 from yuccarouter_common import clocks, records
 
 if TYPE_CHECKING:
@@ -93,6 +94,8 @@
     read_news: observations.ReadNews = attrs.field(
         factory=observations.ReadNews
     )
+    demand: demand.Demand = attrs.field(factory=demand.Demand)
+    fleet_shares: fleet_shares.FleetShares = attrs.field(init=False)
     gossip: peers.Gossip | None = None
     orders_topic: topics.Topic | None = None
     endpoints_topic: topics.Topic | None = None
@@ -114,6 +117,12 @@
         def service_of(endpoint: str) -> str | None:
             view = self.directory.get(endpoint)
             return view.announced.service if view else None
+        def live_daemon_count() -> int:
+            peer_names = self.gossip.unexpired_names() if self.gossip else ()
+            return 1 + len(peer_names)
+
+        def organisations() -> tuple[model.Organisation, ...]:
+            return self.table.configuration.organisations if self.table else ()
 
         bounds = self.conf.bounds
         self.answer_memory = answer_memory.AnswerMemory(
@@ -130,6 +139,9 @@
         self.crash_evidence = crash_evidence.CrashEvidence(
             self.conf.name, sharing_names, self.directory.endpoint_count
         )
+        self.fleet_shares = fleet_shares.FleetShares(
+            self.demand, live_daemon_count, organisations
+        )
         self.retry_budget = retry_budget.RetryBudget(
             bounds.retry_ratio,
             bounds.retry_slack,
--- a/packages/daemon/tests/gateway/test_bad_messages.py
+++ b/packages/daemon/tests/gateway/test_bad_messages.py
@@ -27,6 +27,7 @@
     topics,
 )
 from yuccarouter.gateway.capacity import speeds
+from yuccarouter.gateway.shares import demand, fleet_shares
 from yuccarouter_common import clocks
 
 VALID_DIGEST: dict[str, Any] = {
@@ -39,6 +40,7 @@
     'lost': {'e1': {'d3': 10}},
     'rate_limits': {'e1': [1, 3, 2.5]},
     'speeds': {'e1': [250, 100]},
+    'demand': {'engine': [900, 2, {'a': [600, 2, {'k': 500}], 'b': 300}]},
 }
 ANY_JSON = st.recursive(
     st.none()
@@ -78,6 +80,9 @@
                 'd1', tuple, lambda service: 2
             ),
             speeds=speeds.EndpointSpeeds(lambda endpoint: 'engine'),
+                'd1', tuple, directory.endpoint_count
+            ),
+            demand=demand.Demand(),
         )
         self.gossip = peers.Gossip(
             dict,
@@ -104,6 +109,8 @@
         self.gateway.rate_limits.exhausted(now_ms)
         assert 0.1 <= self.gateway.speeds.time_factor('e1', now_ms) <= 100
         orjson.dumps(self.gateway.rate_limits.message())
+        shares = fleet_shares.FleetShares(self.gateway.demand, lambda: 2, tuple)
+        shares.admitted_share('engine', 'a', 'k', 500, now_ms)
         self.gossip.confirms(self.topic)
         peers.most_advanced_peer(self.gossip, self.topic)
         asyncio.run(
@@ -122,6 +129,11 @@
 @hypothesis.example(
     field='rate_limits', replacement={'e1': [1, 1e300, 2]}, drop=False
 )
+@hypothesis.example(
+    field='demand',
+    replacement={'engine': [2**53, 0, {'a': 2**53}]},
+    drop=False,
+)
 @hypothesis.example(
     field='rate_limits', replacement={'e1': [2**60, 1, -1]}, drop=False
 )
