Choose the model of a request by gain and price of engine time

The rule by time alone accepts the smallest model's answer to every prompt that the largest model would answer late, and never asks a middle model. Where load is controlled, the larger models are now compared by the expected gain in value, with a learned lift of confidence, and by a price of engine time that follows the backlog of the service; elsewhere the present rule holds, as a table test shows.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -164,12 +164,21 @@
         """Return the time since the call arrived."""
         return clocks.monotonic_ms() - self.arrived_ms
 
-    def next_endpoint(self, model_name: str) -> choice.Choice | None:
-        """Return the next endpoint, ``None`` if the call may not be sent."""
+    def next_endpoint(
+        self, model_name: str, avoided: frozenset[str] | None = None
+    ) -> choice.Choice | None:
+        """Return the next endpoint, ``None`` if the call may not be sent.
+
+        ``avoided`` names endpoints that are not chosen this time.
+        """
         if self.runs >= self.route.max_attempts:
             return None
         chosen = self.gateway.choose(
-            self.call, self.route, self.service, self.tried, model_name
+            self.call,
+            self.route,
+            self.service,
+            self.tried | (avoided or frozenset()),
+            model_name,
         )
         if chosen is None or not self._is_safe_to_send():
             return None
--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -329,6 +329,7 @@
     gateway.failure_reports.merge(digest.get('lost', {}), now_ms)
     gateway.rate_limits.merge(digest.get('rate_limits', {}), now_ms)
     gateway.crash_evidence.merge(digest.get('crashes', ()), now_ms)
+    gateway.confidences.merge(name, digest.get('confidences', {}), now_ms)
 
 
 def _make_digest(
@@ -348,6 +349,7 @@
         ),
         'rate_limits': gateway.rate_limits.message(),
         'crashes': gateway.crash_evidence.message(clocks.monotonic_ms()),
+        'confidences': gateway.confidences.message(clocks.monotonic_ms()),
     }
 
 
--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -36,6 +36,16 @@
     'Doubtful answers passed on as the budget for repeats was spent',
     ('service',),
 )
+LARGER_MODELS_ASKED: Final = prometheus_client.Counter(
+    'yuccarouter_gateway_larger_models_asked',
+    'Uncertain answers dropped under load control, by the larger model asked',
+    ('service', 'model'),
+)
+UNCERTAIN_ANSWERS: Final = prometheus_client.Counter(
+    'yuccarouter_gateway_uncertain_answers',
+    'Uncertain answers passed on under load control, by reason',
+    ('service', 'reason'),
+)
 SURPLUS_ANSWERS: Final = prometheus_client.Counter(
     'yuccarouter_gateway_surplus_answers',
     'Connections on which other bytes came after an answer',
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/model_choice/engines.py
@@ -0,0 +1,93 @@
+"""Load of a service's engines, and engines on which no read waits."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from yuccarouter.gateway import choice, endpoints
+
+# An engine takes no more reads without harm once a prompt waits there for this
+# share of its objective.
+_FULL_BACKLOG_SHARE: Final = 0.5
+# Older reports of waiting requests are ignored.
+_MAX_REPORT_AGE_MS: Final = 1000.0
+# A shorter backlog is over before a new request arrives there.
+_IDLE_BACKLOG_MS: Final = 25.0
+# Number of engines whose load is looked at. The load of each is a sum over all
+# peers, which takes 0.1 ms at 400 daemons.
+_SAMPLE: Final = 24
+# Number of engines that are tried in search of one without waiting reads.
+_MAX_TRIES: Final = 3
+
+
+def is_waited_for(view: endpoints.EndpointView, now_ms: float) -> bool:
+    """Return whether requests wait at an endpoint."""
+    if _reported_waiting(view, now_ms) > 0:
+        return True
+    return view.backlog_ms(now_ms) > _IDLE_BACKLOG_MS
+
+
+def backlog_load(backlog_ms: float, objective_ms: float) -> float:
+    """Return the load of one engine by its backlog, 0 to 1."""
+    full_ms = _FULL_BACKLOG_SHARE * objective_ms
+    return 1.0 if full_ms <= 0 else min(1.0, backlog_ms / full_ms)
+
+
+def service_load(
+    views: Iterable[endpoints.EndpointView],
+    objective_ms: float,
+    answer_ms: float,
+    now_ms: float,
+) -> float:
+    """Return the share of the engines that can't take more reads, 0 to 1.
+
+    ``views`` are a service's engines and ``answer_ms`` the mean engine time of
+    an answer. One engine with a long read counts once, however long it is:
+    others can take the requests meanwhile.
+    """
+    known = list(views)
+    sample = random.sample(known, _SAMPLE) if len(known) > _SAMPLE else known
+    if not sample:
+        return 0
+    loads = [
+        backlog_load(
+            max(
+                view.backlog_ms(now_ms),
+                _reported_waiting(view, now_ms) * answer_ms,
+            ),
+            objective_ms,
+        )
+        for view in sample
+    ]
+    return sum(loads) / len(loads)
+
+
+def choose_without_waiting(
+    choose: Callable[[frozenset[str]], choice.Choice | None], now_ms: float
+) -> tuple[choice.Choice | None, frozenset[str]]:
+    """Return an engine without waiting requests, or else the best one.
+
+    ``choose`` returns the best engine besides some. The second value names
+    the engines that were passed over for the returned one.
+    """
+    best = choose(frozenset())
+    passed: frozenset[str] = frozenset()
+    chosen = best
+    for _ in range(_MAX_TRIES):
+        if chosen is None:
+            break
+        if not is_waited_for(chosen.endpoint, now_ms):
+            return chosen, passed
+        passed |= {chosen.endpoint.name}
+        chosen = choose(passed)
+    return best, frozenset()
+
+
+def _reported_waiting(view: endpoints.EndpointView, now_ms: float) -> int:
+    if view.load is None or now_ms - view.load_received_ms > _MAX_REPORT_AGE_MS:
+        return 0
+    return max(0, view.load.waiting)
--- /dev/null
+++ b/packages/daemon/src/yuccarouter/gateway/model_choice/selection.py
@@ -0,0 +1,249 @@
+"""Choice of the next model for one request, from the state of its gateway."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+import eliot
+
+from yuccarouter.gateway import attempts, metrics, model
+from yuccarouter.gateway.model_choice import (
+    confidences,
+    decision,
+    engines,
+    value,
+)
+from yuccarouter_common import clocks
+
+if TYPE_CHECKING:
+    from yuccarouter.gateway import choice, state
+    from yuccarouter.gateway.model_choice import bid_price
+
+
+@attrs.define
+class Selection:
+    """The models asked for one request, and what comes next.
+
+    ``expected_ms`` is the expected time to the first event of the larger model
+    that is asked, 0 before, and ``avoided`` names the engines on which requests
+    wait when it was chosen.
+    """
+
+    out: attempts.OutgoingCall
+    expected_ms: float = 0
+    avoided: frozenset[str] = frozenset()
+    _decided: decision.Option | None = None
+    _before: tuple[int, float] | None = None
+    _is_counted: bool = False
+
+    @property
+    def models(self) -> tuple[str, ...]:
+        """The models of the route, smallest first."""
+        return self.out.route.models
+
+    def take_avoided(self) -> frozenset[str]:
+        """Return the engines to avoid in the next attempt only."""
+        avoided = self.avoided
+        self.avoided = frozenset()
+        return avoided
+
+    def record_answer(
+        self, index: int, confidence: float | None, prefill_tokens: float
+    ) -> None:
+        """Record the head of an answer of the model ``index``."""
+        out = self.out
+        before = self._before
+        self._before = None if confidence is None else (index, confidence)
+        if before is not None and confidence is not None and before[0] < index:
+            out.gateway.confidences.record(
+                self._pair(before[0], index),
+                before[1],
+                confidence,
+                clocks.monotonic_ms(),
+            )
+        out.gateway.bid_prices.record_answer(
+            out.service,
+            0 if self._is_counted else self._value(),
+            read_ms(out.gateway, self.models, index, prefill_tokens),
+        )
+        self._is_counted = True
+
+    def larger_index(self, index: int, confidence: float | None) -> int | None:
+        """Return the model to ask next, ``None`` to accept the answer."""
+        now_ms = clocks.monotonic_ms()
+        situation = self._situation(confidence, now_ms)
+        options = [
+            option
+            for larger in range(index + 1, len(self.models))
+            if (option := self._option(index, larger, confidence, now_ms))
+        ]
+        decided = decision.decide(situation, options)
+        self._decided = decided.option
+        _log(self.out, confidence, situation, options, decided)
+        if decided.option is None:
+            count_accepted(self.out.service, decided.reason)
+            return None
+        return decided.option.index
+
+    def begin(self, index: int) -> None:
+        """Note that the larger model ``index`` is asked."""
+        metrics.LARGER_MODELS_ASKED.labels(
+            self.out.service, self.models[index]
+        ).inc()
+        decided = self._decided
+        if decided is not None and decided.index == index:
+            self.expected_ms = decided.wait_ms
+            self.avoided = decided.passed_over
+
+    def _situation(
+        self, confidence: float | None, now_ms: float
+    ) -> decision.Situation:
+        out = self.out
+        is_repeatable = out.may_run_again(after=0)
+        return decision.Situation(
+            value=self._value(),
+            sufficient=confidences.sufficiency(confidence),
+            elapsed_ms=out.elapsed_ms(),
+            remaining_ms=out.remaining_ms(),
+            objective_ms=out.route.objective_ms,
+            attempts_left=(
+                out.route.max_attempts - out.runs if is_repeatable else 0
+            ),
+            price=_observed_price(out, now_ms),
+        )
+
+    def _option(
+        self,
+        index: int,
+        larger: int,
+        confidence: float | None,
+        now_ms: float,
+    ) -> decision.Option | None:
+        """Return a larger model with its best engine, ``None`` without one."""
+        out = self.out
+        gateway = out.gateway
+
+        def choose(avoided: frozenset[str]) -> choice.Choice | None:
+            return gateway.choose(
+                out.call, out.route, out.service, avoided, self.models[larger]
+            )
+
+        chosen, passed = engines.choose_without_waiting(choose, now_ms)
+        if chosen is None:
+            return None
+        pair = self._pair(index, larger)
+        return decision.Option(
+            index=larger,
+            is_largest=pair.is_largest,
+            sufficient=gateway.confidences.expected_sufficiency(
+                pair, confidence, now_ms
+            ),
+            backlog_ms=chosen.endpoint.backlog_ms(now_ms),
+            read_ms=read_ms(
+                gateway,
+                self.models,
+                larger,
+                attempts.prefill_tokens(out.call, chosen),
+            ),
+            is_waited_for=engines.is_waited_for(chosen.endpoint, now_ms),
+            passed_over=passed,
+        )
+
+    def _pair(self, smaller: int, larger: int) -> confidences.Pair:
+        return confidences.Pair(
+            self.models[smaller],
+            self.models[larger],
+            is_largest=larger == len(self.models) - 1,
+        )
+
+    def _value(self) -> float:
+        return value.request_value(
+            self.out.priority, model.prompt_tokens(self.out.call)
+        )
+
+
+def read_ms(
+    gateway: state.Gateway, models: tuple[str, ...], index: int, tokens: float
+) -> float:
+    """Return the expected time of an idle engine to read ``tokens``.
+
+    A middle model that was never asked is taken to lie at equal ratios between
+    the smallest and the largest one. The initial estimate of its own, which is
+    that of a large model, would keep it from ever being asked.
+    """
+    speeds = gateway.prefill_speeds
+    own_ms = speeds.expected_ms(models[index], tokens)
+    if speeds.is_known(models[index]):
+        return own_ms
+    smallest_ms = speeds.expected_ms(models[0], tokens)
+    largest_ms = speeds.expected_ms(models[-1], tokens)
+    if min(smallest_ms, largest_ms) <= 0:
+        return own_ms
+    share = index / max(1, len(models) - 1)
+    return smallest_ms * math.pow(largest_ms / smallest_ms, share)
+
+
+def count_accepted(service: str, reason: str) -> None:
+    """Count an uncertain answer that is passed on."""
+    metrics.UNCERTAIN_ANSWERS.labels(service, reason).inc()
+
+
+def _observed_price(
+    out: attempts.OutgoingCall, now_ms: float
+) -> bid_price.Price:
+    gateway = out.gateway
+    prices = gateway.bid_prices
+    if prices.is_observation_due(out.service, now_ms):
+        views = [
+            view
+            for view in gateway.directory
+            if view.announced.service == out.service
+            and not view.announced.is_draining
+        ]
+        load = engines.service_load(
+            views,
+            out.route.objective_ms,
+            prices.answer_ms(out.service),
+            now_ms,
+        )
+        prices.observe(out.service, load, now_ms)
+    return prices.price(out.service)
+
+
+def _log(
+    out: attempts.OutgoingCall,
+    confidence: float | None,
+    situation: decision.Situation,
+    options: list[decision.Option],
+    decided: decision.Decision,
+) -> None:
+    """Log a decision with its inputs."""
+    asked = decided.option
+    eliot.log_message(
+        'model_chosen',
+        request=out.call.request_id,
+        model=None if asked is None else out.route.models[asked.index],
+        reason=decided.reason,
+        confidence=confidence,
+        priority=out.priority,
+        value=round(situation.value, 3),
+        gain=round(decided.gain, 3),
+        cost=round(decided.cost, 3),
+        load=round(situation.price.load, 3),
+        value_per_s=round(situation.price.value_per_ms * model.MS_PER_S, 3),
+        elapsed_ms=round(situation.elapsed_ms),
+        remaining_ms=round(situation.remaining_ms),
+        attempts_left=situation.attempts_left,
+        options=[
+            {
+                'model': out.route.models[option.index],
+                'sufficient': round(option.sufficient, 3),
+                'backlog_ms': round(option.backlog_ms),
+                'read_ms': round(option.read_ms),
+                'is_waited_for': option.is_waited_for,
+            }
+            for option in options
+        ],
+    )
--- a/packages/daemon/src/yuccarouter/gateway/prefill_speeds.py
+++ b/packages/daemon/src/yuccarouter/gateway/prefill_speeds.py
@@ -42,6 +42,10 @@
         )
         speed.tokens = _DECAY_FACTOR * speed.tokens + tokens
 
+    def is_known(self, model: str) -> bool:
+        """Return whether a prompt of this model was timed."""
+        return model in self._speeds
+
     def expected_ms(self, model: str, tokens: float) -> float:
         """Return the time that an idle engine takes to prefill ``tokens``."""
         speed = self._speeds.get(model, _Speed())
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -26,6 +26,7 @@
     stopping,
     stream_timeouts,
 )
+from yuccarouter.gateway.model_choice import bid_price, confidences
 from yuccarouter_common import clocks, records
 
 if TYPE_CHECKING:
@@ -84,6 +85,10 @@
     prefill_speeds: prefill_speeds.PrefillSpeeds = attrs.field(
         factory=prefill_speeds.PrefillSpeeds
     )
+    confidences: confidences.Confidences = attrs.field(
+        factory=confidences.Confidences
+    )
+    bid_prices: bid_price.BidPrices = attrs.field(factory=bid_price.BidPrices)
     first_event_timeouts: dict[
         tuple[str, str], stream_timeouts.FirstEventTimeout
     ] = attrs.field(factory=dict)
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -19,8 +19,10 @@
     metrics,
     model_escalation,
     retries,
+    state,
     stream_timeouts,
 )
+from yuccarouter.gateway.model_choice import selection
 from yuccarouter_common import clocks, errors, refusals
 
 if TYPE_CHECKING:
@@ -34,6 +36,10 @@
 _SOCKET_READ_S: Final = 0.005
 # Longest gap between events that is on time, for routes that set none.
 _DEFAULT_GAP_OBJECTIVE_MS: Final = 2000.0
+# Timeout of a read by a larger model, as a multiple of the expected time. The
+# adaptive timeout is shorter than the read of a long prompt, which would be
+# read again elsewhere.
+_READ_TIMEOUT_MULTIPLE: Final = 2.0
 
 
 class StreamBrokenError(errors.RouterError):
@@ -93,6 +99,8 @@
 
     ``model_index`` is the index of the current model in ``plan.models``, and
     ``response`` the caller's response, ``None`` until its head is sent.
+    ``choice`` holds the state of the choice of models by load, ``None`` where
+    the smallest and the largest model are asked.
     """
 
     out: attempts.OutgoingCall
@@ -101,6 +109,7 @@
     buffer: events.EventBuffer
     model_index: int = 0
     response: web.StreamResponse | None = None
+    choice: selection.Selection | None = None
 
     @property
     def model(self) -> str:
@@ -123,7 +132,7 @@
     Raises ``RefusalError`` if no endpoint answers, and ``StreamBrokenError``
     if that happens after events were forwarded.
     """
-    relay = Relay(out, request, _model_plan(out), _event_buffer(out))
+    relay = _make_relay(out, request)
 
     async def attempt(chosen: choice.Choice) -> web.StreamResponse | None:
         return await _attempt(relay, chosen)
@@ -155,6 +164,17 @@
     return StreamBrokenError('stream ended before its last event')
 
 
+def _make_relay(out: attempts.OutgoingCall, request: web.BaseRequest) -> Relay:
+    """Return the relay of a stream, with the models that may be asked."""
+    plan = _model_plan(out)
+    relay = Relay(out, request, plan, _event_buffer(out))
+    has_choice = len(out.route.models) > 1
+    if has_choice and state.controls_load(out.gateway, out.service):
+        relay.plan = attrs.evolve(plan, models=out.route.models)
+        relay.choice = selection.Selection(out)
+    return relay
+
+
 def _model_plan(out: attempts.OutgoingCall) -> model_escalation.Plan:
     generation = out.call.generation
     if out.route.models:
@@ -170,6 +190,10 @@
 
 def _next_endpoint(relay: Relay) -> choice.Choice | None:
     out = relay.out
+    if relay.choice is not None and relay.choice.avoided:
+        chosen = out.next_endpoint(relay.model, relay.choice.take_avoided())
+        if chosen is not None:
+            return chosen
     chosen = out.next_endpoint(relay.model)
     if chosen is None and relay.response is not None:
         # A stream in progress may resume at an endpoint that failed before.
@@ -197,6 +221,9 @@
             out.route.objective_ms,
             chosen.endpoint.backlog_ms(clocks.monotonic_ms()),
         )
+        if relay.choice is not None:
+            expected_ms = relay.choice.expected_ms
+            adaptive_ms = max(adaptive_ms, _READ_TIMEOUT_MULTIPLE * expected_ms)
         head_timeout_ms = min(head_timeout_ms, adaptive_ms)
     async with attempts.open_attempt(
         out, chosen, relay.model, relay.resume_id, head_timeout_ms
@@ -204,6 +231,10 @@
         timeout.record(clocks.monotonic_ms() - opened.sent_ms, prefill_tokens)
         if opened.head.status != _OK:
             return await _forward_failure(relay, opened)
+        if relay.choice is not None and relay.response is None:
+            relay.choice.record_answer(
+                relay.model_index, opened.head.confidence, prefill_tokens
+            )
         if _escalate_if_uncertain(relay, opened.head.confidence):
             return None
         await _relay_stream(relay, opened)
@@ -220,11 +251,14 @@
         return False
     if relay.plan.accepts(relay.model_index, confidence):
         return False
-    if not _should_ask_larger_model(relay, confidence):
+    larger_index = _larger_model_index(relay, confidence)
+    if larger_index is None:
         return False
     if not out.may_run_again(after=0):
         return False
     if not out.take_retry(is_optional=True):
+        if relay.choice is not None:
+            selection.count_accepted(out.service, 'no_retry_budget')
         metrics.ESCALATIONS_WITHOUT_BUDGET.labels(out.service).inc()
         eliot.log_message(
             'larger_model_not_paid',
@@ -238,16 +272,34 @@
         model=relay.model,
         confidence=confidence,
     )
-    relay.model_index += 1
+    relay.model_index = larger_index
+    if relay.choice is not None:
+        relay.choice.begin(larger_index)
     out.has_run = True
     out.tried = frozenset()
     return True
 
 
+def _larger_model_index(relay: Relay, confidence: float | None) -> int | None:
+    """Return the larger model to ask, ``None`` to accept the answer."""
+    if relay.choice is not None:
+        try:
+            return relay.choice.larger_index(relay.model_index, confidence)
+        except Exception as fault:
+            eliot.log_message(
+                'model_choice_failed',
+                request=relay.out.call.request_id,
+                reason=repr(fault),
+            )
+    if _should_ask_larger_model(relay, confidence):
+        return len(relay.plan.models) - 1
+    return None
+
+
 def _should_ask_larger_model(relay: Relay, confidence: float | None) -> bool:
-    """Return whether the next larger model would answer soon enough."""
+    """Return whether the largest model would answer soon enough."""
     out = relay.out
-    larger = relay.plan.models[relay.model_index + 1]
+    larger = relay.plan.models[-1]
     chosen = out.gateway.choose(
         out.call, out.route, out.service, frozenset(), larger
     )
--- /dev/null
+++ b/packages/daemon/tests/gateway/model_choice/test_learning.py
@@ -0,0 +1,164 @@
+"""Tests of learned confidences and of the price of engine time."""
+
+from __future__ import annotations
+
+import itertools
+import math
+from typing import Any
+
+import gateway_makers as make
+import hypothesis
+import orjson
+import pytest
+from hypothesis import strategies as st
+
+from yuccarouter.gateway import choice, model
+from yuccarouter.gateway.model_choice import bid_price, confidences, engines
+
+MIDDLE = confidences.Pair('small', 'middle', is_largest=False)
+
+
+def learned(lift: float, answers: int = 60) -> confidences.Confidences:
+    known = confidences.Confidences()
+    for _ in range(answers):
+        known.record(MIDDLE, 40, 40 + lift, now_ms=0)
+    return known
+
+
+@pytest.mark.parametrize('daemons', [3, 68, 400])
+def test_lost_digests(daemons: int) -> None:
+    """Guards against counts of peers that apply after their digests stopped.
+
+    Each daemon then decides on its own figures, which differ from theirs.
+    """
+    peer = learned(25).message(0)
+    own = learned(2, answers=20)
+    alone = own.expected_sufficiency(MIDDLE, 40, 0)
+    for number in range(daemons - 1):
+        own.merge(f'd{number}', peer, 1000)
+        own.merge(f'd{number}', peer, 1100)
+    assert own.expected_sufficiency(MIDDLE, 40, 3500) > alone + 0.2
+    assert own.expected_sufficiency(MIDDLE, 40, 3700) == alone
+
+
+@pytest.mark.parametrize(
+    'message',
+    [
+        None,
+        [],
+        {'a': []},
+        {'a': [1] * 12},
+        {'a': [-1] + [0] * 10},
+        {'a': [10**9] + [0] * 10},
+        {'a': ['1'] * 11},
+        {str(number): [0] * 11 for number in range(7)},
+    ],
+)
+def test_malformed_counts(message: Any) -> None:
+    """Guards against one digest that spoils decisions or ends a daemon."""
+    known = learned(20)
+    before = known.expected_sufficiency(MIDDLE, 40, 0)
+    known.merge('d1', message, 0)
+    assert known.expected_sufficiency(MIDDLE, 40, 0) == before
+
+
+@hypothesis.given(
+    answers=st.lists(
+        st.tuples(st.floats(-1e6, 1e6), st.floats(-1e6, 1e6)), max_size=30
+    ),
+    names=st.integers(1, 20),
+    now_ms=st.floats(0, 1e9),
+)
+def test_bounds_of_counts(
+    answers: list[tuple[float, float]], names: int, now_ms: float
+) -> None:
+    """Guards against digests that grow, and probabilities beyond 0 to 1."""
+    known = confidences.Confidences()
+    for number, (smaller, larger) in itertools.product(range(names), answers):
+        pair = confidences.Pair('s', f'm{number}', is_largest=bool(number % 2))
+        for _ in range(9):
+            known.record(pair, smaller, larger, now_ms)
+        expected = known.expected_sufficiency(pair, smaller, now_ms)
+        assert confidences.sufficiency(smaller) <= expected <= 1
+    assert len(orjson.dumps(known.message(now_ms))) <= 400
+
+
+def test_old_answers_weigh_less() -> None:
+    """Guards against decisions by models that a roll-out has replaced."""
+    known = learned(25, answers=400)
+    assert sum(known.message(0)[MIDDLE.key]) <= 200
+    assert not any(known.message(3_600_000)[MIDDLE.key])
+
+
+def test_price_follows_the_load() -> None:
+    """Guards against a price that flaps while long reads begin and end.
+
+    Engines that all become idle at once would all be filled again at once.
+    """
+    prices = bid_price.BidPrices()
+    assert prices.price('engine').load == 0
+    now_ms = 0.0
+    loads = []
+    for load in [0.0] * 4 + [1.0] * 8 + [0.0, 1.0] * 8 + [0.0] * 24:
+        prices.observe('engine', load, now_ms)
+        loads.append(prices.price('engine').load)
+        now_ms += 250
+    assert loads[3] == 0
+    assert loads[11] > 0.95
+    assert min(loads[11:28]) > 0.7
+    assert loads[-1] < 0.05
+    assert all(
+        earlier > later for earlier, later in itertools.pairwise(loads[27:])
+    )
+
+
+@pytest.mark.parametrize('answers', [0, 1, 1000])
+def test_price_of_served_work(answers: int) -> None:
+    """Guards against a price that one odd answer sets."""
+    prices = bid_price.BidPrices()
+    for _ in range(answers):
+        prices.record_answer('engine', 2, 175)
+    per_ms = prices.price('engine').value_per_ms
+    expected = 1 / 120 if answers < 2 else 1 / 200
+    assert math.isclose(per_ms, expected, rel_tol=0.15)
+
+
+@pytest.mark.parametrize('count', [1, 12, 810])
+def test_load_of_engines(count: int) -> None:
+    """Guards against a price that one long read raises for all engines."""
+    views = [make.view(f'e{number}') for number in range(count)]
+    assert engines.service_load(views, 2000, 50, 0) == 0
+    views[0].pending_prefill_ms = 9000
+    assert engines.service_load(views, 2000, 50, 0) <= 1 / min(count, 24)
+    for view in views:
+        view.record_load(model.Load(1, 40, 64), 0)
+    assert engines.service_load(views, 2000, 50, 0) == 1
+    assert engines.service_load(views, 2000, 50, 2000) <= 1 / min(count, 24)
+
+
+@pytest.mark.parametrize(
+    ('backlogs_ms', 'name', 'passed'),
+    [
+        ((0, 900), 'e0', set()),
+        ((900, 0), 'e1', {'e0'}),
+        ((900, 900, 900, 900, 0), 'e0', set()),
+        ((900, 900), 'e0', set()),
+        ((), None, set()),
+    ],
+)
+def test_engine_without_waiting_reads(
+    backlogs_ms: tuple[float, ...], name: str | None, passed: set[str]
+) -> None:
+    """Guards against long reads in front of short ones at a cached engine."""
+    views = [
+        make.view(f'e{number}', pending_prefill_ms=backlog_ms)
+        for number, backlog_ms in enumerate(backlogs_ms)
+    ]
+
+    def choose(avoided: frozenset[str]) -> choice.Choice | None:
+        left = [view for view in views if view.name not in avoided]
+        return choice.Choice(left[0], 0, len(left), 0) if left else None
+
+    chosen, passed_over = engines.choose_without_waiting(choose, 0)
+    assert (chosen and chosen.endpoint.name) == name
+    assert passed_over == passed
--- /dev/null
+++ b/packages/daemon/tests/gateway/model_choice/test_selection.py
@@ -0,0 +1,193 @@
+"""Tests of the models that a stream asks, with and without load control."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import attrs
+import gateway_makers as make
+import pytest
+
+from yuccarouter.gateway import (
+    attempts,
+    choice,
+    model,
+    model_escalation,
+    rollout_control,
+    state,
+    streaming,
+)
+from yuccarouter.gateway.model_choice import decision, engines, selection
+
+MODELS = ('small', 'middle', 'large')
+# Read times of the models in ms per token.
+SPEEDS = {'small': 0.004, 'middle': 0.011, 'large': 0.04}
+
+
+def make_relay(
+    clock: make.Clock, *, controls: bool, tokens: int = 1000, **fields: Any
+) -> streaming.Relay:
+    """Return a stream whose smallest model has answered once."""
+    gateway = state.Gateway(
+        attrs.evolve(make.conf(), controls_overload=controls),
+        None,  # type: ignore[arg-type]
+        None,  # type: ignore[arg-type]
+        rollout_control.RolloutControl.__new__(rollout_control.RolloutControl),
+    )
+    views = [make.view(f'e{number}') for number in range(3)]
+    for view in views:
+        gateway.directory.apply_announcement(view.announced)
+    for name in fields.pop('known', MODELS):
+        for _ in range(400):
+            gateway.prefill_speeds.record(name, 25 + 5000 * SPEEDS[name], 5000)
+    for _ in range(1000):
+        gateway.retry_budget.record_request('engine', clock.now_ms)
+    route = model.Route(
+        name='r',
+        host='h',
+        path_prefix='/',
+        kind=model.Kind.STREAM,
+        timeout_ms=30_000,
+        objective_ms=2000,
+        gap_objective_ms=200,
+        priority=0,
+        max_attempts=3,
+        shares=(model.ServiceShare('engine', 1),),
+        is_resumable=True,
+        models=MODELS,
+    )
+    out = attempts.OutgoingCall(
+        gateway=gateway,
+        call=make.call(generation=model.Generation('', tokens, 100, ())),
+        route=route,
+        service='engine',
+        organisation='o',
+        priority=0,
+        body=b'',
+        deadline_ms=clock.now_ms + 30_000,
+        arrived_ms=clock.now_ms,
+        runs=1,
+    )
+    return streaming._make_relay(out, None)  # type: ignore[arg-type]
+
+
+@pytest.fixture(autouse=True)
+def no_rollout(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Allow all versions: no roll-out is in progress."""
+    monkeypatch.setattr(
+        rollout_control.RolloutControl, 'allowed_versions', lambda *_: None
+    )
+    monkeypatch.setattr(
+        rollout_control.RolloutControl, 'fallback_versions', lambda *_: None
+    )
+
+
+@pytest.mark.parametrize(
+    ('tokens', 'confidence', 'controls', 'asked'),
+    [
+        (1000, 20.0, False, 'large'),
+        (1000, None, False, 'large'),
+        (1000, 57.0, False, None),
+        (54_000, 20.0, False, None),
+        (1000, 20.0, True, 'large'),
+        (1000, None, True, 'large'),
+        (1000, 57.0, True, None),
+        (54_000, 2.0, True, 'large'),
+        (54_000, 48.0, True, 'middle'),
+    ],
+)
+def test_larger_models(
+    clock: make.Clock,
+    tokens: int,
+    confidence: float | None,
+    controls: bool,
+    asked: str | None,
+) -> None:
+    """Guards against a change where the load is not controlled.
+
+    There, the largest model is asked if it would be in time, and no other.
+    """
+    relay = make_relay(clock, controls=controls, tokens=tokens)
+    assert relay.model == 'small'
+    assert (relay.plan == model_escalation.plan_for(MODELS)) is not controls
+    is_escalated = streaming._escalate_if_uncertain(relay, confidence)
+    assert is_escalated is (asked is not None)
+    assert relay.model == (asked or 'small')
+
+
+@pytest.mark.parametrize('tokens', [1000, 54_000])
+def test_fault_in_the_choice(
+    clock: make.Clock, monkeypatch: pytest.MonkeyPatch, tokens: int
+) -> None:
+    """Guards against a request that is lost to an error in the decision.
+
+    It is then served as without load control.
+    """
+
+    def fail(*_: Any) -> None:
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(decision, 'decide', fail)
+    escalated = [
+        streaming._escalate_if_uncertain(
+            relay := make_relay(clock, controls=controls, tokens=tokens), 20
+        )
+        and relay.model
+        for controls in (False, True)
+    ]
+    assert escalated[0] == escalated[1]
+
+
+def test_attempts_and_retry_budget(clock: make.Clock) -> None:
+    """Guards against escalations beyond the attempts or the retry budget."""
+    relay = make_relay(clock, controls=True)
+    relay.out.runs = 3
+    assert not streaming._escalate_if_uncertain(relay, 20)
+    relay.out.runs = 1
+    while relay.out.take_retry(is_optional=True):
+        clock.now_ms += 0.001
+    assert not streaming._escalate_if_uncertain(relay, 20)
+    assert relay.out.take_retry()
+
+
+def test_both_confidences_are_learned(clock: make.Clock) -> None:
+    """Guards against lifts that are learned twice, or from one model."""
+    relay = make_relay(clock, controls=True)
+    learned = relay.out.gateway.confidences
+    assert relay.choice is not None
+    for index, confidence in ((0, 30), (0, 30), (2, 90), (2, 90)):
+        relay.choice.record_answer(index, confidence, 1000)
+    (counts,) = learned.message(clock.now_ms).values()
+    assert sum(counts) == 1
+
+
+@pytest.mark.parametrize(
+    ('known', 'expected_ms'),
+    [
+        (MODELS, 110),
+        (('small', 'large'), math.sqrt(40 * 400)),
+        ((), 400),
+    ],
+)
+def test_read_time_of_a_model_never_asked(
+    clock: make.Clock, known: tuple[str, ...], expected_ms: float
+) -> None:
+    """Guards against a middle model that is never asked as it looks slow."""
+    gateway = make_relay(clock, controls=True, known=known).out.gateway
+    read_ms = selection.read_ms(gateway, MODELS, 1, 10_000)
+    assert math.isclose(read_ms, expected_ms, rel_tol=0.05)
+
+
+def test_engines_with_waiting_reads_are_avoided(clock: make.Clock) -> None:
+    """Guards against a large read at an engine that others wait for."""
+    relay = make_relay(clock, controls=True, tokens=8000)
+    views = list(relay.out.gateway.directory)
+    for view in views[1:]:
+        view.pending_prefill_ms = 60
+        view.cached['large', 'p'] = clock.now_ms
+    assert streaming._escalate_if_uncertain(relay, 20)
+    chosen = streaming._next_endpoint(relay)
+    assert isinstance(chosen, choice.Choice)
+    assert chosen.endpoint is views[0]
+    assert not engines.is_waited_for(chosen.endpoint, clock.now_ms)
