--- a/packages/daemon/src/yuccarouter/gateway/model_choice/decision.py
+++ b/packages/daemon/src/yuccarouter/gateway/model_choice/decision.py
@@ -20,6 +20,9 @@
 # Reads that take more than this share of the objective go to an engine only if
 # none waits there: all other requests of the engine would be late.
 _LARGE_READ_SHARE: Final = 0.5
+# Cost of an attempt as a share of the request's value: about one in fifty
+# attempts fails, and the request then needs another one.
+_ATTEMPT_VALUE_SHARE: Final = 0.02
 # Probability from which a model that is not the largest gets the last attempt.
 _LIKELY_SUFFICIENT: Final = 0.7
 
@@ -196,4 +199,5 @@
     engine_load = engines.backlog_load(
         option.backlog_ms, situation.objective_ms
     )
-    return situation.price.cost(option.read_ms, engine_load)
+    read_cost = situation.price.cost(option.read_ms, engine_load)
+    return read_cost + _ATTEMPT_VALUE_SHARE * situation.value
