--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -336,6 +336,7 @@
     gateway.crash_evidence.merge(digest.get('crashes', ()), now_ms)
     gateway.speeds.merge(digest.get('speeds', {}), now_ms)
     gateway.demand.merge(name, digest.get('demand'), now_ms)
+    gateway.confidences.merge(name, digest.get('confidences', {}), now_ms)
 
 
 def _make_digest(
@@ -357,6 +358,7 @@
         'crashes': gateway.crash_evidence.message(clocks.monotonic_ms()),
         'speeds': gateway.speeds.message(clocks.monotonic_ms()),
         'demand': gateway.demand.message(clocks.monotonic_ms()),
+        'confidences': gateway.confidences.message(clocks.monotonic_ms()),
     }
 
 
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -36,6 +36,7 @@
     work,
 )
 from yuccarouter.gateway.shares import demand, fleet_shares
+from yuccarouter.gateway.model_choice import bid_price, confidences
 from yuccarouter_common import clocks, records
 
 if TYPE_CHECKING:
@@ -104,6 +105,10 @@
     prefill_speeds: prefill_speeds.PrefillSpeeds = attrs.field(
         factory=prefill_speeds.PrefillSpeeds
     )
+    confidences: confidences.Confidences = attrs.field(
+        factory=confidences.Confidences
+    )
+    bid_prices: bid_price.BidPrices = attrs.field(factory=bid_price.BidPrices)
     first_event_timeouts: dict[
         tuple[str, str], stream_timeouts.FirstEventTimeout
     ] = attrs.field(factory=dict)
