--- a/packages/daemon/src/yuccarouter/gateway/answer_progress.py
+++ b/packages/daemon/src/yuccarouter/gateway/answer_progress.py
@@ -29,6 +29,8 @@
     ``was_withdrawn`` once this daemon has decided to end the attempt because
     endpoints crash on the request. ``time_factor`` is the factor that was
     expected of the endpoint, ``None`` where the load is not controlled.
+    endpoints crash on the request. ``waiting_before`` is the number of requests
+    that were expected to wait at the endpoint before this one.
     """
 
     view: endpoints.EndpointView
@@ -43,6 +45,7 @@
     has_ended: bool = False
     was_withdrawn: bool = False
     time_factor: float | None = None
+    waiting_before: float = 0
 
     def record_events(self, events: int, now_ms: float) -> None:
         """Record the number of events received so far."""
--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -28,6 +28,7 @@
     rollouts,
 )
 from yuccarouter.gateway.capacity import observations
+from yuccarouter.gateway.overload import gate
 from yuccarouter_common import clocks, errors
 
 if TYPE_CHECKING:
@@ -185,6 +186,8 @@
         )
         if chosen is None or not self._is_safe_to_send():
             return None
+        if self.sends and not gate.leaves_time(self, chosen, model_name):
+            return None
         return chosen if self._may_deliver() else None
 
     def may_run_again(self, *, after: int) -> bool:
@@ -301,6 +304,7 @@
         uncached_tokens,
         sent_ms,
         time_factor=chosen.time_factor,
+        waiting_before=gate.waiting_at(out, view, sent_ms),
     )
     with out.gateway.control.latencies.follow(progress):
         _record_send(out, view, sent_ms)
@@ -455,6 +459,9 @@
     head = out.gateway.platform.decode_answer(response)
     now_ms = clocks.monotonic_ms()
     observations.record_load(out.gateway, view, head, now_ms)
+    if head.load is not None:
+        view.record_load(head.load, now_ms)
+        gate.record_report(out, view.name, head.load, now_ms)
     is_for_other_request = head.request_id not in {'', out.call.request_id}
     if not (is_for_other_request or head.is_misdirected):
         _record_notices(out, head, progress, now_ms)
@@ -616,6 +623,9 @@
     _record_session_version(out, opened.view)
     elapsed_ms = clocks.monotonic_ms() - opened.sent_ms
     observations.record_service(out, opened, elapsed_ms)
+    gate.record_answer(
+        out, opened.view.name, elapsed_ms, opened.progress.waiting_before
+    )
     is_slow = out.gateway.control.latencies.record_success(
         opened.progress, elapsed_ms
     )
--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -264,12 +264,16 @@
             names.state,
             store,
             gateway.apply_state_record,
-            _ignore,
+            functools.partial(_tell_peers, gateway),
             probe=orders,
             max_age_ms=bounds.rollback_ms,
         ),
     ]
     gateway.endpoints_topic = others[0]
+    # Calls for the other topics wait until this one's has succeeded.
+    orders.on_reconnected = functools.partial(
+        _on_orders_regained, gateway, others
+    )
     for topic in others:
         # A waiting call for orders may not notice the restore.
         topic.on_restored = orders.reload
@@ -280,6 +284,24 @@
     """Ignore the end of an outage of the store."""
 
 
+def _on_orders_regained(
+    gateway: state.Gateway, others: list[topics.Topic], outage_ms: float
+) -> None:
+    """Read the other topics as well, and tell peers that the store answers."""
+    for topic in others:
+        topic.pause.end()
+    _tell_peers(gateway, outage_ms)
+
+
+def _tell_peers(gateway: state.Gateway, outage_ms: float) -> None:
+    """Tell peers that the store answers, so that they call it, too.
+
+    Peers are known once the shared state was read.
+    """
+    if gateway.gossip is not None:
+        gateway.gossip.has_news.set()
+
+
 async def _open_gossip(
     gateway: state.Gateway, replicas: list[topics.Topic]
 ) -> peers.Gossip:
@@ -337,6 +359,9 @@
     gateway.speeds.merge(digest.get('speeds', {}), now_ms)
     gateway.demand.merge(name, digest.get('demand'), now_ms)
     gateway.confidences.merge(name, digest.get('confidences', {}), now_ms)
+    gateway.overload.loads.merge(digest.get('queues', {}), now_ms)
+    if gateway.orders_topic and gateway.orders_topic.name in digest['reads']:
+        gateway.orders_topic.pause.end_on_news(now_ms)
 
 
 def _make_digest(
@@ -359,6 +384,7 @@
         'speeds': gateway.speeds.message(clocks.monotonic_ms()),
         'demand': gateway.demand.message(clocks.monotonic_ms()),
         'confidences': gateway.confidences.message(clocks.monotonic_ms()),
+        'queues': gateway.overload.loads.message(clocks.monotonic_ms()),
     }
 
 
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -37,6 +37,7 @@
 )
 from yuccarouter.gateway.shares import demand, fleet_shares
 from yuccarouter.gateway.model_choice import bid_price, confidences
+from yuccarouter.gateway.overload import current as overload
 from yuccarouter_common import clocks, records
 
 if TYPE_CHECKING:
@@ -97,6 +98,7 @@
     )
     demand: demand.Demand = attrs.field(factory=demand.Demand)
     fleet_shares: fleet_shares.FleetShares = attrs.field(init=False)
+    overload: overload.Overload = attrs.field(init=False)
     gossip: peers.Gossip | None = None
     orders_topic: topics.Topic | None = None
     endpoints_topic: topics.Topic | None = None
@@ -130,6 +132,7 @@
             return self.table.configuration.organisations if self.table else ()
 
         bounds = self.conf.bounds
+        self.overload = overload.Overload(self.conf.memory_bytes)
         self.answer_memory = answer_memory.AnswerMemory(
             answer_memory.limit_bytes(self.conf.memory_bytes)
         )
@@ -198,6 +201,7 @@
             return
         if configuration is not None:
             self._apply_configuration(configuration)
+            _end_holds(self)
         if order is not None:
             self.control.apply_order(order)
         if evacuation is not None:
@@ -218,6 +222,7 @@
             self.directory.remove(entry.key)
         else:
             self.directory.apply_announcement(announced)
+            _end_holds(self)
         if view is not None and was_in_use:
             self._log_if_withdrawn(view)
 
@@ -408,6 +413,10 @@
         return choice.choose(gateway.directory, requirements, now_ms)
     known = gateway.service_index.of(requirements.service)
     return selection.choose(known, requirements, estimates, now_ms)
+def _end_holds(gateway: Gateway) -> None:
+    """Let requests go on that came before the daemon was ready."""
+    if gateway.overload.holds.is_starting and gateway.is_ready():
+        gateway.overload.holds.end()
 
 
 def controls_load(gateway: Gateway, service: str) -> bool:
