Resolve the merges of the parts of load control

The five parts add fields, metrics and digest fields at the same places, which the merges had joined line by line. The imports, metrics and the receiver of the test of bad messages are in order again; the configuration that decided a request is recorded after the hold at a start.

--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -83,6 +83,7 @@
     'yuccarouter_gateway_configuration_age_seconds',
     'Time since the configuration that decided a request was last confirmed',
     buckets=_LATENCY_BUCKETS_S,
+)
 MEAN_TIME_FACTOR: Final = prometheus_client.Gauge(
     'yuccarouter_gateway_mean_time_factor',
     'Mean time of work at endpoints as a multiple of the usual one',
@@ -106,6 +107,7 @@
     'yuccarouter_gateway_demand_per_capacity',
     'Demand of the whole fleet in relation to the capacity of a service',
     ('service',),
+)
 SHED_REQUESTS: Final = prometheus_client.Counter(
     'yuccarouter_gateway_shed_requests',
     'Requests that were refused before they were sent, by reason',
--- a/packages/daemon/src/yuccarouter/gateway/request_handler.py
+++ b/packages/daemon/src/yuccarouter/gateway/request_handler.py
@@ -188,9 +188,8 @@
 
 async def _answer(exchange: _Exchange) -> web.StreamResponse:
     gateway = exchange.gateway
-    exchange.applied = _applied_configuration(gateway)
-    route = _find_route(gateway, exchange.call)
     await gate.hold_until_configured(gateway, exchange.call)
+    exchange.applied = _applied_configuration(gateway)
     route = _find_route(exchange)
     exchange.route = route
     organisation = _authenticate(gateway, exchange.call, route)
@@ -215,7 +214,6 @@
     )
 
 
-def _find_route(gateway: state.Gateway, call: model.Call) -> model.Route:
 def _find_route(exchange: _Exchange) -> model.Route:
     gateway, call = exchange.gateway, exchange.call
     if gateway.table is None:
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -35,9 +35,9 @@
     speeds,
     work,
 )
-from yuccarouter.gateway.shares import demand, fleet_shares
 from yuccarouter.gateway.model_choice import bid_price, confidences
 from yuccarouter.gateway.overload import current as overload
+from yuccarouter.gateway.shares import demand, fleet_shares
 from yuccarouter_common import clocks, records
 
 if TYPE_CHECKING:
@@ -124,6 +124,7 @@
         def service_of(endpoint: str) -> str | None:
             view = self.directory.get(endpoint)
             return view.announced.service if view else None
+
         def live_daemon_count() -> int:
             peer_names = self.gossip.unexpired_names() if self.gossip else ()
             return 1 + len(peer_names)
@@ -413,6 +414,8 @@
         return choice.choose(gateway.directory, requirements, now_ms)
     known = gateway.service_index.of(requirements.service)
     return selection.choose(known, requirements, estimates, now_ms)
+
+
 def _end_holds(gateway: Gateway) -> None:
     """Let requests go on that came before the daemon was ready."""
     if gateway.overload.holds.is_starting and gateway.is_ready():
--- a/packages/daemon/tests/gateway/test_bad_messages.py
+++ b/packages/daemon/tests/gateway/test_bad_messages.py
@@ -27,6 +27,7 @@
     topics,
 )
 from yuccarouter.gateway.capacity import speeds
+from yuccarouter.gateway.model_choice import confidences
 from yuccarouter.gateway.shares import demand, fleet_shares
 from yuccarouter_common import clocks
 
@@ -77,12 +78,11 @@
                 'd1', directory.started_ms, tuple
             ),
             crash_evidence=crash_evidence.CrashEvidence(
-                'd1', tuple, lambda service: 2
-            ),
-            speeds=speeds.EndpointSpeeds(lambda endpoint: 'engine'),
                 'd1', tuple, directory.endpoint_count
             ),
+            speeds=speeds.EndpointSpeeds(lambda endpoint: 'engine'),
             demand=demand.Demand(),
+            confidences=confidences.Confidences(),
         )
         self.gossip = peers.Gossip(
             dict,
