Keep digests and requests whole when speeds are faulty

A malformed field of speeds would have cost all fields after it in a digest, and a fault in the estimates the request. The field is now merged on its own and logged once for each peer and reason, a fault in a choice is logged and the endpoint chosen as before, and decisions no longer copy lists of hundreds of endpoints.

--- a/packages/daemon/src/yuccarouter/gateway/capacity/selection.py
+++ b/packages/daemon/src/yuccarouter/gateway/capacity/selection.py
@@ -24,8 +24,8 @@
 _SUFFICIENT: Final = 8
 # Endpoints that are examined at most, as a decision must take under 100
 # microseconds: those of the own data centre, and all.
-_MAX_LOCAL: Final = 10
-_MAX_EXAMINED: Final = 14
+_MAX_LOCAL: Final = 8
+_MAX_EXAMINED: Final = 12
 # Costs are nearly equal up to this difference, in units of the value of one
 # plain request, for what does not depend on the load.
 _NEAR_COST: Final = 0.002
@@ -72,7 +72,7 @@
         endpoint=chosen.view,
         cost=chosen.cost,
         candidates=len(candidates),
-        uncached_tokens=choice.uncached_tokens(chosen.view, requirements),
+        uncached_tokens=chosen.times.uncached_tokens,
         expected_ms=chosen.times.expected_ms,
         time_factor=chosen.times.factor,
     )
@@ -187,6 +187,7 @@
         view,
         requirements,
         now_ms,
+        uncached=times.uncached_tokens,
         is_full=is_prompt and not is_idle,
     )
     weight = slots / times.factor
--- a/packages/daemon/src/yuccarouter/gateway/capacity/service_index.py
+++ b/packages/daemon/src/yuccarouter/gateway/capacity/service_index.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import bisect
-import itertools
 import random
 from typing import TYPE_CHECKING, Final
 
@@ -38,7 +37,9 @@
         """Return the first endpoints of a part in their order."""
         start = bisect.bisect(self.points, _hash(part))
         found: dict[str, endpoints.EndpointView] = {}
-        for view in itertools.chain(self.views[start:], self.views[:start]):
+        # A copy of a part of the list would take longer than the rest.
+        for step in range(start - len(self.points), start):
+            view = self.views[step]
             found.setdefault(view.name, view)
             if len(found) == _MAX_HOMES:
                 break
@@ -115,13 +116,13 @@
 
     A caller that stops early has looked only at the first ones.
     """
-    remaining = list(views)
-    while remaining:
-        index = int(random.random() * len(remaining))
-        drawn = remaining[index]
-        remaining[index] = remaining[-1]
-        remaining.pop()
-        yield drawn
+    # Places of the shuffled sequence that differ from the given one: a copy of
+    # hundreds of endpoints would take longer than the examination of a few.
+    moved: dict[int, int] = {}
+    for last in range(len(views) - 1, -1, -1):
+        place = int(random.random() * (last + 1))
+        yield views[moved.get(place, place)]
+        moved[place] = moved.get(last, last)
 
 
 def _make_ring(views: Sequence[endpoints.EndpointView]) -> Ring:
--- a/packages/daemon/src/yuccarouter/gateway/capacity/speeds.py
+++ b/packages/daemon/src/yuccarouter/gateway/capacity/speeds.py
@@ -137,7 +137,14 @@
             and now_ms - figure.at_ms <= _MAX_SENT_AGE_MS
             and self._differs(figure, now_ms)
         ]
-        recent.sort(key=_time_of, reverse=True)
+        # Peers learn most from what is still far from the mean.
+        recent.sort(
+            key=lambda item: abs(
+                self.time_factor(item[0], now_ms)
+                - self.mean_factor(item[1].service, now_ms)
+            ),
+            reverse=True,
+        )
         sent: Message = {}
         left_bytes = _MAX_SENT_BYTES
         for endpoint, figure in recent[:_MAX_SENT]:
@@ -214,7 +221,3 @@
             mean = self.mean_factor(service, now_ms)
             metrics.MEAN_TIME_FACTOR.labels(service).set(mean)
             metrics.SLOW_ENDPOINTS.labels(service).set(count)
-
-
-def _time_of(item: tuple[str, _Figure]) -> float:
-    return item[1].at_ms
--- a/packages/daemon/src/yuccarouter/gateway/choice.py
+++ b/packages/daemon/src/yuccarouter/gateway/choice.py
@@ -290,6 +290,7 @@
     factor: float
     occupancy: int
     backlog_ms: float
+    uncached_tokens: int
     expected_ms: float
     cost: float
 
@@ -307,10 +308,11 @@
     """
     factor = estimates.time_factor(view.name, now_ms)
     occupancy, backlog_ms = view.occupancy_and_backlog_ms(now_ms)
+    uncached = uncached_tokens(view, requirements)
     if requirements.prompt_tokens:
-        cached_tokens = sum(
-            part.tokens for part in requirements.shared_parts
-        ) - uncached_tokens(view, requirements)
+        cached_tokens = (
+            sum([part.tokens for part in requirements.shared_parts]) - uncached
+        )
         read_ms = estimates.read_ms(requirements.prompt_tokens - cached_tokens)
         expected = factor * (backlog_ms + read_ms)
         token_ms = occupancy * _TOKEN_MS_PER_RUNNING
@@ -321,7 +323,7 @@
         expected = estimates.service_ms * factor * (1 + queued / slots)
         answer_ms = expected
     cost = _time_cost(answer_ms, requirements)
-    return CurrentTimes(factor, occupancy, backlog_ms, expected, cost)
+    return CurrentTimes(factor, occupancy, backlog_ms, uncached, expected, cost)
 
 
 def _time_cost(answer_ms: float, requirements: Requirements) -> float:
@@ -339,6 +341,7 @@
         view,
         requirements,
         now_ms,
+        uncached=uncached_tokens(view, requirements),
         is_full=view.occupancy(now_ms) >= view.announced.slots,
     )
 
@@ -349,10 +352,12 @@
     requirements: Requirements,
     now_ms: float,
     *,
+    uncached: int,
     is_full: bool,
 ) -> float:
     """Return an endpoint's cost, given that of its answer's expected time.
 
+    ``uncached`` are the shared tokens that the endpoint has not cached.
     ``is_full`` is true if the request may have to wait for a slot, and the
     expected time does not contain that wait.
     """
@@ -366,6 +371,4 @@
         cost += _COLD_COST
     if is_full:
         cost += _FULL_COST
-    return cost + _prefill_cost(
-        requirements, uncached_tokens(view, requirements)
-    )
+    return cost + _prefill_cost(requirements, uncached)
--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -48,6 +48,8 @@
 # a second over a link of 5 Mbit/s.
 _FIRST_LOAD_TIMEOUT_MS: Final = 1000.0
 _READY_CHECK_INTERVAL_S: Final = 0.005
+# Malformed fields of digests that are remembered as logged.
+_MAX_LOGGED_FIELDS: Final = 512
 
 
 class Daemon:
@@ -329,7 +331,34 @@
     gateway.failure_reports.merge(digest.get('lost', {}), now_ms)
     gateway.rate_limits.merge(digest.get('rate_limits', {}), now_ms)
     gateway.crash_evidence.merge(digest.get('crashes', ()), now_ms)
-    gateway.speeds.merge(digest.get('speeds', {}), now_ms)
+    _merge_field(name, digest, 'speeds', gateway.speeds.merge)
+
+
+def _merge_field(
+    name: str,
+    digest: dict[str, Any],
+    field: str,
+    merge: Callable[[Any, float], None],
+) -> None:
+    """Merge a field that older peers lack; a malformed one is left out.
+
+    The other fields of the digest still count.
+    """
+    if field not in digest:
+        return
+    try:
+        merge(digest[field], clocks.monotonic_ms())
+    except (AttributeError, LookupError, TypeError, ValueError) as fault:
+        _log_bad_field(name, field, str(fault))
+
+
+@functools.lru_cache(maxsize=_MAX_LOGGED_FIELDS)
+def _log_bad_field(name: str, field: str, reason: str) -> None:
+    """Log a malformed field once for each peer and reason.
+
+    A peer of another release sends it with every digest.
+    """
+    eliot.log_message('bad_digest_field', peer=name, field=field, reason=reason)
 
 
 def _make_digest(
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -252,7 +252,9 @@
             service=service,
             objective_ms=route.objective_ms,
             versions=self.control.allowed_versions(
-                service, call.session or call.request_id, self.directory
+                service,
+                call.session or call.request_id,
+                self.service_index.of(service).every,
             ),
             tried=tried,
             out_of_service=self.evacuated_data_centres,
@@ -388,7 +390,14 @@
     if estimates is None:
         return choice.choose(gateway.directory, requirements, now_ms)
     known = gateway.service_index.of(requirements.service)
-    return selection.choose(known, requirements, estimates, now_ms)
+    try:
+        return selection.choose(known, requirements, estimates, now_ms)
+    except Exception as fault:
+        # A fault in these estimates must not fail the request as well.
+        eliot.log_message(
+            'choice_failed', service=requirements.service, reason=repr(fault)
+        )
+        return choice.choose(gateway.directory, requirements, now_ms)
 
 
 def controls_load(gateway: Gateway, service: str) -> bool:
--- a/packages/daemon/tests/gateway/capacity/test_selection.py
+++ b/packages/daemon/tests/gateway/capacity/test_selection.py
@@ -7,10 +7,11 @@
 from collections.abc import Callable
 from typing import Any
 
+import capacity_makers
 import gateway_makers as make
 import pytest
 
-from yuccarouter.gateway import choice, endpoints, model, rollout_control, state
+from yuccarouter.gateway import choice, endpoints, model, state
 from yuccarouter.gateway.capacity import selection, service_index, work
 
 PARTS = (model.PromptPart('common', 500), model.PromptPart('topic', 5000))
@@ -74,23 +75,16 @@
 def random_gateway(seed: int) -> state.Gateway:
     """Return a gateway with a random fleet, without loads' fourth figure."""
     drawn = random.Random(seed)
-    control = rollout_control.RolloutControl(
-        lambda order, phase: ('k', b''), 0.15, lambda: 0
-    )
-    gateway = state.Gateway(
-        make.conf(),
-        None,  # type: ignore[arg-type]
-        None,  # type: ignore[arg-type]
-        control,
-    )
-    for number in range(drawn.randrange(1, 40)):
-        gateway.directory.apply_announcement(
+    gateway = capacity_makers.gateway(
+        *(
             make.announcement(
                 f'e{number}',
                 data_centre=drawn.choice('abc'),
                 slots=drawn.choice((4, 6, 64)),
             )
+            for number in range(drawn.randrange(1, 40))
         )
+    )
     for view in gateway.directory:
         view.in_flight = drawn.randrange(9)
         view.pending_prefill_ms = drawn.choice((0, 0, 900.5))
@@ -114,7 +108,7 @@
     parts = (*PARTS, model.PromptPart('own', 500)) if tokens else ()
     generation = model.Generation('m', tokens, 100, parts)
     call = make.call(generation=generation if tokens else None, body_bytes=99)
-    route = make_route()
+    route = capacity_makers.ROUTE
     need = gateway.requirements(call, route, 'engine', frozenset(), 'm')
     assert need.estimates is None
     random.seed(seed)
@@ -131,10 +125,6 @@
     assert found.time_factor is None
 
 
-def make_route() -> model.Route:
-    return model.Route('r', 'h', '/', model.Kind.SAFE, 1000, 200, 0, 0, 2, ())
-
-
 def test_figure_turns_on_current_speeds(clock: make.Clock) -> None:
     """Guards against figures of endpoints that no choice takes into account."""
     gateway = random_gateway(3)
@@ -142,7 +132,9 @@
     gateway.speeds.record('e0', 250, clock.now_ms)
     assert state.controls_load(gateway, 'engine')
     assert not state.controls_load(gateway, 'other')
-    found = gateway.choose(make.call(), make_route(), 'engine', frozenset(), '')
+    found = gateway.choose(
+        make.call(), capacity_makers.ROUTE, 'engine', frozenset(), ''
+    )
     assert found is not None
     assert found.time_factor == pytest.approx(2.5)
     room = state.service_room(gateway, 'engine')
