--- a/packages/daemon/src/yuccarouter/gateway/capacity/speeds.py
+++ b/packages/daemon/src/yuccarouter/gateway/capacity/speeds.py
@@ -117,15 +117,19 @@
 
     def mean_factor(self, service: str, now_ms: float) -> float:
         """Return the mean factor of a service's endpoints."""
-        mean = self._means.get(service)
-        if mean is None or now_ms - mean.newest_ms > _MAX_AGE_MS:
+        if not self.reports_speed(service, now_ms):
             return 1.0
+        mean = self._means[service]
         return mean.total / mean.count
 
     def reports_speed(self, service: str, now_ms: float) -> bool:
         """Return whether a service's endpoints have reported their speed."""
         mean = self._means.get(service)
-        return mean is not None and now_ms - mean.newest_ms <= _MAX_AGE_MS
+        return (
+            mean is not None
+            and mean.count > 0
+            and now_ms - mean.newest_ms <= _MAX_AGE_MS
+        )
 
     def message(self, now_ms: float) -> Message:
         """Return this daemon's recent figures that differ from the mean."""
@@ -137,7 +141,14 @@
             and now_ms - figure.at_ms <= _MAX_SENT_AGE_MS
             and self._differs(figure, now_ms)
         ]
-        recent.sort(key=_time_of, reverse=True)
+        # Peers learn most from what is still far from the mean.
+        recent.sort(
+            key=lambda item: abs(
+                self.time_factor(item[0], now_ms)
+                - self.mean_factor(item[1].service, now_ms)
+            ),
+            reverse=True,
+        )
         sent: Message = {}
         left_bytes = _MAX_SENT_BYTES
         for endpoint, figure in recent[:_MAX_SENT]:
@@ -214,7 +225,3 @@
             mean = self.mean_factor(service, now_ms)
             metrics.MEAN_TIME_FACTOR.labels(service).set(mean)
             metrics.SLOW_ENDPOINTS.labels(service).set(count)
-
-
-def _time_of(item: tuple[str, _Figure]) -> float:
-    return item[1].at_ms
