--- a/packages/daemon/src/yuccarouter/gateway/shares/figures.py
+++ b/packages/daemon/src/yuccarouter/gateway/shares/figures.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from typing import Any, Final
 
 import attrs
@@ -85,30 +84,39 @@
     )
 
 
-def estimate(samples: Iterable[tuple[Figures, float]]) -> Estimate:
+def estimate(samples: list[tuple[Figures, float]]) -> Estimate:
     """Return the demand by name from the figures of daemons with their scales.
 
     The unlisted sum of a daemon is divided equally among the names that only
     other daemons list, and names that nobody lists.
     """
-    scaled = list(samples)
-    by_name: dict[str, float] = dict.fromkeys(
-        (name for sample, _ in scaled for name in sample.parts), 0
-    )
+    by_name = _listed(samples)
     # Every name gets each daemon's part of an unlisted sum; the names that the
     # daemon lists give it back. This is faster than adding it to the others.
     common: float = 0
     others_ms_per_s: float = 0
     others_count = 0
-    for figures, scale in scaled:
+    for figures, scale in samples:
         missing = len(by_name) - len(figures.parts)
-        count = max(1, missing, figures.count - len(figures.parts))
-        each = scale * figures.unlisted_ms_per_s / count
+        unknown = max(0, 1 - missing, figures.count - len(by_name))
+        each = scale * figures.unlisted_ms_per_s / (missing + unknown)
         common += each
-        for name, part in figures.parts.items():
-            by_name[name] += scale * part.ms_per_s - each
+        for name in figures.parts:
+            by_name[name] -= each
         if each:
-            others_ms_per_s += each * (count - missing)
-            others_count = max(others_count, count - missing)
-    estimated = {name: max(0, rate + common) for name, rate in by_name.items()}
-    return Estimate(estimated, others_ms_per_s, others_count)
+            others_ms_per_s += each * unknown
+            others_count = max(others_count, unknown)
+    return Estimate(
+        {listed: max(0, rate + common) for listed, rate in by_name.items()},
+        others_ms_per_s,
+        others_count,
+    )
+
+
+def _listed(samples: list[tuple[Figures, float]]) -> dict[str, float]:
+    """Return the sums of the listed rates."""
+    by_name: dict[str, float] = {}
+    for figures, scale in samples:
+        for name, part in figures.parts.items():
+            by_name[name] = by_name.get(name, 0) + scale * part.ms_per_s
+    return by_name
--- a/packages/daemon/src/yuccarouter/gateway/shares/fleet_shares.py
+++ b/packages/daemon/src/yuccarouter/gateway/shares/fleet_shares.py
@@ -199,9 +199,11 @@
     by key. It is taken to be distributed as the known demand is.
     """
     wanted = figures.estimate(
-        (sample.parts[organisation], scale)
-        for sample, scale in samples
-        if organisation in sample.parts
+        [
+            (sample.parts[organisation], scale)
+            for sample, scale in samples
+            if organisation in sample.parts
+        ]
     )
     return _shares(
         wanted, _allocate(wanted, {}, admitted_share * wanted.ms_per_s)
