Spread the first digests, and count keys that are no text

Daemons that start together sent each digest to the same eight peers, so that with more than 50 daemons each heard all others at once and nothing for longer than figures last. The first receiver is random now. A key with bytes that are no UTF-8, which a route without authentication lets through, made counting raise and the request fail. test_peers.py and the tests of shares passed, with new cases for both.

--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -6,6 +6,7 @@
 import base64
 import contextlib
 import math
+import random
 from typing import TYPE_CHECKING, Any, Final, cast
 
 import aiohttp
@@ -34,6 +35,8 @@
 _NEWS_DELAY_S: Final = 0.03
 # Number of registered peers that get each digest, in turn.
 _FANOUT: Final = 8
+# Beyond the number of daemons, so that each peer may be the first.
+_MAX_FIRST_INDEX: Final = 65_536
 _LIVE_TIMEOUT_MS: Final = 2500.0
 # A peer is presumed gone after this many rounds without a digest from it. In a
 # round, each daemon sends its digest once to every member.
@@ -110,7 +113,9 @@
         self._make_digest = make_digest
         self._on_digest = on_digest
         self._transport: asyncio.DatagramTransport | None = None
-        self._next_index = 0
+        # Daemons that start together would otherwise all send to the same
+        # peers, and these would hear nothing until the next round.
+        self._next_index = random.randrange(_MAX_FIRST_INDEX)
         self._started_ms = clocks.monotonic_ms()
         self.members: dict[str, model.Address] = {}
         self.names: tuple[str, ...] = ()
--- a/packages/daemon/src/yuccarouter/gateway/shares/demand.py
+++ b/packages/daemon/src/yuccarouter/gateway/shares/demand.py
@@ -67,15 +67,18 @@
 @functools.lru_cache(maxsize=_CACHED_HASHES)
 def organisation_hash(organisation: str) -> str:
     """Return the short name of an organisation in messages."""
-    return xxhash.xxh3_64_hexdigest(organisation.encode())[
-        :_ORGANISATION_DIGITS
-    ]
+    return _hex_digits(organisation)[:_ORGANISATION_DIGITS]
 
 
 @functools.lru_cache(maxsize=_CACHED_HASHES)
 def key_hash(key: str) -> str:
     """Return the short name of a key in messages, which doesn't reveal it."""
-    return xxhash.xxh3_64_hexdigest(key.encode())[:_KEY_DIGITS]
+    return _hex_digits(key)[:_KEY_DIGITS]
+
+
+def _hex_digits(name: str) -> str:
+    """Return a hash; bytes of a header that are no text are surrogates."""
+    return xxhash.xxh3_64_hexdigest(name.encode(errors='surrogatepass'))
 
 
 @attrs.define
--- a/packages/daemon/tests/gateway/shares/test_fleet_shares.py
+++ b/packages/daemon/tests/gateway/shares/test_fleet_shares.py
@@ -165,6 +165,7 @@
         ({'a_k': 2000}, {}, 600, 'unknown_k', 1),
         ({}, {}, 600, 'a_k', 1),
         ({'a_k': 2000}, {}, 0, 'a_k', 0),
+        ({'a_\udcff': 2000, 'b_k': 200}, {}, 600, 'a_\udcff', 0.5),
     ],
 )
 def test_table(
@@ -174,7 +175,10 @@
     asked: str,
     expected: float,
 ) -> None:
-    """Guards against a flood by one key that costs other keys their share."""
+    """Guards against a flood by one key that costs other keys their share.
+
+    A key whose bytes are no text must not make the request fail.
+    """
     counted = demand.Demand()
     record(counted, **arrivals)
     organisation, _, key = asked.partition('_')
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import types
 from typing import Any, cast
 
 import aiohttp
@@ -383,3 +384,26 @@
         'd2', 'a', gossip, cast('aiohttp.ClientSession', None)
     )
     assert election.checks_first() is checks_first
+
+
+def test_first_receivers_of_digests() -> None:
+    """Guards against daemons that start together and send to the same peers.
+
+    Each would then hear all others at once, and nothing until the next round.
+    """
+    receivers: set[Any] = set()
+    for _ in range(50):
+        gossip = peers.Gossip(lambda: {}, lambda name, digest: None)
+        gossip.connection_made(
+            cast(
+                'asyncio.BaseTransport',
+                types.SimpleNamespace(
+                    sendto=lambda payload, address: receivers.add(address)
+                ),
+            )
+        )
+        for number in range(100):
+            address = model.Address(f'10.0.0.{number}', 7300)
+            gossip.add_member(f'd{number}', address)
+        gossip.send()
+    assert len(receivers) > 50
