--- a/packages/daemon/src/yuccarouter/gateway/model_choice/confidences.py
+++ b/packages/daemon/src/yuccarouter/gateway/model_choice/confidences.py
@@ -21,6 +21,10 @@
 _MAX_CONFIDENCE: Final = 100.0
 # Lower confidences are cut off: the lift that led to a higher one is unknown.
 _MIN_LEARNED_CONFIDENCE: Final = 5.0
+# Higher confidences are cut off as well: the lift may be larger than observed,
+# and counts as the assumed one of the largest model if that is higher.
+_MAX_LEARNED_CONFIDENCE: Final = 95.0
+_LARGEST_LIFT: Final = 75.0
 # Lifts are counted in buckets of this width, in points, from the lowest one up.
 # The first and last bucket hold all lifts beyond them.
 _BUCKET_POINTS: Final = 10.0
@@ -128,6 +132,8 @@
         lift = larger_confidence - confidence
         if confidence < _MIN_LEARNED_CONFIDENCE or not math.isfinite(lift):
             return
+        if pair.is_largest and larger_confidence >= _MAX_LEARNED_CONFIDENCE:
+            lift = max(lift, _LARGEST_LIFT)
         own = self._own.setdefault(pair.key, _Counts(now_ms))
         self._own.move_to_end(pair.key)
         own.age(now_ms)
