--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -95,7 +95,8 @@
     ``part_ids`` are the parts of the prompt that other prompts may share.
     ``crashes`` counts the crashes that a new one of them, or the request as a
     whole, may have caused. ``is_answer_begun`` is true once a part of the
-    answer was passed to the caller.
+    answer was passed to the caller. ``admitted`` is the endpoint that admission
+    has just chosen, by the model.
     """
 
     gateway: state.Gateway
@@ -115,6 +116,7 @@
     has_run: bool = False
     crashes: int = 0
     is_answer_begun: bool = False
+    admitted: dict[str, choice.Choice] = attrs.field(factory=dict)
     part_ids: tuple[str, ...] = attrs.field(
         default=attrs.Factory(
             lambda out: prompt_parts.shared_part_ids(out.call), takes_self=True
@@ -169,7 +171,7 @@
         """Return the next endpoint, ``None`` if the call may not be sent."""
         if self.runs >= self.route.max_attempts:
             return None
-        chosen = self.gateway.choose(
+        chosen = self.admitted.pop(model_name, None) or self.gateway.choose(
             self.call, self.route, self.service, self.tried, model_name
         )
         if chosen is None or not self._is_safe_to_send():
--- a/packages/daemon/src/yuccarouter/gateway/overload/endpoint_loads.py
+++ b/packages/daemon/src/yuccarouter/gateway/overload/endpoint_loads.py
@@ -76,8 +76,11 @@
         """Record a report unless a newer one is known."""
         if now_ms <= self.reported_ms:
             return
+        is_first = math.isinf(self.reported_ms)
         self.mean_waiting = _mean(
-            self._faded(self.mean_waiting, now_ms), waiting, _REPORT_WEIGHT
+            None if is_first else self._faded(self.mean_waiting, now_ms),
+            waiting,
+            _REPORT_WEIGHT,
         )
         self.waiting = waiting
         self.slots = max(1, slots)
--- a/packages/daemon/src/yuccarouter/gateway/overload/gate.py
+++ b/packages/daemon/src/yuccarouter/gateway/overload/gate.py
@@ -45,7 +45,7 @@
 
     out: attempts.OutgoingCall
     usual_priority: float
-    draw: float = attrs.field(factory=random.random)
+    draw: float
     wakened: asyncio.Event = attrs.field(factory=asyncio.Event)
     entry: waiting.Entry | None = None
     estimate: admission.Estimate | None = None
@@ -60,7 +60,8 @@
     if not state.controls_load(gateway, out.service):
         return
     overload = gateway.overload
-    request = _Request(out, overload.record_priority(out.service, out.priority))
+    usual_priority = overload.record_priority(out.service, out.priority)
+    request = _Request(out, usual_priority, random.random())
     decision = _decide_safely(request)
     if decision.verdict is admission.Verdict.WAIT:
         decision = await _wait_for_decision(request)
@@ -111,6 +112,8 @@
     if chosen is None:
         # The attempt is refused with the cause.
         return admission.ADMITTED
+    # If admitted, the attempt begins before anything else can run.
+    out.admitted = {model_name: chosen}
     estimate = _estimate(out, chosen, model_name, now_ms)
     if estimate is None:
         return admission.ADMITTED
@@ -156,6 +159,7 @@
     load = out.gateway.overload.loads.get(view.name)
     if load is None or load.work_ms is None or not load.is_known(now_ms):
         return None
+    load.objective_ms = out.route.objective_ms
     return admission.Estimate(
         wait_ms=load.wait_ms(view.sent_since_load, now_ms),
         work_ms=load.work_ms,
@@ -256,6 +260,15 @@
     )
 
 
+def limit_retry_after(
+    out: attempts.OutgoingCall, refusal: refusals.RefusalError
+) -> None:
+    """Limit the time that a refused caller waits to a part of what is left."""
+    if state.controls_load(out.gateway, out.service):
+        limit_ms = retry_after.max_ms(out.remaining_ms())
+        refusal.retry_after_ms = min(refusal.retry_after_ms, int(limit_ms))
+
+
 def leaves_time(
     out: attempts.OutgoingCall, chosen: choice.Choice, model_name: str
 ) -> bool:
@@ -323,8 +336,10 @@
     Other daemons refuse such requests at once.
     """
     holds = gateway.overload.holds
-    is_held = gateway.conf.controls_overload and holds.is_starting
-    if not is_held or gateway.is_ready():
+    if not (gateway.conf.controls_overload and holds.is_starting):
+        return
+    topic = gateway.endpoints_topic
+    if gateway.table is not None and (topic is None or topic.is_loaded):
         return
     began_ms = clocks.monotonic_ms()
     is_held = await holds.hold(startup.hold_ms(call.caller_deadline_ms))
--- a/packages/daemon/src/yuccarouter/gateway/overload/retry_after.py
+++ b/packages/daemon/src/yuccarouter/gateway/overload/retry_after.py
@@ -18,6 +18,11 @@
 _MAX_SERVICES: Final = 256
 
 
+def max_ms(time_left_ms: float) -> float:
+    """Return how long a caller waits that has so much time left."""
+    return max(0, time_left_ms * _MAX_TIME_SHARE)
+
+
 @attrs.frozen
 class Room:
     """When a service has room.
@@ -50,7 +55,7 @@
         that they would wait, the last part of it is shared at random. ``draw``
         is a random number from 0 to 1.
         """
-        most_ms = max(0, time_left_ms * _MAX_TIME_SHARE)
+        most_ms = max_ms(time_left_ms)
         earliest_ms = now_ms + max(_MIN_RETRY_AFTER_MS, room.wait_ms)
         last_ms = self._last_ms.get(service, now_ms)
         return_ms = max(earliest_ms, last_ms + room.spacing_ms / _RETURN_SHARE)
--- a/packages/daemon/src/yuccarouter/gateway/request_handler.py
+++ b/packages/daemon/src/yuccarouter/gateway/request_handler.py
@@ -229,6 +229,16 @@
     out: attempts.OutgoingCall, request: web.BaseRequest
 ) -> web.StreamResponse:
     await gate.admit(out)
+    try:
+        return await _forward_admitted(out, request)
+    except refusals.RefusalError as refusal:
+        gate.limit_retry_after(out, refusal)
+        raise
+
+
+async def _forward_admitted(
+    out: attempts.OutgoingCall, request: web.BaseRequest
+) -> web.StreamResponse:
     if out.route.kind is not model.Kind.STREAM:
         answer = await buffered.forward(out)
         metrics.observe_first_byte(out.route.kind, out.elapsed_ms())
