--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -179,14 +179,12 @@
         """
         if self.runs >= self.route.max_attempts:
             return None
-        chosen = self.gateway.choose(
+        chosen = self.admitted.pop(model_name, None) or self.gateway.choose(
             self.call,
             self.route,
             self.service,
             self.tried | (avoided or frozenset()),
             model_name,
-        chosen = self.admitted.pop(model_name, None) or self.gateway.choose(
-            self.call, self.route, self.service, self.tried, model_name
         )
         if chosen is None or not self._is_safe_to_send():
             return None
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -36,6 +36,7 @@
     work,
 )
 from yuccarouter.gateway.model_choice import bid_price, confidences
+from yuccarouter.gateway.overload import admitted_shares
 from yuccarouter.gateway.overload import current as overload
 from yuccarouter.gateway.shares import demand, fleet_shares
 from yuccarouter_common import clocks, records
@@ -151,6 +152,9 @@
         self.fleet_shares = fleet_shares.FleetShares(
             self.demand, live_daemon_count, organisations
         )
+        self.overload.admitted_share = admitted_shares.AdmittedShares(
+            self.fleet_shares, functools.partial(service_room, self)
+        ).admitted_share
         self.retry_budget = retry_budget.RetryBudget(
             bounds.retry_ratio,
             bounds.retry_slack,
