--- a/packages/daemon/src/yuccarouter/gateway/overload/gate.py
+++ b/packages/daemon/src/yuccarouter/gateway/overload/gate.py
@@ -89,10 +89,21 @@
         is_sent = decision.verdict is admission.Verdict.ADMIT
         queue.remove(entry, is_sent=is_sent)
     if is_sent:
-        metrics.observe_wait(request.out.service, request.out.elapsed_ms())
+        _record_wait(request.out)
     return decision
 
 
+def _record_wait(out: attempts.OutgoingCall) -> None:
+    waited_ms = out.elapsed_ms()
+    metrics.observe_wait(out.service, waited_ms)
+    eliot.log_message(
+        'request_waited',
+        request=out.call.request_id,
+        service=out.service,
+        waited_ms=round(waited_ms),
+    )
+
+
 def _decide_safely(request: _Request) -> admission.Decision:
     """Return the decision; a request is admitted if deciding fails."""
     try:
