Keep the time to return of held prompts under load control

Refusals after failed attempts tell at most a third of the time left where load is controlled. That also shortened the time of prompts and requests that are held because endpoints crash on them, whose callers would return early. The limit now applies to overloaded services and missing endpoints only.

--- a/packages/daemon/src/yuccarouter/gateway/overload/gate.py
+++ b/packages/daemon/src/yuccarouter/gateway/overload/gate.py
@@ -26,6 +26,8 @@
     from yuccarouter_common import refusals
 
 _MS_PER_S: Final = 1000
+# Refusals of requests that may be served a moment later.
+_OVERLOAD_CODES: Final = frozenset(('overloaded', 'no_endpoint'))
 # Tokens that double a request's weight among those that wait.
 _TOKENS_PER_WEIGHT: Final = 4000
 
@@ -274,8 +276,12 @@
 def limit_retry_after(
     out: attempts.OutgoingCall, refusal: refusals.RefusalError
 ) -> None:
-    """Limit the time that a refused caller waits to a part of what is left."""
-    if state.controls_load(out.gateway, out.service):
+    """Limit the time that a refused caller waits to a part of what is left.
+
+    Requests on which endpoints crash keep the longer time of their refusal.
+    """
+    is_controlled = state.controls_load(out.gateway, out.service)
+    if is_controlled and refusal.code in _OVERLOAD_CODES:
         limit_ms = retry_after.max_ms(out.remaining_ms())
         refusal.retry_after_ms = min(refusal.retry_after_ms, int(limit_ms))
 
--- a/packages/daemon/tests/gateway/overload/test_gate.py
+++ b/packages/daemon/tests/gateway/overload/test_gate.py
@@ -173,6 +173,29 @@
     assert (out.next_endpoint('') is not None) is is_sent
 
 
+@pytest.mark.parametrize(
+    ('code', 'controls_overload', 'expected_ms'),
+    [
+        ('no_endpoint', True, 500),
+        ('no_endpoint', False, 2000),
+        ('prompt_held', True, 2000),
+    ],
+)
+def test_time_to_return_after_attempts(
+    clock: make.Clock, code: str, controls_overload: bool, expected_ms: int
+) -> None:
+    """Guards against callers that are told to wait longer than they do.
+
+    Those whose requests crash endpoints must not return early.
+    """
+    out = outgoing(
+        make_gateway(controls_overload=controls_overload), clock, 1500
+    )
+    refusal = refusals.RefusalError(code, 'refused', retry_after_ms=2000)
+    gate.limit_retry_after(out, refusal)
+    assert refusal.retry_after_ms == expected_ms
+
+
 async def test_hold_at_the_start() -> None:
     """Guards against refusals in a start while the store is away.
 
