Find idle endpoints among full ones, and skip long names in messages

A sample of 12 endpoints, or 8 in a single data centre, could miss the only idle one of a service, and an endpoint whose name exceeds a message's bytes kept all speeds after it out of the digest. A choice now looks at up to 24 endpoints, of which at most four with waiting requests are candidates, and names that don't fit are skipped.

--- a/packages/daemon/src/yuccarouter/gateway/capacity/selection.py
+++ b/packages/daemon/src/yuccarouter/gateway/capacity/selection.py
@@ -22,10 +22,13 @@
 
 # Endpoints without waiting requests that suffice for a choice among them.
 _SUFFICIENT: Final = 8
-# Endpoints that are examined at most, as a decision must take under 100
-# microseconds: those of the own data centre, and all.
-_MAX_LOCAL: Final = 8
-_MAX_EXAMINED: Final = 12
+# Endpoints with waiting requests that are candidates; of others, only those
+# without are.
+_MAX_WAITING: Final = 4
+# Usable endpoints that are looked at, as a decision must take under 100
+# microseconds: those of the own data centre beside others, and all.
+_MAX_LOCAL: Final = 16
+_MAX_EXAMINED: Final = 24
 # Costs are nearly equal up to this difference, in units of the value of one
 # plain request, for what does not depend on the load.
 _NEAR_COST: Final = 0.002
@@ -87,8 +90,9 @@
     """
     for home, bonus in _bonuses(known, search).values():
         search.examine(home, bonus)
+    most_local = _MAX_LOCAL if known.remote else _MAX_EXAMINED
     for views, most in (
-        (known.local, _MAX_LOCAL),
+        (known.local, most_local),
         (known.remote, _MAX_EXAMINED),
     ):
         for view in service_index.in_random_order(views):
@@ -98,8 +102,7 @@
     if search.found:
         return list(search.found.values())
     return [
-        _candidate(silent, search, 0)
-        for silent in search.silent[:_MAX_EXAMINED]
+        _candidate(silent, search, 0) for silent in search.silent[:_MAX_WAITING]
     ]
 
 
@@ -107,7 +110,8 @@
 class _Search:
     """Examined endpoints: those that answer, and those that did not.
 
-    ``idle`` counts those that have no waiting requests.
+    ``examined`` counts the endpoints that answer or are left out for waiting
+    requests, and ``idle`` the candidates that have none.
     """
 
     requirements: choice.Requirements
@@ -115,24 +119,35 @@
     now_ms: float
     found: dict[str, _Candidate] = attrs.field(factory=dict)
     silent: list[endpoints.EndpointView] = attrs.field(factory=list)
+    examined: int = 0
     idle: int = 0
 
     def examine(self, view: endpoints.EndpointView, bonus: float) -> None:
-        """Add an endpoint if it is usable."""
-        if view.name in self.found or not choice.is_usable(
-            view, self.requirements, self.now_ms
-        ):
+        """Add an endpoint if it is usable and may be the best one."""
+        if view.name in self.found:
+            return
+        waiting = len(self.found) - self.idle
+        if waiting >= _MAX_WAITING and not self._is_idle(view):
+            self.examined += 1
+            return
+        if not choice.is_usable(view, self.requirements, self.now_ms):
             return
         if not _answers(view, self.requirements, self.now_ms):
             self.silent.append(view)
             return
+        self.examined += 1
         added = _candidate(view, self, bonus)
         self.found[view.name] = added
         self.idle += added.is_idle
 
+    def _is_idle(self, view: endpoints.EndpointView) -> bool:
+        occupancy, backlog_ms = view.occupancy_and_backlog_ms(self.now_ms)
+        is_read_free = not self.requirements.prompt_tokens or backlog_ms <= 0
+        return occupancy < view.announced.slots and is_read_free
+
     def is_sufficient(self, most: int) -> bool:
         """Return whether enough endpoints are known for a choice."""
-        return self.idle >= _SUFFICIENT or len(self.found) >= most
+        return self.idle >= _SUFFICIENT or self.examined >= most
 
 
 def _answers(
--- a/packages/daemon/src/yuccarouter/gateway/capacity/speeds.py
+++ b/packages/daemon/src/yuccarouter/gateway/capacity/speeds.py
@@ -152,8 +152,9 @@
         sent: Message = {}
         left_bytes = _MAX_SENT_BYTES
         for endpoint, figure in recent[:_MAX_SENT]:
-            left_bytes -= len(endpoint.encode()) + _ENTRY_BYTES
-            if left_bytes >= 0:
+            entry_bytes = len(endpoint.encode()) + _ENTRY_BYTES
+            if entry_bytes <= left_bytes:
+                left_bytes -= entry_bytes
                 sent[endpoint] = (
                     round(figure.factor * _USUAL_PERCENT),
                     max(0, round(now_ms - figure.at_ms)),
