--- a/packages/daemon/src/yuccarouter/gateway/shares/demand.py
+++ b/packages/daemon/src/yuccarouter/gateway/shares/demand.py
@@ -20,10 +20,10 @@
 from yuccarouter.gateway import model
 from yuccarouter.gateway.shares import figures
 
-# Time constant of the decay of rates. Shorter ones are noisy where a daemon
-# gets a request of an organisation every few seconds, and longer ones let a
-# flood pass for longer.
-_DECAY_MS: Final = 2000.0
+# Time constant of the decay of rates. Shorter ones are noisy where an
+# organisation sends few requests, and with longer ones a flood of six times the
+# usual is cut seconds later.
+_DECAY_MS: Final = 1000.0
 # Peers' figures expire at this age, that of a daemon without contact.
 _EXPIRY_MS: Final = 2500.0
 # Rates in milliseconds a second below which an entry is removed: less than one
