Give the tests' gateways what the joined parts use

Each part was tested with a gateway that lacked the fields of the others, so that eight tests failed with attribute errors once they were joined. The tests of capacity, shares, overload, arrivals and bad messages pass.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -358,13 +358,12 @@
     gateway.failure_reports.merge(digest.get('lost', {}), now_ms)
     gateway.rate_limits.merge(digest.get('rate_limits', {}), now_ms)
     gateway.crash_evidence.merge(digest.get('crashes', ()), now_ms)
-    gateway.speeds.merge(digest.get('speeds', {}), now_ms)
     gateway.demand.merge(name, digest.get('demand'), now_ms)
     gateway.confidences.merge(name, digest.get('confidences', {}), now_ms)
-    gateway.overload.loads.merge(digest.get('queues', {}), now_ms)
+    _merge_field(name, digest, 'speeds', gateway.speeds.merge)
+    _merge_field(name, digest, 'queues', gateway.overload.loads.merge)
     if gateway.orders_topic and gateway.orders_topic.name in digest['reads']:
         gateway.orders_topic.pause.end_on_news(now_ms)
-    _merge_field(name, digest, 'speeds', gateway.speeds.merge)
 
 
 def _merge_field(
--- a/packages/daemon/tests/gateway/capacity/test_capacity_failures.py
+++ b/packages/daemon/tests/gateway/capacity/test_capacity_failures.py
@@ -147,7 +147,9 @@
 ) -> None:
     """Guards against a retry at the endpoint that has just broken it off."""
     out = stream_out(names)
-    relay: Any = types.SimpleNamespace(out=out, model='', response=object())
+    relay: Any = types.SimpleNamespace(
+        out=out, model='', response=object(), choice=None
+    )
     chosen = []
     for _ in expected:
         name: Any = streaming._next_endpoint(relay)
--- a/packages/daemon/tests/gateway/overload/test_gate.py
+++ b/packages/daemon/tests/gateway/overload/test_gate.py
@@ -16,6 +16,7 @@
     model,
     stopping,
 )
+from yuccarouter.gateway.capacity import speeds
 from yuccarouter.gateway.overload import current, gate
 from yuccarouter_common import refusals
 
@@ -38,6 +39,7 @@
     return types.SimpleNamespace(
         conf=attrs.evolve(make.conf(), controls_overload=controls_overload),
         overload=current.Overload(128_000_000),
+        speeds=speeds.EndpointSpeeds(lambda endpoint: None),
         directory=[view],
         daemon_count=3,
         stop=stopping.Stop(),
--- a/packages/daemon/tests/gateway/shares/test_counted_requests.py
+++ b/packages/daemon/tests/gateway/shares/test_counted_requests.py
@@ -17,6 +17,8 @@
     routes,
     stopping,
 )
+from yuccarouter.gateway.capacity import speeds
+from yuccarouter.gateway.overload import current as overload
 from yuccarouter.gateway.shares import demand
 
 ROUTE = model.Route(
@@ -48,6 +50,9 @@
         clock.now_ms += 500
         raise asyncio.CancelledError
 
+    async def look_up(*_: Any) -> None:
+        """Find no roll-out."""
+
     organisation = model.Organisation('o', ('k',), None)
     table = routes.RouteTable(
         model.Configuration(1, (ROUTE,), {}, (organisation,), model.Limits(9))
@@ -62,6 +67,12 @@
         retry_budget=retry_budget.RetryBudget(0, 9, 10_000),
         demand=counted,
         choose=leave,
+        overload=overload.Overload(128_000_000),
+        speeds=speeds.EndpointSpeeds(lambda endpoint: None),
+        session_exchange=types.SimpleNamespace(look_up=look_up),
+        orders_topic=None,
+        endpoints_topic=None,
+        is_ready=lambda: True,
     )
     serve = request_handler.make_handler(gateway)  # type: ignore[arg-type]
     request = types.SimpleNamespace(can_read_body=False, headers={})
--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -38,6 +38,7 @@
     rollouts,
     stopping,
 )
+from yuccarouter.gateway.capacity import speeds
 from yuccarouter_common import clocks, refusals
 
 ROUTE = model.Route(
@@ -114,6 +115,7 @@
         session=Session(*results),
         stop=stopping.Stop(),
         answer_memory=answer_memory.AnswerMemory(math.inf),
+        speeds=speeds.EndpointSpeeds(lambda endpoint: None),
         endpoint_waits_ms=lambda service: [],
         platform=types.SimpleNamespace(
             encode_attempt=lambda call, attempt: (),
--- a/packages/daemon/tests/gateway/test_bad_messages.py
+++ b/packages/daemon/tests/gateway/test_bad_messages.py
@@ -28,6 +28,7 @@
 )
 from yuccarouter.gateway.capacity import speeds
 from yuccarouter.gateway.model_choice import confidences
+from yuccarouter.gateway.overload import current as overload
 from yuccarouter.gateway.shares import demand, fleet_shares
 from yuccarouter_common import clocks
 
@@ -41,6 +42,8 @@
     'lost': {'e1': {'d3': 10}},
     'rate_limits': {'e1': [1, 3, 2.5]},
     'speeds': {'e1': [250, 100]},
+    'confidences': {},
+    'queues': {'e1': [3, 6, 100, 60]},
     'demand': {'engine': [900, 2, {'a': [600, 2, {'k': 500}], 'b': 300}]},
 }
 ANY_JSON = st.recursive(
@@ -83,6 +86,8 @@
             speeds=speeds.EndpointSpeeds(lambda endpoint: 'engine'),
             demand=demand.Demand(),
             confidences=confidences.Confidences(),
+            overload=overload.Overload(128_000_000),
+            orders_topic=None,
         )
         self.gossip = peers.Gossip(
             dict,
