Pause the garbage collector while the libraries are loaded

The modules of load control add 70 to 80 ms of processor time to the start of a process (320 ms before), so that daemons came back up to 0.3 s later after all of them were killed, and callers found no connection. The collector took a tenth of the start: 266 to 399 ms with it, 233 to 340 ms without, in pairs of runs beside other work. The peak after the start is 49.1 instead of 47.4 MB.

--- a/packages/daemon/src/yuccarouter/gateway/bootstrap.py
+++ b/packages/daemon/src/yuccarouter/gateway/bootstrap.py
@@ -11,6 +11,7 @@
 
 import _signal  # type: ignore[import-not-found]
 import _socket
+import gc
 import os
 import time
 
@@ -49,6 +50,21 @@
     _early_reloads[0] += 1
 
 
+def pause_collector() -> None:
+    """Stop the cyclic garbage collector while the libraries are loaded.
+
+    Nearly all that they allocate is kept, and the collector takes a tenth of
+    the time in which a process starts.
+    """
+    gc.disable()
+
+
+def resume_collector() -> None:
+    """Collect garbage again, without what was loaded until now."""
+    gc.freeze()
+    gc.enable()
+
+
 def skip_certificates() -> None:
     """Prevent the HTTP library from loading root certificates."""
     os.environ.setdefault(_CERTIFICATE_FILE_VARIABLE, os.devnull)
