Correct daemons that disagree on a session's version

A daemon that knows a session never asks its owners again, so that one wrong decision after two lost answers made the session alternate between versions as long as its requests reached both daemons. Reports and answers now carry the time since the session's first request on the version. Of two versions all daemons keep the earlier one, and an owner that sees a conflict sends it to the reporter that has the other version; corrections are not answered, so that two owners can't correct each other without end.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -348,7 +348,10 @@
 ) -> None:
     """Count an attempt as ended; ``code`` is that of its error, if any."""
     progress.view.in_flight -= 1
-    _record_session_version(out, progress.view)
+    if out.call.session:
+        out.gateway.session_exchange.record_end(
+            out.service, out.call.session, progress.view.announced.version
+        )
     if code not in _NOT_DROPPED:
         lost_answers.record_dropped(out, progress)
 
@@ -702,7 +705,7 @@
 def _record_session_version(
     out: OutgoingCall, view: endpoints.EndpointView
 ) -> None:
-    """Record the version on which a session's newest request runs or ran."""
+    """Record the version on which a session's newest request runs."""
     if out.call.session:
         out.gateway.session_exchange.record(
             out.service, out.call.session, view.announced.version
--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -67,6 +67,10 @@
     'Sessions whose version this daemon asked their owners for, by outcome',
     ('outcome',),
 )
+SESSION_CORRECTIONS: Final = prometheus_client.Counter(
+    'yuccarouter_gateway_session_corrections',
+    'Daemons that this one, as an owner, has corrected on a session',
+)
 FIRST_BYTE_S: Final = prometheus_client.Histogram(
     'yuccarouter_gateway_first_byte_seconds',
     'Time from the arrival of a request to the first byte of its answer',
--- a/packages/daemon/src/yuccarouter/gateway/sessions/decisions.py
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/decisions.py
@@ -33,13 +33,15 @@
     """What an owner knows of a session.
 
     ``version`` is that of its newest request, ``age_ms`` ago; ``None`` if the
-    owner knows none. ``is_certain`` is true if the owner has been up for the
+    owner knows none. The session's first request on this version was sent
+    ``held_ms`` ago. ``is_certain`` is true if the owner has been up for the
     time of a session: one that it does not know is then a new one.
     """
 
     version: str | None
     age_ms: float
     is_certain: bool
+    held_ms: float = 0
 
 
 def is_selected(draw: Draw, session: str) -> bool:
@@ -87,21 +89,18 @@
 
 def version_to_keep(
     answers: Collection[Answer], target: str, present: Collection[str]
-) -> tuple[str, float] | None:
-    """Return the version to stay on, and the age of its newest request.
+) -> Answer | None:
+    """Return the answer with the version to stay on.
 
     ``None`` means that the session is new, or that no other version than the
     new one has an endpoint. Without an answer, the session may be in progress
-    and stays on the old version.
+    and stays on the old version. If owners know different versions, the one
+    that was recorded first is kept, as ``SessionVersions.merge`` does.
     """
-    known = [
-        (answer.version, answer.age_ms)
-        for answer in answers
-        if answer.version is not None
-    ]
+    known = [answer for answer in answers if answer.version is not None]
     if known:
-        return min(known, key=lambda each: each[1])
+        return max(known, key=lambda each: (each.held_ms, -each.age_ms))
     old = sorted(set(present) - {target})
     if is_answered(answers) or not old:
         return None
-    return old[0], 0
+    return Answer(old[0], 0, is_certain=False)
--- a/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
@@ -87,15 +87,21 @@
         """Record a request's version, and report it if others need it."""
         self.sessions.record(service, session, version, clocks.monotonic_ms())
         with _errors_logged():
-            self._report(service, session, version)
+            self._report(service, session)
 
-    def _report(self, service: str, session: str, version: str) -> None:
+    def record_end(self, service: str, session: str, version: str) -> None:
+        """Record that a request has ended, and report it if others need it."""
+        with _errors_logged():
+            self.sessions.record_end(
+                service, session, version, clocks.monotonic_ms()
+            )
+            self._report(service, session)
+
+    def _report(self, service: str, session: str) -> None:
         canary = self.canary(service)
         if canary is not None and decisions.is_selected(canary, session):
             key = versions.session_key(service, session)
-            payload = messages.encode_reports(
-                [messages.Report(key, version, 0)]
-            )
+            payload = _encode(self.sessions, key, messages.Kind.REPORT)
             for owner in self._owners(key):
                 self._send(payload, owner)
 
@@ -132,8 +138,16 @@
             answers, canary.target, self.present(service)
         )
         if kept is not None:
-            version, age_ms = kept
-            self.sessions.merge(key, version, clocks.monotonic_ms() - age_ms)
+            now_ms = clocks.monotonic_ms()
+            self.sessions.merge(
+                key,
+                versions.NewestRequest(
+                    kept.version or '',
+                    now_ms - kept.age_ms,
+                    now_ms - kept.held_ms,
+                ),
+                now_ms,
+            )
 
     def receive(self, message: dict[str, Any], sender: tuple[str, int]) -> None:
         """Process a datagram.
@@ -153,10 +167,30 @@
             if pending is not None:
                 pending.record(content.owner, content.answer)
         else:
-            for report in content:
-                self.sessions.merge(
-                    report.key, report.version, now_ms - report.age_ms
-                )
+            self._merge_reports(content, sender, now_ms)
+
+    def _merge_reports(
+        self, reports: messages.Reports, sender: tuple[str, int], now_ms: float
+    ) -> None:
+        for report in reports.rows:
+            address = _merge(self.sessions, report, sender, now_ms)
+            if address is not None and not reports.is_correction:
+                self._correct(report, address)
+
+    def _correct(
+        self, report: messages.Report, address: tuple[str, int]
+    ) -> None:
+        """Send the version of a session to a daemon that has another one.
+
+        That daemon knows the session, so that it would never ask for its
+        version. Only an owner corrects.
+        """
+        if self.name in self._owners(report.key):
+            metrics.SESSION_CORRECTIONS.inc()
+            payload = _encode(
+                self.sessions, report.key, messages.Kind.CORRECTION
+            )
+            self.network.send(payload, address)
 
     def on_order(self, service: str) -> None:
         """Have the sessions of a service reported to their owners."""
@@ -176,7 +210,7 @@
             return
         now_ms = clocks.monotonic_ms()
         selected = (
-            messages.Report(key, newest.version, now_ms - newest.at_ms)
+            _report_of(key, newest, now_ms)
             for key, newest in self.sessions.in_progress(service, now_ms)
             if decisions.is_selected(canary, newest.session)
         )
@@ -217,6 +251,7 @@
             None if newest is None else newest.version,
             0 if newest is None else now_ms - newest.at_ms,
             is_certain=up_ms >= self.sessions.session_timeout_ms,
+            held_ms=0 if newest is None else now_ms - newest.since_ms,
         )
 
     def _owners(self, key: str) -> tuple[str, ...]:
@@ -232,6 +267,45 @@
             self.network.send(payload, address)
 
 
+def _report_of(
+    key: str, newest: versions.NewestRequest, now_ms: float
+) -> messages.Report:
+    return messages.Report(
+        key, newest.version, now_ms - newest.at_ms, now_ms - newest.since_ms
+    )
+
+
+def _encode(
+    sessions: versions.SessionVersions, key: str, kind: messages.Kind
+) -> bytes:
+    """Return the datagram with what this daemon knows of a session."""
+    now_ms = clocks.monotonic_ms()
+    newest = sessions.newest(key, now_ms)
+    known = [] if newest is None else [_report_of(key, newest, now_ms)]
+    return messages.encode_reports(known, kind)
+
+
+def _merge(
+    sessions: versions.SessionVersions,
+    report: messages.Report,
+    sender: tuple[str, int],
+    now_ms: float,
+) -> tuple[str, int] | None:
+    """Record a report, and return the daemon that has another version."""
+    known = sessions.newest(report.key, now_ms)
+    reported = versions.NewestRequest(
+        report.version,
+        now_ms - report.age_ms,
+        now_ms - max(report.age_ms, report.held_ms),
+        reporter=sender,
+    )
+    sessions.merge(report.key, reported, now_ms)
+    if known is None or known.version == report.version:
+        return None
+    kept = sessions.version_of(report.key, now_ms)
+    return known.reporter if kept == report.version else sender
+
+
 @contextlib.contextmanager
 def _errors_logged() -> Iterator[None]:
     """Log an error instead of raising it: requests are served without it."""
--- a/packages/daemon/src/yuccarouter/gateway/sessions/messages.py
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/messages.py
@@ -20,8 +20,8 @@
     from collections.abc import Sequence
 
 FIELD: Final = 'session_message'
-# Reports of one datagram. With versions of 100 ASCII characters it takes 6,500
-# bytes, fewer than a digest may have.
+# Reports of one datagram. With versions of 100 ASCII characters and times of
+# six digits it takes 7,000 bytes, fewer than a digest may have.
 MAX_REPORTS: Final = 50
 # Lengths in characters. A key is a hash of 64 bits; versions are short names.
 _MAX_KEY_LENGTH: Final = 16
@@ -35,17 +35,35 @@
     """What a datagram is for."""
 
     REPORT = 'report'
+    CORRECTION = 'correction'
     QUESTION = 'question'
     ANSWER = 'answer'
 
 
 @attrs.frozen
 class Report:
-    """The version of a session's newest request, which is ``age_ms`` old."""
+    """The version of a session's newest request, which is ``age_ms`` old.
+
+    The session's first request on this version is ``held_ms`` old.
+    """
 
     key: str
     version: str
     age_ms: float
+    held_ms: float = 0
+
+
+@attrs.frozen
+class Reports:
+    """Reports of one datagram.
+
+    ``is_correction`` is true for those of an owner to a daemon that has
+    reported another version. They are not answered, so that two owners that
+    disagree don't correct each other without end.
+    """
+
+    rows: tuple[Report, ...]
+    is_correction: bool
 
 
 @attrs.frozen
@@ -65,13 +83,20 @@
     answer: decisions.Answer
 
 
-def encode_reports(reports: Sequence[Report]) -> bytes:
+def encode_reports(
+    reports: Sequence[Report], kind: Kind = Kind.REPORT
+) -> bytes:
     """Return the datagram with ``reports``, at most ``MAX_REPORTS``."""
     rows = [
-        [report.key, report.version, _whole(report.age_ms)]
+        [
+            report.key,
+            report.version,
+            _whole(report.age_ms),
+            _whole(report.held_ms),
+        ]
         for report in reports
     ]
-    return orjson.dumps({FIELD: Kind.REPORT, 'reports': rows})
+    return orjson.dumps({FIELD: kind, 'reports': rows})
 
 
 def encode_question(question: Question) -> bytes:
@@ -92,21 +117,25 @@
             'version': answer.version,
             'age_ms': _whole(answer.age_ms),
             'is_certain': answer.is_certain,
+            'held_ms': _whole(answer.held_ms),
         }
     )
 
 
-def decode(message: dict[str, Any]) -> list[Report] | Question | Reply:
+def decode(message: dict[str, Any]) -> Reports | Question | Reply:
     """Return the contents of a datagram.
 
     Raises ``LookupError``, ``TypeError`` or ``ValueError`` if it is malformed.
     """
     kind = Kind(message[FIELD])
-    if kind is Kind.REPORT:
+    if kind in {Kind.REPORT, Kind.CORRECTION}:
         rows = message['reports']
         if not isinstance(rows, list) or len(rows) > MAX_REPORTS:
             raise ValueError('not a list of reports, or too many')
-        return [_decode_report(*row) for row in rows]
+        return Reports(
+            tuple(_decode_report(*row) for row in rows),
+            is_correction=kind is Kind.CORRECTION,
+        )
     number = numbers.integer(message['number'])
     if kind is Kind.QUESTION:
         return Question(number, _text(message['key'], _MAX_KEY_LENGTH))
@@ -117,15 +146,19 @@
         version,
         numbers.number(message['age_ms']),
         is_certain=message['is_certain'] is True,
+        held_ms=numbers.number(message.get('held_ms', 0)),
     )
     return Reply(number, _text(message['owner'], _MAX_DAEMON_LENGTH), answer)
 
 
-def _decode_report(key: object, version: object, age_ms: object) -> Report:
+def _decode_report(
+    key: object, version: object, age_ms: object, held_ms: object = 0
+) -> Report:
     return Report(
         _text(key, _MAX_KEY_LENGTH),
         _text(version, _MAX_VERSION_LENGTH),
         numbers.number(age_ms),
+        numbers.number(held_ms),
     )
 
 
--- a/packages/daemon/src/yuccarouter/gateway/sessions/versions.py
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/versions.py
@@ -17,6 +17,9 @@
 # Longer names, in characters, are not kept: callers choose them, and a header
 # may have thousands. Such sessions are found by their keys only.
 _MAX_NAME_LENGTH: Final = 256
+# Times that differ less are ordered by the names of the versions instead: the
+# delay of datagrams, up to 30 ms, makes daemons see them in different order.
+_SIMULTANEOUS_MS: Final = 30.0
 
 
 def session_key(service: str, session: str) -> str:
@@ -32,13 +35,25 @@
 
     ``service`` and ``session`` are empty if only a peer has served the
     session, or if its name is too long to be kept. ``at_ms`` is when the
-    request was sent or has ended.
+    request was sent or has ended, and ``since_ms`` when the first request of
+    the session on this version was sent. ``reporter`` is the address of the
+    daemon that has reported the session last.
     """
 
     version: str
     at_ms: float
+    since_ms: float
     service: str = ''
     session: str = ''
+    reporter: tuple[str, int] | None = None
+
+
+def _is_earlier(request: NewestRequest, other: NewestRequest) -> bool:
+    """Return whether a session was on the version of ``request`` first."""
+    lead_ms = other.since_ms - request.since_ms
+    if abs(lead_ms) <= _SIMULTANEOUS_MS:
+        return request.version < other.version
+    return lead_ms > 0
 
 
 @attrs.define
@@ -56,24 +71,73 @@
     def record(
         self, service: str, session: str, version: str, now_ms: float
     ) -> None:
-        """Record a request's version, when it is sent and when it has ended."""
+        """Record the version of a request that is sent."""
+        key = session_key(service, session)
+        known = self.newest(key, now_ms)
+        is_same = known is not None and known.version == version
         if len(session) > _MAX_NAME_LENGTH:
-            newest = NewestRequest(version, now_ms)
+            service, session = '', ''
+        self._keep(
+            key,
+            NewestRequest(
+                version,
+                now_ms,
+                known.since_ms if known and is_same else now_ms,
+                service,
+                session,
+                known.reporter if known else None,
+            ),
+        )
+
+    def record_end(
+        self, service: str, session: str, version: str, now_ms: float
+    ) -> None:
+        """Record that a request has ended on ``version``.
+
+        The version of a session in progress stays: its owners may have
+        corrected it while the request ran.
+        """
+        key = session_key(service, session)
+        known = self.newest(key, now_ms)
+        if known is None:
+            self.record(service, session, version, now_ms)
         else:
-            newest = NewestRequest(version, now_ms, service, session)
-        self._keep(session_key(service, session), newest)
+            self._keep(key, attrs.evolve(known, at_ms=now_ms))
+
+    def merge(self, key: str, reported: NewestRequest, now_ms: float) -> None:
+        """Record what a peer knows.
 
-    def merge(self, key: str, version: str, at_ms: float) -> None:
-        """Record what a peer knows, unless a newer request is known."""
-        known = self._newest_requests.get(key)
+        Of two versions of a session the earlier one is kept, so that daemons
+        that know different ones agree.
+        """
+        known = self.newest(key, now_ms)
         if known is None:
-            self._keep(key, NewestRequest(version, at_ms))
-        elif at_ms > known.at_ms:
-            self._keep(key, attrs.evolve(known, version=version, at_ms=at_ms))
+            self._keep(key, reported)
+            return
+        at_ms = max(known.at_ms, reported.at_ms)
+        since_ms = min(known.since_ms, reported.since_ms)
+        if reported.version != known.version:
+            if not _is_earlier(reported, known):
+                return
+            since_ms = reported.since_ms
+        self._keep(
+            key,
+            attrs.evolve(
+                known,
+                version=reported.version,
+                at_ms=at_ms,
+                since_ms=since_ms,
+                reporter=reported.reporter or known.reporter,
+            ),
+        )
 
     def version(self, service: str, session: str, now_ms: float) -> str | None:
         """Return the version of a session, ``None`` unless in progress."""
-        newest = self.newest(session_key(service, session), now_ms)
+        return self.version_of(session_key(service, session), now_ms)
+
+    def version_of(self, key: str, now_ms: float) -> str | None:
+        """Return the version of a session, ``None`` unless in progress."""
+        newest = self.newest(key, now_ms)
         return None if newest is None else newest.version
 
     def newest(self, key: str, now_ms: float) -> NewestRequest | None:
--- a/packages/daemon/tests/gateway/sessions/test_session_decisions.py
+++ b/packages/daemon/tests/gateway/sessions/test_session_decisions.py
@@ -9,8 +9,8 @@
 from yuccarouter.gateway.sessions import decisions, owners, versions
 
 
-def known(version: str, age_ms: float) -> decisions.Answer:
-    return decisions.Answer(version, age_ms, is_certain=True)
+def known(version: str, age_ms: float, held_ms: float = 0) -> decisions.Answer:
+    return decisions.Answer(version, age_ms, is_certain=True, held_ms=held_ms)
 
 
 UNKNOWN = decisions.Answer(None, 0, is_certain=True)
@@ -29,6 +29,7 @@
         ([known('v1', 9)], ('v1', 9), True),
         ([UNKNOWN, known('v1', 9)], ('v1', 9), True),
         ([known('v1', 9), known('v2', 4)], ('v2', 4), True),
+        ([known('v1', 9, 50), known('v2', 4, 20)], ('v1', 9), True),
     ],
 )
 def test_answers_of_owners(
@@ -38,7 +39,8 @@
 ) -> None:
     """Guards against a session that moves as an owner restarted or is lost."""
     present = {'v1', 'v2'}
-    assert decisions.version_to_keep(answers, 'v2', present) == kept
+    answer = decisions.version_to_keep(answers, 'v2', present)
+    assert (answer and (answer.version, answer.age_ms)) == kept
     assert decisions.is_settled(answers, 2) == is_settled
     if kept == ('v1', 0):
         # There is no old version to stay on.
@@ -93,5 +95,28 @@
     assert len(names) == 19_999
     assert max(map(len, names)) < 100
     assert not list(table.in_progress('engine', 5001))
-    table.merge(versions.session_key('engine', 's3'), 'v2', -1)
-    assert table.version('engine', 's3', 0) == 'v1'
+
+
+@pytest.mark.parametrize(
+    ('case', 'v1_since_ms', 'v2_since_ms', 'expected'),
+    [
+        ('the first version', 300, 400, 'v1'),
+        ('the first version, of older requests', 500, 100, 'v2'),
+        ('at the same time', 500, 480, 'v1'),
+    ],
+)
+def test_reports_of_another_version(
+    case: str, v1_since_ms: float, v2_since_ms: float, expected: str
+) -> None:
+    """Guards against daemons that disagree on a session's version."""
+    key = versions.session_key('engine', 's')
+    reports = (
+        versions.NewestRequest('v1', 800, v1_since_ms),
+        versions.NewestRequest('v2', 600, v2_since_ms),
+    )
+    for ordered in (reports, reversed(reports)):
+        table = versions.SessionVersions(5000)
+        for report in ordered:
+            table.merge(key, report, 900)
+        assert table.version('engine', 's', 900) == expected, case
+        assert table.version('engine', 's', 5801) is None
--- a/packages/daemon/tests/gateway/sessions/test_session_exchange.py
+++ b/packages/daemon/tests/gateway/sessions/test_session_exchange.py
@@ -60,7 +60,7 @@
         allowed = self.control.allowed_versions('engine', session, self.views)
         version = min(allowed)
         self.exchange.record('engine', session, version)
-        self.exchange.record('engine', session, version)
+        self.exchange.record_end('engine', session, version)
         return version
 
 
@@ -192,6 +192,41 @@
     assert await fleet.daemons[others[2]].serve(session) == new_version, case
 
 
+@pytest.mark.parametrize('reports_lost', [(), (0,), (1,), (0, 1)])
+@pytest.mark.parametrize('count', [2, 5])
+async def test_wrong_decision_is_corrected(
+    clock: make.Clock, count: int, reports_lost: tuple[int, ...]
+) -> None:
+    """Guards against a session that changes its version with each request.
+
+    Review: a session ran on the new version at one daemon; another one lost
+    both owners' answers and took the old version. The two never agreed, with 9
+    changes in 10 requests.
+    """
+    fleet = Fleet(clock, count)
+    await fleet.order()
+    clock.now_ms += 1500
+    session = SELECTED[0]
+    key = exchange.versions.session_key('engine', session)
+    ranked = owners.owners(key, fleet.names)
+    first, second = (*sorted(set(fleet.names) - set(ranked)), *ranked)[:2]
+    fleet.lost = frozenset(ranked[index] for index in reports_lost) - {first}
+    fleet.daemons[first].control.sessions.record(
+        'engine', session, 'v2', clock.now_ms
+    )
+    fleet.daemons[first].exchange.record('engine', session, 'v2')
+    clock.now_ms += 100
+    fleet.lost = frozenset(fleet.names)
+    await fleet.daemons[second].exchange.look_up('engine', session, 1)
+    fleet.lost = frozenset()
+    found = []
+    for _ in range(5):
+        for name in (second, first):
+            found.append(await fleet.daemons[name].serve(session))
+            clock.now_ms += 100
+    assert found[1:] == ['v2'] * 9
+
+
 async def test_errors_of_the_exchange(clock: make.Clock) -> None:
     """Guards against requests that fail as the exchange does."""
     fleet = Fleet(clock, 3)
