Count a session as in progress while a request of it runs

A session whose request ran longer than session_ms counted as ended, so that its next request could move to the new version; and the end of a stream was reported only after the caller had its last event and could send the next request. A session with a running attempt is now in progress, with an age of zero in reports, and record_success records the answer again before the attempt ends.

The new test test_requests_longer_than_a_session fails if running requests don't count, and passes with them. No test covers the call in record_success itself.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -623,6 +623,12 @@
 def record_success(out: OutgoingCall, opened: OpenAnswer) -> None:
     """Record a complete answer."""
     opened.view.record_success()
+    # The caller's next request may arrive before the attempt has ended: the
+    # end of a stream is still being written to the caller.
+    if out.call.session:
+        out.gateway.session_exchange.record_answer(
+            out.service, out.call.session, opened.view.announced.version
+        )
     if opened.head.status == _OK:
         opened.progress.is_proven = True
         _record_sound_request(out)
@@ -691,7 +697,7 @@
 ) -> None:
     view.sent_since_load += 1
     view.last_sent_ms = now_ms
-    _record_session_version(out, view)
+    _record_session_start(out, view)
     if view.is_cold(now_ms):
         view.cold_send_times_ms.append(now_ms)
     out.gateway.rate_limits.record_send(view.name, now_ms)
@@ -702,12 +708,12 @@
     out.last_endpoint = view.name
 
 
-def _record_session_version(
+def _record_session_start(
     out: OutgoingCall, view: endpoints.EndpointView
 ) -> None:
     """Record the version on which a session's newest request runs."""
     if out.call.session:
-        out.gateway.session_exchange.record(
+        out.gateway.session_exchange.record_start(
             out.service, out.call.session, view.announced.version
         )
 
--- a/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
@@ -83,14 +83,24 @@
     _orders: asyncio.Queue[str] = attrs.field(factory=asyncio.Queue)
     _pending: dict[int, _Pending] = attrs.field(factory=dict)
 
-    def record(self, service: str, session: str, version: str) -> None:
-        """Record a request's version, and report it if others need it."""
-        self.sessions.record(service, session, version, clocks.monotonic_ms())
+    def record_start(self, service: str, session: str, version: str) -> None:
+        """Record a request that is sent, and report it if others need it."""
+        self.sessions.record_start(
+            service, session, version, clocks.monotonic_ms()
+        )
+        with _errors_logged():
+            self._report(service, session)
+
+    def record_answer(self, service: str, session: str, version: str) -> None:
+        """Record that a request has its answer, and report it."""
         with _errors_logged():
+            self.sessions.record_answer(
+                service, session, version, clocks.monotonic_ms()
+            )
             self._report(service, session)
 
     def record_end(self, service: str, session: str, version: str) -> None:
-        """Record that a request has ended, and report it if others need it."""
+        """Record that a request runs no more, and report it."""
         with _errors_logged():
             self.sessions.record_end(
                 service, session, version, clocks.monotonic_ms()
--- a/packages/daemon/src/yuccarouter/gateway/sessions/versions.py
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/versions.py
@@ -61,9 +61,13 @@
     """The version of each session's newest request, by this daemon or a peer.
 
     A session ends ``session_timeout_ms`` after the end of its newest request.
+    While this daemon runs a request of it, it is in progress.
     """
 
     session_timeout_ms: float
+    _running: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
     _newest_requests: collections.OrderedDict[str, NewestRequest] = attrs.field(
         factory=collections.OrderedDict
     )
@@ -89,10 +93,27 @@
             ),
         )
 
+    def record_start(
+        self, service: str, session: str, version: str, now_ms: float
+    ) -> None:
+        """Record a request that runs until ``record_end``."""
+        self.record(service, session, version, now_ms)
+        self._running[session_key(service, session)] += 1
+
     def record_end(
         self, service: str, session: str, version: str, now_ms: float
     ) -> None:
-        """Record that a request has ended on ``version``.
+        """Record that a request, after ``record_start``, runs no more."""
+        self.record_answer(service, session, version, now_ms)
+        key = session_key(service, session)
+        self._running[key] -= 1
+        if self._running[key] <= 0:
+            self._running.pop(key)
+
+    def record_answer(
+        self, service: str, session: str, version: str, now_ms: float
+    ) -> None:
+        """Record that a request has its answer, from ``version``.
 
         The version of a session in progress stays: its owners may have
         corrected it while the request ran.
@@ -143,18 +164,21 @@
     def newest(self, key: str, now_ms: float) -> NewestRequest | None:
         """Return a session's newest request, ``None`` unless in progress."""
         newest = self._newest_requests.get(key)
-        if newest is None or now_ms - newest.at_ms > self.session_timeout_ms:
+        if newest is None:
             return None
-        return newest
+        if key in self._running:
+            return attrs.evolve(newest, at_ms=now_ms)
+        is_over = now_ms - newest.at_ms > self.session_timeout_ms
+        return None if is_over else newest
 
     def in_progress(
         self, service: str, now_ms: float
     ) -> Iterator[tuple[str, NewestRequest]]:
         """Return the key and newest request of each named session."""
-        for key, newest in list(self._newest_requests.items()):
-            age_ms = now_ms - newest.at_ms
-            if newest.session and newest.service == service:
-                if age_ms <= self.session_timeout_ms:
+        for key, known in list(self._newest_requests.items()):
+            if known.session and known.service == service:
+                newest = self.newest(key, now_ms)
+                if newest is not None:
                     yield key, newest
 
     def _keep(self, key: str, newest: NewestRequest) -> None:
--- a/packages/daemon/tests/gateway/sessions/test_session_exchange.py
+++ b/packages/daemon/tests/gateway/sessions/test_session_exchange.py
@@ -59,7 +59,7 @@
         await self.exchange.look_up('engine', session, timeout_ms=1)
         allowed = self.control.allowed_versions('engine', session, self.views)
         version = min(allowed)
-        self.exchange.record('engine', session, version)
+        self.exchange.record_start('engine', session, version)
         self.exchange.record_end('engine', session, version)
         return version
 
@@ -211,10 +211,8 @@
     ranked = owners.owners(key, fleet.names)
     first, second = (*sorted(set(fleet.names) - set(ranked)), *ranked)[:2]
     fleet.lost = frozenset(ranked[index] for index in reports_lost) - {first}
-    fleet.daemons[first].control.sessions.record(
-        'engine', session, 'v2', clock.now_ms
-    )
-    fleet.daemons[first].exchange.record('engine', session, 'v2')
+    fleet.daemons[first].exchange.record_start('engine', session, 'v2')
+    fleet.daemons[first].exchange.record_end('engine', session, 'v2')
     clock.now_ms += 100
     fleet.lost = frozenset(fleet.names)
     await fleet.daemons[second].exchange.look_up('engine', session, 1)
@@ -227,6 +225,31 @@
     assert found[1:] == ['v2'] * 9
 
 
+async def test_requests_longer_than_a_session(clock: make.Clock) -> None:
+    """Guards against a session that moves while a request of it runs.
+
+    Review: a session with a request of more than ``session_ms`` counted as a
+    new one, and its owners learned of the request's end too late.
+    """
+    fleet = Fleet(clock, 3)
+    session = SELECTED[0]
+    serving, other = (fleet.daemons[name].exchange for name in fleet.names[:2])
+    for _ in range(2):
+        serving.record_start('engine', session, 'v1')
+    clock.now_ms += 6000
+    await fleet.order()
+    clock.now_ms += 1500
+    key = exchange.versions.session_key('engine', session)
+    assert other.sessions.version_of(key, clock.now_ms) == 'v1'
+    for record in (serving.record_end, serving.record_answer):
+        clock.now_ms += 6000
+        assert await fleet.daemons[fleet.names[0]].serve(session) == 'v1'
+        record('engine', session, 'v1')
+        assert await fleet.daemons[fleet.names[1]].serve(session) == 'v1'
+    serving.record_end('engine', session, 'v1')
+    assert not serving.sessions.newest(key, clock.now_ms + 5001)
+
+
 async def test_errors_of_the_exchange(clock: make.Clock) -> None:
     """Guards against requests that fail as the exchange does."""
     fleet = Fleet(clock, 3)
