Hold sessions in a late canary that is suspected

They now move only while the new version has fewer answers than end the canary and is not suspected. The evidence is merged at most every 100 ms for this, as each request asks for it.

The new test test_late_canary fails in the cases of enough answers and of a suspicion without the change, and passes with it.

--- a/packages/daemon/src/yuccarouter/gateway/rollout_control.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollout_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from typing import TYPE_CHECKING, Any, Final
 
@@ -36,6 +37,9 @@
 # Larger counts of a peer's answers are malformed. The comparison of versions
 # takes as many steps as the square root of the count.
 _MAX_ANSWERS: Final = 10**8
+# The evidence of all daemons is not merged again within this time: a late
+# canary is asked for it with each request.
+_NEEDS_INTERVAL_MS: Final = 100.0
 
 
 @attrs.define
@@ -56,6 +60,8 @@
     due_phase: rollouts.Phase | None = None
     due_since_ms: float = 0
     retry_at_ms: float = 0
+    _needs_sessions: bool = False
+    _needs_since_ms: float = -math.inf
 
     def evidence(self) -> rollouts.Evidence:
         """Return the evidence of all daemons."""
@@ -76,10 +82,20 @@
         return decisions.Draw(self.order.service, self.order.target, share)
 
     def holds_sessions(self, now_ms: float) -> bool:
-        """Return whether sessions in progress stay on their version."""
-        return rollouts.holds_sessions(
-            self.phase, self.order, now_ms - self.order_read_ms
-        )
+        """Return whether sessions in progress stay on their version.
+
+        They do in the canary, which covers the first half of the ordered time,
+        unless it is late and needs them.
+        """
+        if self.phase is not rollouts.Phase.CANARY:
+            return False
+        elapsed_ms = now_ms - self.order_read_ms
+        if not rollouts.is_late_canary(self.phase, self.order, elapsed_ms):
+            return True
+        if now_ms - self._needs_since_ms >= _NEEDS_INTERVAL_MS:
+            self._needs_since_ms = now_ms
+            self._needs_sessions = rollouts.needs_sessions(self.evidence())
+        return not self._needs_sessions
 
 
 class RolloutControl:
--- a/packages/daemon/src/yuccarouter/gateway/rollouts.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollouts.py
@@ -123,17 +123,24 @@
     return 0 if phase is Phase.ROLLED_BACK else 1
 
 
-def holds_sessions(
+def is_late_canary(
     phase: Phase, order: model.RolloutOrder, elapsed_ms: float
 ) -> bool:
-    """Return whether sessions in progress stay on their version.
+    """Return whether a canary lasts longer than it has to."""
+    late_ms = _LATE_CANARY_SHARE * order.ramp_ms
+    return phase is Phase.CANARY and elapsed_ms >= late_ms
+
+
+def needs_sessions(evidence: Evidence) -> bool:
+    """Return whether a late canary needs the sessions in progress to end.
 
-    They do in the canary, which covers the first half of the ordered time. A
-    canary that still lacks answers after it gets them from such sessions: a
-    service may have no others.
+    It gets the answers that it lacks from them: a service may have no others.
+    It gets none of them while the new version is suspected.
     """
-    late_ms = _LATE_CANARY_SHARE * order.ramp_ms
-    return phase is Phase.CANARY and elapsed_ms < late_ms
+    answers = sum(tally.total for tally in evidence.new.values())
+    return answers < _min_canary_answers(_LATE_CANARY_SHARE) and not is_harmful(
+        evidence, _SUSPICION_PROBABILITY
+    )
 
 
 def next_phase(
--- a/packages/daemon/tests/gateway/test_rollout_control.py
+++ b/packages/daemon/tests/gateway/test_rollout_control.py
@@ -416,6 +416,30 @@
         assert control.allowed_versions('engine', session, views) == {'v2'}
 
 
+@pytest.mark.parametrize(
+    ('case', 'answers', 'expected'),
+    [
+        ('too few answers', rollouts.Tally(good=3), {'v2'}),
+        ('enough answers', rollouts.Tally(good=4), {'v1'}),
+        ('a suspicion', rollouts.Tally(good=20, bad=5), {'v1'}),
+    ],
+)
+def test_late_canary(
+    clock: make.Clock, case: str, answers: rollouts.Tally, expected: set[str]
+) -> None:
+    """Guards against sessions that move to a version under suspicion."""
+    control = rollout_control.RolloutControl(
+        lambda order, state: ('k', b''), 1.5, lambda: 0, session_ms=5000
+    )
+    control.apply_order(make.order())
+    views = [make.view('e1', version='v1'), make.view('e2', version='v2')]
+    control.record_answers(views[1], 'r', answers)
+    control.record_answers(views[0], 'r', rollouts.Tally(good=100))
+    clock.now_ms += 14_400
+    control.sessions.record('engine', 's', 'v1', clock.now_ms)
+    assert control.allowed_versions('engine', 's', views) == expected, case
+
+
 def new_sessions(daemon: Daemon) -> set[int]:
     """Return the sessions that use the new version."""
     return {
