Make new owners of sessions wait until they are certain

An owner counted as certain as soon as its process had been up for session_ms, also when its list of daemons had just changed and it lacked the reports to the earlier owners; a session in progress then moved as a new one. The list of daemons must now be as old too; it is compared once a second and with each answer.

The new test test_owners_after_a_change_of_daemons gets the new version without the change, and the old one with it.

--- a/packages/daemon/src/yuccarouter/gateway/sessions/decisions.py
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/decisions.py
@@ -34,8 +34,9 @@
 
     ``version`` is that of its newest request, ``age_ms`` ago; ``None`` if the
     owner knows none. The session's first request on this version was sent
-    ``held_ms`` ago. ``is_certain`` is true if the owner has been up for the
-    time of a session: one that it does not know is then a new one.
+    ``held_ms`` ago. ``is_certain`` is true if the owner has been up, and
+    its list of daemons the same, for the time of a session: one that it does
+    not know is then a new one.
     """
 
     version: str | None
--- a/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
@@ -29,6 +29,9 @@
 # The longest wait for the owners' answers. A daemon answers within a few
 # milliseconds; a request of the session waits meanwhile.
 _ANSWER_TIMEOUT_MS: Final = 30.0
+# The list of daemons is compared with the earlier one as often. A change that
+# is noticed late makes an owner uncertain for longer than it has to be.
+_NAMES_INTERVAL_S: Final = 1.0
 # Sessions that are looked up in one step when an order arrives. With 400
 # daemons a step takes about 6 ms, in which no request is served.
 _SESSIONS_PER_STEP: Final = 25
@@ -80,6 +83,7 @@
     canary: Callable[[str], decisions.Draw | None]
     present: Callable[[str], Collection[str]]
     started_ms: float
+    _daemons: owners.DaemonList = attrs.field(factory=owners.DaemonList)
     _orders: asyncio.Queue[str] = attrs.field(factory=asyncio.Queue)
     _pending: dict[int, _Pending] = attrs.field(factory=dict)
 
@@ -209,9 +213,15 @@
     async def run(self) -> None:
         """Report sessions after each order until cancelled."""
         while True:
-            service = await self._orders.get()
             with _errors_logged():
-                await self.report_sessions(service)
+                self._daemons.observe(
+                    self.network.names(), clocks.monotonic_ms()
+                )
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_NAMES_INTERVAL_S):
+                    service = await self._orders.get()
+                with _errors_logged():
+                    await self.report_sessions(service)
 
     async def report_sessions(self, service: str) -> None:
         """Report the selected sessions in progress to their owners."""
@@ -256,11 +266,13 @@
 
     def _answer(self, key: str, now_ms: float) -> decisions.Answer:
         newest = self.sessions.newest(key, now_ms)
-        up_ms = now_ms - self.started_ms
+        self._daemons.observe(self.network.names(), now_ms)
+        # A daemon that has become an owner since then lacks earlier reports.
+        owner_ms = now_ms - max(self.started_ms, self._daemons.since_ms)
         return decisions.Answer(
             None if newest is None else newest.version,
             0 if newest is None else now_ms - newest.at_ms,
-            is_certain=up_ms >= self.sessions.session_timeout_ms,
+            is_certain=owner_ms >= self.sessions.session_timeout_ms,
             held_ms=0 if newest is None else now_ms - newest.since_ms,
         )
 
--- a/packages/daemon/src/yuccarouter/gateway/sessions/owners.py
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/owners.py
@@ -6,6 +6,7 @@
 import heapq
 from typing import Final
 
+import attrs
 import xxhash
 
 # The second owner answers if the first one is lost.
@@ -15,6 +16,23 @@
 _CACHED_SELECTIONS: Final = 2048
 
 
+@attrs.define
+class DaemonList:
+    """The daemons that share sessions, and since when they are the same.
+
+    The first list counts from the start of the process.
+    """
+
+    since_ms: float = 0
+    _names: tuple[str, ...] | None = None
+
+    def observe(self, names: tuple[str, ...], now_ms: float) -> None:
+        """Compare the list with the one that was observed before."""
+        if self._names is not None and names != self._names:
+            self.since_ms = now_ms
+        self._names = names
+
+
 @functools.lru_cache(maxsize=_CACHED_SELECTIONS)
 def owners(key: str, daemons: tuple[str, ...]) -> tuple[str, ...]:
     """Return the owners of a session among ``daemons``, at most two.
--- a/packages/daemon/tests/gateway/sessions/test_session_exchange.py
+++ b/packages/daemon/tests/gateway/sessions/test_session_exchange.py
@@ -250,6 +250,32 @@
     assert not serving.sessions.newest(key, clock.now_ms + 5001)
 
 
+async def test_owners_after_a_change_of_daemons(clock: make.Clock) -> None:
+    """Guards against new owners that take a session in progress for new."""
+    fleet = Fleet(clock, 9)
+    await fleet.order()
+    clock.now_ms += 1500
+    session = SELECTED[0]
+    key = exchange.versions.session_key('engine', session)
+    ranked = owners.owners(key, fleet.names)
+    others = [name for name in fleet.names if name not in ranked]
+    runs = [
+        asyncio.create_task(daemon.exchange.run())
+        for daemon in fleet.daemons.values()
+    ]
+    await asyncio.sleep(0)
+    for run in runs:
+        run.cancel()
+    assert await fleet.daemons[others[0]].serve(session) == 'v2'
+    known = fleet.daemons[others[0]].exchange.sessions
+    known.record('engine', session, 'v1', clock.now_ms)
+    fleet.names = tuple(others)
+    clock.now_ms += 4000
+    assert await fleet.daemons[others[1]].serve(session) == 'v1'
+    clock.now_ms += 5001
+    assert await fleet.daemons[others[1]].serve(session) == 'v2'
+
+
 async def test_errors_of_the_exchange(clock: make.Clock) -> None:
     """Guards against requests that fail as the exchange does."""
     fleet = Fleet(clock, 3)
