Keep the good reports of a datagram with a bad one

One malformed row, or a version of more than 100 characters, made the receiver drop all reports of the datagram and log bad_digest for each of them. The sender now leaves out versions that are too long, and the receiver skips bad rows and logs bad_session_report once for each peer and reason. An owner of a session with such a version answers that it is not certain.

--- a/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
@@ -32,6 +32,8 @@
 # The list of daemons is compared with the earlier one as often. A change that
 # is noticed late makes an owner uncertain for longer than it has to be.
 _NAMES_INTERVAL_S: Final = 1.0
+# Peers and reasons that are logged once; beyond it, some are logged again.
+_MAX_LOGGED_REPORTS: Final = 1024
 # Sessions that are looked up in one step when an order arrives. With 400
 # daemons a step takes about 6 ms, in which no request is served.
 _SESSIONS_PER_STEP: Final = 25
@@ -186,6 +188,8 @@
     def _merge_reports(
         self, reports: messages.Reports, sender: tuple[str, int], now_ms: float
     ) -> None:
+        if reports.problem:
+            _log_bad_report(sender[0], reports.problem)
         for report in reports.rows:
             address = _merge(self.sessions, report, sender, now_ms)
             if address is not None and not reports.is_correction:
@@ -289,6 +293,12 @@
             self.network.send(payload, address)
 
 
+@functools.lru_cache(maxsize=_MAX_LOGGED_REPORTS)
+def _log_bad_report(peer: str, reason: str) -> None:
+    """Log a malformed report once for each peer and reason."""
+    eliot.log_message('bad_session_report', sender=peer, reason=reason)
+
+
 def _report_of(
     key: str, newest: versions.NewestRequest, now_ms: float
 ) -> messages.Report:
--- a/packages/daemon/src/yuccarouter/gateway/sessions/messages.py
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/messages.py
@@ -57,6 +57,7 @@
 class Reports:
     """Reports of one datagram.
 
+    Malformed rows are left out; ``problem`` is what is wrong with the last one.
     ``is_correction`` is true for those of an owner to a daemon that has
     reported another version. They are not answered, so that two owners that
     disagree don't correct each other without end.
@@ -64,6 +65,7 @@
 
     rows: tuple[Report, ...]
     is_correction: bool
+    problem: str = ''
 
 
 @attrs.frozen
@@ -86,7 +88,10 @@
 def encode_reports(
     reports: Sequence[Report], kind: Kind = Kind.REPORT
 ) -> bytes:
-    """Return the datagram with ``reports``, at most ``MAX_REPORTS``."""
+    """Return the datagram with ``reports``, at most ``MAX_REPORTS``.
+
+    Those with a version that receivers reject as too long are left out.
+    """
     rows = [
         [
             report.key,
@@ -95,6 +100,7 @@
             _whole(report.held_ms),
         ]
         for report in reports
+        if len(report.version) <= _MAX_VERSION_LENGTH
     ]
     return orjson.dumps({FIELD: kind, 'reports': rows})
 
@@ -109,6 +115,9 @@
 def encode_reply(reply: Reply) -> bytes:
     """Return the datagram with an answer."""
     answer = reply.answer
+    if len(answer.version or '') > _MAX_VERSION_LENGTH:
+        # The session is known, so that it must not count as a new one.
+        answer = decisions.Answer(None, 0, is_certain=False)
     return orjson.dumps(
         {
             FIELD: Kind.ANSWER,
@@ -132,10 +141,7 @@
         rows = message['reports']
         if not isinstance(rows, list) or len(rows) > MAX_REPORTS:
             raise ValueError('not a list of reports, or too many')
-        return Reports(
-            tuple(_decode_report(*row) for row in rows),
-            is_correction=kind is Kind.CORRECTION,
-        )
+        return _decode_reports(rows, kind)
     number = numbers.integer(message['number'])
     if kind is Kind.QUESTION:
         return Question(number, _text(message['key'], _MAX_KEY_LENGTH))
@@ -151,6 +157,17 @@
     return Reply(number, _text(message['owner'], _MAX_DAEMON_LENGTH), answer)
 
 
+def _decode_reports(rows: list[Any], kind: Kind) -> Reports:
+    reports = []
+    problem = ''
+    for row in rows:
+        try:
+            reports.append(_decode_report(*row))
+        except (TypeError, ValueError) as fault:
+            problem = str(fault)
+    return Reports(tuple(reports), kind is Kind.CORRECTION, problem)
+
+
 def _decode_report(
     key: object, version: object, age_ms: object, held_ms: object = 0
 ) -> Report:
