Guard and bound the session exchange's errors and logs

The table of sessions was written outside the error guard, so that an error in it failed the request, and session_unanswered and session_exchange_failed were logged for each request while peers were away. All of record_start is now guarded, and each of the two messages is logged at most once a second.

--- a/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
@@ -6,6 +6,7 @@
 import contextlib
 import functools
 import itertools
+import math
 import random
 from typing import TYPE_CHECKING, Any, Final
 
@@ -34,6 +35,9 @@
 _NAMES_INTERVAL_S: Final = 1.0
 # Peers and reasons that are logged once; beyond it, some are logged again.
 _MAX_LOGGED_REPORTS: Final = 1024
+# Messages about a failing exchange may come with each request. Fewer show the
+# cause as well.
+_LOG_INTERVAL_MS: Final = 1000.0
 # Sessions that are looked up in one step when an order arrives. With 400
 # daemons a step takes about 6 ms, in which no request is served.
 _SESSIONS_PER_STEP: Final = 25
@@ -91,10 +95,10 @@
 
     def record_start(self, service: str, session: str, version: str) -> None:
         """Record a request that is sent, and report it if others need it."""
-        self.sessions.record_start(
-            service, session, version, clocks.monotonic_ms()
-        )
         with _errors_logged():
+            self.sessions.record_start(
+                service, session, version, clocks.monotonic_ms()
+            )
             self._report(service, session)
 
     def record_answer(self, service: str, session: str, version: str) -> None:
@@ -149,7 +153,10 @@
             metrics.SESSION_QUESTIONS.labels('answered').inc()
         else:
             metrics.SESSION_QUESTIONS.labels('unanswered').inc()
-            eliot.log_message('session_unanswered', service=service, key=key)
+            if _may_log('session_unanswered', clocks.monotonic_ms()):
+                eliot.log_message(
+                    'session_unanswered', service=service, key=key
+                )
         kept = decisions.version_to_keep(
             answers, canary.target, self.present(service)
         )
@@ -344,8 +351,25 @@
     try:
         yield
     except Exception as fault:
-        eliot.log_message('session_exchange_failed', reason=repr(fault))
-        eliot.write_traceback()
+        if _may_log('session_exchange_failed', clocks.monotonic_ms()):
+            eliot.log_message('session_exchange_failed', reason=repr(fault))
+            eliot.write_traceback()
+
+
+def _make_log_limit() -> Callable[[str, float], bool]:
+    """Return a function that tells whether a message may be logged again."""
+    logged_ms: dict[str, float] = {}
+
+    def may_log(name: str, now_ms: float) -> bool:
+        if now_ms - logged_ms.get(name, -math.inf) < _LOG_INTERVAL_MS:
+            return False
+        logged_ms[name] = now_ms
+        return True
+
+    return may_log
+
+
+_may_log = _make_log_limit()
 
 
 def _batches(
--- a/packages/daemon/tests/gateway/sessions/test_session_exchange.py
+++ b/packages/daemon/tests/gateway/sessions/test_session_exchange.py
@@ -276,14 +276,34 @@
     assert await fleet.daemons[others[1]].serve(session) == 'v2'
 
 
-async def test_errors_of_the_exchange(clock: make.Clock) -> None:
-    """Guards against requests that fail as the exchange does."""
+async def test_errors_of_the_exchange(
+    clock: make.Clock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests that fail as the exchange does, and long logs."""
     fleet = Fleet(clock, 3)
     await fleet.order()
+    logged = []
+    monkeypatch.setattr(
+        exchange.eliot, 'log_message', lambda name, **_: logged.append(name)
+    )
+    monkeypatch.setattr(exchange, '_may_log', exchange._make_log_limit())
+    fleet.lost = frozenset(fleet.names)
+    for session in SELECTED:
+        fleet.restart(fleet.names[0])
+        await fleet.daemons[fleet.names[0]].serve(session)
     fleet.names = (None,)  # type: ignore[assignment]
     for session in SELECTED:
         for daemon in fleet.daemons.values():
             assert await daemon.serve(session) == 'v1'
+    failing = fleet.daemons['d0'].exchange
+    monkeypatch.setattr(failing, 'sessions', None)
+    failing.record_start('engine', SELECTED[0], 'v1')
+    failing.record_end('engine', SELECTED[0], 'v1')
+    assert logged.count('session_unanswered') == 1
+    assert logged.count('session_exchange_failed') == 1
+    clock.now_ms += 1000
+    failing.record_answer('engine', SELECTED[0], 'v1')
+    assert logged.count('session_exchange_failed') == 2
 
 
 GOOD = {messages.FIELD: 'report', 'reports': [['00', 'v1', 0]]}
