Don't wait for answers that can't change a decision

A request of a selected session asked the owners and waited for up to 30 ms also in the first second after the order, while no new session may move, and while the new version had no endpoint; and the wait ignored the request's remaining time. look_up now returns at once in both cases and waits at most a third of the remaining time.

The new test test_needless_questions counts questions in both cases without the change and none with it; test_wait_for_answers checks the bound.

--- a/packages/daemon/src/yuccarouter/gateway/request_handler.py
+++ b/packages/daemon/src/yuccarouter/gateway/request_handler.py
@@ -198,7 +198,9 @@
     exchange.out = out
     if not out.can_end_before_stop():
         raise refusal_responses.shutting_down()
-    await gateway.session_exchange.look_up(out.service, exchange.call.session)
+    await gateway.session_exchange.look_up(
+        out.service, exchange.call.session, out.remaining_ms()
+    )
     return await _forward(out, exchange.request)
 
 
--- a/packages/daemon/src/yuccarouter/gateway/rollout_control.py
+++ b/packages/daemon/src/yuccarouter/gateway/rollout_control.py
@@ -422,7 +422,10 @@
     rollout = control.by_service.get(service)
     if rollout is None or not rollout.holds_sessions(clocks.monotonic_ms()):
         return None
-    draw = rollout.draw(control.exposure_share)
+    draw = attrs.evolve(
+        rollout.draw(control.exposure_share),
+        order_age_ms=clocks.monotonic_ms() - rollout.order_read_ms,
+    )
     return draw if draw.share > 0 else None
 
 
--- a/packages/daemon/src/yuccarouter/gateway/sessions/decisions.py
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -15,17 +16,25 @@
 # owners. No session moves to the new version before.
 _SETTLING_MS: Final = 1000.0
 
+# The longest wait for the owners' answers. A daemon answers within a few
+# milliseconds; a request of the session waits meanwhile.
+_ANSWER_TIMEOUT_MS: Final = 30.0
+# Share of a request's remaining time: callers wait no longer for a decision.
+_MAX_WAIT_SHARE: Final = 1 / 3
+
 
 @attrs.frozen
 class Draw:
     """The draw of the sessions that get ``target``, the new version.
 
-    ``share`` is theirs among all sessions of the service.
+    ``share`` is theirs among all sessions of the service. The order of the
+    roll-out is ``order_age_ms`` old.
     """
 
     service: str
     target: str
     share: float
+    order_age_ms: float = math.inf
 
 
 @attrs.frozen
@@ -70,6 +79,23 @@
     return version == target or version not in present
 
 
+def needs_version(draw: Draw, session: str, present: Collection[str]) -> bool:
+    """Return whether a session's version can change where a request runs.
+
+    It can't before new sessions may move, nor without an endpoint to move to.
+    """
+    return (
+        draw.order_age_ms >= _SETTLING_MS
+        and draw.target in present
+        and is_selected(draw, session)
+    )
+
+
+def answer_timeout_ms(remaining_ms: float) -> float:
+    """Return the longest wait of a request with so much time for answers."""
+    return min(_ANSWER_TIMEOUT_MS, max(0, remaining_ms) * _MAX_WAIT_SHARE)
+
+
 def is_settled(answers: Collection[Answer], asked: int) -> bool:
     """Return whether the answers that are missing can't change the decision.
 
--- a/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
@@ -27,9 +27,6 @@
 
     from yuccarouter.gateway import state
 
-# The longest wait for the owners' answers. A daemon answers within a few
-# milliseconds; a request of the session waits meanwhile.
-_ANSWER_TIMEOUT_MS: Final = 30.0
 # The list of daemons is compared with the earlier one as often. A change that
 # is noticed late makes an owner uncertain for longer than it has to be.
 _NAMES_INTERVAL_S: Final = 1.0
@@ -129,20 +126,24 @@
         self,
         service: str,
         session: str,
-        timeout_ms: float = _ANSWER_TIMEOUT_MS,
+        remaining_ms: float,
     ) -> None:
         """Learn the version of a selected session that is not known here.
 
-        Returns without a wait if there is no need to ask.
+        Waits at most a third of the request's ``remaining_ms``, and not
+        at all if there is no need to ask.
         """
         with _errors_logged():
+            timeout_ms = decisions.answer_timeout_ms(remaining_ms)
             await self._look_up(service, session, timeout_ms)
 
     async def _look_up(
         self, service: str, session: str, timeout_ms: float
     ) -> None:
         canary = self.canary(service) if session else None
-        if canary is None or not decisions.is_selected(canary, session):
+        if canary is None or not decisions.needs_version(
+            canary, session, self.present(service)
+        ):
             return
         asked_ms = clocks.monotonic_ms()
         key = versions.session_key(service, session)
--- a/packages/daemon/tests/gateway/sessions/test_session_decisions.py
+++ b/packages/daemon/tests/gateway/sessions/test_session_decisions.py
@@ -66,6 +66,14 @@
     assert moves == expected
 
 
+@pytest.mark.parametrize(
+    ('remaining_ms', 'expected'), [(-5, 0), (30, 10), (90, 30), (9000, 30)]
+)
+def test_wait_for_answers(remaining_ms: float, expected: float) -> None:
+    """Guards against waits that use up a request's remaining time."""
+    assert decisions.answer_timeout_ms(remaining_ms) == pytest.approx(expected)
+
+
 @hypothesis.given(
     count=st.sampled_from([1, 2, 3, 68, 400]),
     lost=st.integers(0, 399),
--- a/packages/daemon/tests/gateway/sessions/test_session_exchange.py
+++ b/packages/daemon/tests/gateway/sessions/test_session_exchange.py
@@ -11,7 +11,7 @@
 import orjson
 import pytest
 
-from yuccarouter.gateway import model, peers, rollout_control, state
+from yuccarouter.gateway import endpoints, model, peers, rollout_control, state
 from yuccarouter.gateway.sessions import decisions, exchange, messages, owners
 
 VIEWS = [make.view('e1', version='v1'), make.view('e2', version='v2')]
@@ -56,7 +56,7 @@
 
     async def serve(self, session: str) -> str:
         """Serve a request of a session, and return its version."""
-        await self.exchange.look_up('engine', session, timeout_ms=1)
+        await self.exchange.look_up('engine', session, remaining_ms=3)
         allowed = self.control.allowed_versions('engine', session, self.views)
         version = min(allowed)
         self.exchange.record_start('engine', session, version)
@@ -215,7 +215,7 @@
     fleet.daemons[first].exchange.record_end('engine', session, 'v2')
     clock.now_ms += 100
     fleet.lost = frozenset(fleet.names)
-    await fleet.daemons[second].exchange.look_up('engine', session, 1)
+    await fleet.daemons[second].exchange.look_up('engine', session, 3)
     fleet.lost = frozenset()
     found = []
     for _ in range(5):
@@ -276,6 +276,33 @@
     assert await fleet.daemons[others[1]].serve(session) == 'v2'
 
 
+@pytest.mark.parametrize(
+    ('order_age_ms', 'present', 'asked'),
+    [(999, VIEWS, 0), (1000, VIEWS, 2), (1000, VIEWS[:1], 0)],
+)
+async def test_needless_questions(
+    clock: make.Clock,
+    order_age_ms: float,
+    present: list[endpoints.EndpointView],
+    asked: int,
+) -> None:
+    """Guards against waits that can't change where a request runs."""
+    fleet = Fleet(clock, 9)
+    await fleet.order()
+    clock.now_ms += order_age_ms
+    key = exchange.versions.session_key('engine', SELECTED[0])
+    ranked = owners.owners(key, fleet.names)
+    asker = min(set(fleet.names) - set(ranked))
+    fleet.lost = frozenset(fleet.names)
+    found = fleet.daemons[asker].exchange
+    found.present = functools.partial(
+        rollout_control.versions_present, views=present
+    )
+    fleet.sent = 0
+    await found.look_up('engine', SELECTED[0], remaining_ms=3)
+    assert fleet.sent == asked
+
+
 async def test_errors_of_the_exchange(
     clock: make.Clock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -287,22 +314,24 @@
         exchange.eliot, 'log_message', lambda name, **_: logged.append(name)
     )
     monkeypatch.setattr(exchange, '_may_log', exchange._make_log_limit())
-    fleet.lost = frozenset(fleet.names)
-    for session in SELECTED:
-        fleet.restart(fleet.names[0])
-        await fleet.daemons[fleet.names[0]].serve(session)
+    names = fleet.names
     fleet.names = (None,)  # type: ignore[assignment]
     for session in SELECTED:
         for daemon in fleet.daemons.values():
             assert await daemon.serve(session) == 'v1'
+    assert logged.count('session_exchange_failed') == 1
+    fleet.names = names
+    fleet.lost = frozenset(fleet.names)
+    fleet.restart('d0')
+    clock.now_ms += 1000
+    for session in SELECTED:
+        assert await fleet.daemons['d0'].serve(session) == 'v1'
+    assert logged.count('session_unanswered') == 1
     failing = fleet.daemons['d0'].exchange
     monkeypatch.setattr(failing, 'sessions', None)
     failing.record_start('engine', SELECTED[0], 'v1')
-    failing.record_end('engine', SELECTED[0], 'v1')
-    assert logged.count('session_unanswered') == 1
-    assert logged.count('session_exchange_failed') == 1
-    clock.now_ms += 1000
     failing.record_answer('engine', SELECTED[0], 'v1')
+    failing.record_end('engine', SELECTED[0], 'v1')
     assert logged.count('session_exchange_failed') == 2
 
 
@@ -415,4 +444,5 @@
     """Return the control of a daemon that has read an order."""
     made = Daemon(name, Fleet(make.Clock(), 1)).control
     made.apply_order(make.order())
+    made.by_service['engine'].order_read_ms -= 1000
     return made
