--- a/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
+++ b/packages/daemon/src/yuccarouter/gateway/sessions/exchange.py
@@ -6,6 +6,7 @@
 import contextlib
 import functools
 import itertools
+import math
 import random
 from typing import TYPE_CHECKING, Any, Final
 
@@ -26,9 +27,14 @@
 
     from yuccarouter.gateway import state
 
-# The longest wait for the owners' answers. A daemon answers within a few
-# milliseconds; a request of the session waits meanwhile.
-_ANSWER_TIMEOUT_MS: Final = 30.0
+# The list of daemons is compared with the earlier one as often. A change that
+# is noticed late makes an owner uncertain for longer than it has to be.
+_NAMES_INTERVAL_S: Final = 1.0
+# Peers and reasons that are logged once; beyond it, some are logged again.
+_MAX_LOGGED_REPORTS: Final = 1024
+# Messages about a failing exchange may come with each request. Fewer show the
+# cause as well.
+_LOG_INTERVAL_MS: Final = 1000.0
 # Sessions that are looked up in one step when an order arrives. With 400
 # daemons a step takes about 6 ms, in which no request is served.
 _SESSIONS_PER_STEP: Final = 25
@@ -80,22 +86,39 @@
     canary: Callable[[str], decisions.Draw | None]
     present: Callable[[str], Collection[str]]
     started_ms: float
+    _daemons: owners.DaemonList = attrs.field(factory=owners.DaemonList)
     _orders: asyncio.Queue[str] = attrs.field(factory=asyncio.Queue)
     _pending: dict[int, _Pending] = attrs.field(factory=dict)
 
-    def record(self, service: str, session: str, version: str) -> None:
-        """Record a request's version, and report it if others need it."""
-        self.sessions.record(service, session, version, clocks.monotonic_ms())
+    def record_start(self, service: str, session: str, version: str) -> None:
+        """Record a request that is sent, and report it if others need it."""
         with _errors_logged():
-            self._report(service, session, version)
+            self.sessions.record_start(
+                service, session, version, clocks.monotonic_ms()
+            )
+            self._report(service, session)
 
-    def _report(self, service: str, session: str, version: str) -> None:
+    def record_answer(self, service: str, session: str, version: str) -> None:
+        """Record that a request has its answer, and report it."""
+        with _errors_logged():
+            self.sessions.record_answer(
+                service, session, version, clocks.monotonic_ms()
+            )
+            self._report(service, session)
+
+    def record_end(self, service: str, session: str, version: str) -> None:
+        """Record that a request runs no more, and report it."""
+        with _errors_logged():
+            self.sessions.record_end(
+                service, session, version, clocks.monotonic_ms()
+            )
+            self._report(service, session)
+
+    def _report(self, service: str, session: str) -> None:
         canary = self.canary(service)
         if canary is not None and decisions.is_selected(canary, session):
             key = versions.session_key(service, session)
-            payload = messages.encode_reports(
-                [messages.Report(key, version, 0)]
-            )
+            payload = _encode(self.sessions, key, messages.Kind.REPORT)
             for owner in self._owners(key):
                 self._send(payload, owner)
 
@@ -103,20 +126,24 @@
         self,
         service: str,
         session: str,
-        timeout_ms: float = _ANSWER_TIMEOUT_MS,
+        remaining_ms: float,
     ) -> None:
         """Learn the version of a selected session that is not known here.
 
-        Returns without a wait if there is no need to ask.
+        Waits at most a third of the request's ``remaining_ms``, and not
+        at all if there is no need to ask.
         """
         with _errors_logged():
+            timeout_ms = decisions.answer_timeout_ms(remaining_ms)
             await self._look_up(service, session, timeout_ms)
 
     async def _look_up(
         self, service: str, session: str, timeout_ms: float
     ) -> None:
         canary = self.canary(service) if session else None
-        if canary is None or not decisions.is_selected(canary, session):
+        if canary is None or not decisions.needs_version(
+            canary, session, self.present(service)
+        ):
             return
         asked_ms = clocks.monotonic_ms()
         key = versions.session_key(service, session)
@@ -127,13 +154,24 @@
             metrics.SESSION_QUESTIONS.labels('answered').inc()
         else:
             metrics.SESSION_QUESTIONS.labels('unanswered').inc()
-            eliot.log_message('session_unanswered', service=service, key=key)
+            if _may_log('session_unanswered', clocks.monotonic_ms()):
+                eliot.log_message(
+                    'session_unanswered', service=service, key=key
+                )
         kept = decisions.version_to_keep(
             answers, canary.target, self.present(service)
         )
         if kept is not None:
-            version, age_ms = kept
-            self.sessions.merge(key, version, clocks.monotonic_ms() - age_ms)
+            now_ms = clocks.monotonic_ms()
+            self.sessions.merge(
+                key,
+                versions.NewestRequest(
+                    kept.version or '',
+                    now_ms - kept.age_ms,
+                    now_ms - kept.held_ms,
+                ),
+                now_ms,
+            )
 
     def receive(self, message: dict[str, Any], sender: tuple[str, int]) -> None:
         """Process a datagram.
@@ -153,10 +191,32 @@
             if pending is not None:
                 pending.record(content.owner, content.answer)
         else:
-            for report in content:
-                self.sessions.merge(
-                    report.key, report.version, now_ms - report.age_ms
-                )
+            self._merge_reports(content, sender, now_ms)
+
+    def _merge_reports(
+        self, reports: messages.Reports, sender: tuple[str, int], now_ms: float
+    ) -> None:
+        if reports.problem:
+            _log_bad_report(sender[0], reports.problem)
+        for report in reports.rows:
+            address = _merge(self.sessions, report, sender, now_ms)
+            if address is not None and not reports.is_correction:
+                self._correct(report, address)
+
+    def _correct(
+        self, report: messages.Report, address: tuple[str, int]
+    ) -> None:
+        """Send the version of a session to a daemon that has another one.
+
+        That daemon knows the session, so that it would never ask for its
+        version. Only an owner corrects.
+        """
+        if self.name in self._owners(report.key):
+            metrics.SESSION_CORRECTIONS.inc()
+            payload = _encode(
+                self.sessions, report.key, messages.Kind.CORRECTION
+            )
+            self.network.send(payload, address)
 
     def on_order(self, service: str) -> None:
         """Have the sessions of a service reported to their owners."""
@@ -165,9 +225,15 @@
     async def run(self) -> None:
         """Report sessions after each order until cancelled."""
         while True:
-            service = await self._orders.get()
             with _errors_logged():
-                await self.report_sessions(service)
+                self._daemons.observe(
+                    self.network.names(), clocks.monotonic_ms()
+                )
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_NAMES_INTERVAL_S):
+                    service = await self._orders.get()
+                with _errors_logged():
+                    await self.report_sessions(service)
 
     async def report_sessions(self, service: str) -> None:
         """Report the selected sessions in progress to their owners."""
@@ -176,7 +242,7 @@
             return
         now_ms = clocks.monotonic_ms()
         selected = (
-            messages.Report(key, newest.version, now_ms - newest.at_ms)
+            _report_of(key, newest, now_ms)
             for key, newest in self.sessions.in_progress(service, now_ms)
             if decisions.is_selected(canary, newest.session)
         )
@@ -212,11 +278,14 @@
 
     def _answer(self, key: str, now_ms: float) -> decisions.Answer:
         newest = self.sessions.newest(key, now_ms)
-        up_ms = now_ms - self.started_ms
+        self._daemons.observe(self.network.names(), now_ms)
+        # A daemon that has become an owner since then lacks earlier reports.
+        owner_ms = now_ms - max(self.started_ms, self._daemons.since_ms)
         return decisions.Answer(
             None if newest is None else newest.version,
             0 if newest is None else now_ms - newest.at_ms,
-            is_certain=up_ms >= self.sessions.session_timeout_ms,
+            is_certain=owner_ms >= self.sessions.session_timeout_ms,
+            held_ms=0 if newest is None else now_ms - newest.since_ms,
         )
 
     def _owners(self, key: str) -> tuple[str, ...]:
@@ -232,14 +301,76 @@
             self.network.send(payload, address)
 
 
+@functools.lru_cache(maxsize=_MAX_LOGGED_REPORTS)
+def _log_bad_report(peer: str, reason: str) -> None:
+    """Log a malformed report once for each peer and reason."""
+    eliot.log_message('bad_session_report', sender=peer, reason=reason)
+
+
+def _report_of(
+    key: str, newest: versions.NewestRequest, now_ms: float
+) -> messages.Report:
+    return messages.Report(
+        key, newest.version, now_ms - newest.at_ms, now_ms - newest.since_ms
+    )
+
+
+def _encode(
+    sessions: versions.SessionVersions, key: str, kind: messages.Kind
+) -> bytes:
+    """Return the datagram with what this daemon knows of a session."""
+    now_ms = clocks.monotonic_ms()
+    newest = sessions.newest(key, now_ms)
+    known = [] if newest is None else [_report_of(key, newest, now_ms)]
+    return messages.encode_reports(known, kind)
+
+
+def _merge(
+    sessions: versions.SessionVersions,
+    report: messages.Report,
+    sender: tuple[str, int],
+    now_ms: float,
+) -> tuple[str, int] | None:
+    """Record a report, and return the daemon that has another version."""
+    known = sessions.newest(report.key, now_ms)
+    reported = versions.NewestRequest(
+        report.version,
+        now_ms - report.age_ms,
+        now_ms - max(report.age_ms, report.held_ms),
+        reporter=sender,
+    )
+    sessions.merge(report.key, reported, now_ms)
+    if known is None or known.version == report.version:
+        return None
+    kept = sessions.version_of(report.key, now_ms)
+    return known.reporter if kept == report.version else sender
+
+
 @contextlib.contextmanager
 def _errors_logged() -> Iterator[None]:
     """Log an error instead of raising it: requests are served without it."""
     try:
         yield
     except Exception as fault:
-        eliot.log_message('session_exchange_failed', reason=repr(fault))
-        eliot.write_traceback()
+        if _may_log('session_exchange_failed', clocks.monotonic_ms()):
+            eliot.log_message('session_exchange_failed', reason=repr(fault))
+            eliot.write_traceback()
+
+
+def _make_log_limit() -> Callable[[str, float], bool]:
+    """Return a function that tells whether a message may be logged again."""
+    logged_ms: dict[str, float] = {}
+
+    def may_log(name: str, now_ms: float) -> bool:
+        if now_ms - logged_ms.get(name, -math.inf) < _LOG_INTERVAL_MS:
+            return False
+        logged_ms[name] = now_ms
+        return True
+
+    return may_log
+
+
+_may_log = _make_log_limit()
 
 
 def _batches(
--- a/packages/daemon/tests/gateway/sessions/test_session_exchange.py
+++ b/packages/daemon/tests/gateway/sessions/test_session_exchange.py
@@ -11,7 +11,7 @@
 import orjson
 import pytest
 
-from yuccarouter.gateway import model, peers, rollout_control, state
+from yuccarouter.gateway import endpoints, model, peers, rollout_control, state
 from yuccarouter.gateway.sessions import decisions, exchange, messages, owners
 
 VIEWS = [make.view('e1', version='v1'), make.view('e2', version='v2')]
@@ -56,11 +56,11 @@
 
     async def serve(self, session: str) -> str:
         """Serve a request of a session, and return its version."""
-        await self.exchange.look_up('engine', session, timeout_ms=1)
+        await self.exchange.look_up('engine', session, remaining_ms=3)
         allowed = self.control.allowed_versions('engine', session, self.views)
         version = min(allowed)
-        self.exchange.record('engine', session, version)
-        self.exchange.record('engine', session, version)
+        self.exchange.record_start('engine', session, version)
+        self.exchange.record_end('engine', session, version)
         return version
 
 
@@ -192,14 +192,147 @@
     assert await fleet.daemons[others[2]].serve(session) == new_version, case
 
 
-async def test_errors_of_the_exchange(clock: make.Clock) -> None:
-    """Guards against requests that fail as the exchange does."""
+@pytest.mark.parametrize('reports_lost', [(), (0,), (1,), (0, 1)])
+@pytest.mark.parametrize('count', [2, 5])
+async def test_wrong_decision_is_corrected(
+    clock: make.Clock, count: int, reports_lost: tuple[int, ...]
+) -> None:
+    """Guards against a session that changes its version with each request.
+
+    Review: a session ran on the new version at one daemon; another one lost
+    both owners' answers and took the old version. The two never agreed, with 9
+    changes in 10 requests.
+    """
+    fleet = Fleet(clock, count)
+    await fleet.order()
+    clock.now_ms += 1500
+    session = SELECTED[0]
+    key = exchange.versions.session_key('engine', session)
+    ranked = owners.owners(key, fleet.names)
+    first, second = (*sorted(set(fleet.names) - set(ranked)), *ranked)[:2]
+    fleet.lost = frozenset(ranked[index] for index in reports_lost) - {first}
+    fleet.daemons[first].exchange.record_start('engine', session, 'v2')
+    fleet.daemons[first].exchange.record_end('engine', session, 'v2')
+    clock.now_ms += 100
+    fleet.lost = frozenset(fleet.names)
+    await fleet.daemons[second].exchange.look_up('engine', session, 3)
+    fleet.lost = frozenset()
+    found = []
+    for _ in range(5):
+        for name in (second, first):
+            found.append(await fleet.daemons[name].serve(session))
+            clock.now_ms += 100
+    assert found[1:] == ['v2'] * 9
+
+
+async def test_requests_longer_than_a_session(clock: make.Clock) -> None:
+    """Guards against a session that moves while a request of it runs.
+
+    Review: a session with a request of more than ``session_ms`` counted as a
+    new one, and its owners learned of the request's end too late.
+    """
+    fleet = Fleet(clock, 3)
+    session = SELECTED[0]
+    serving, other = (fleet.daemons[name].exchange for name in fleet.names[:2])
+    for _ in range(2):
+        serving.record_start('engine', session, 'v1')
+    clock.now_ms += 6000
+    await fleet.order()
+    clock.now_ms += 1500
+    key = exchange.versions.session_key('engine', session)
+    assert other.sessions.version_of(key, clock.now_ms) == 'v1'
+    for record in (serving.record_end, serving.record_answer):
+        clock.now_ms += 6000
+        assert await fleet.daemons[fleet.names[0]].serve(session) == 'v1'
+        record('engine', session, 'v1')
+        assert await fleet.daemons[fleet.names[1]].serve(session) == 'v1'
+    serving.record_end('engine', session, 'v1')
+    assert not serving.sessions.newest(key, clock.now_ms + 5001)
+
+
+async def test_owners_after_a_change_of_daemons(clock: make.Clock) -> None:
+    """Guards against new owners that take a session in progress for new."""
+    fleet = Fleet(clock, 9)
+    await fleet.order()
+    clock.now_ms += 1500
+    session = SELECTED[0]
+    key = exchange.versions.session_key('engine', session)
+    ranked = owners.owners(key, fleet.names)
+    others = [name for name in fleet.names if name not in ranked]
+    runs = [
+        asyncio.create_task(daemon.exchange.run())
+        for daemon in fleet.daemons.values()
+    ]
+    await asyncio.sleep(0)
+    for run in runs:
+        run.cancel()
+    assert await fleet.daemons[others[0]].serve(session) == 'v2'
+    known = fleet.daemons[others[0]].exchange.sessions
+    known.record('engine', session, 'v1', clock.now_ms)
+    fleet.names = tuple(others)
+    clock.now_ms += 4000
+    assert await fleet.daemons[others[1]].serve(session) == 'v1'
+    clock.now_ms += 5001
+    assert await fleet.daemons[others[1]].serve(session) == 'v2'
+
+
+@pytest.mark.parametrize(
+    ('order_age_ms', 'present', 'asked'),
+    [(999, VIEWS, 0), (1000, VIEWS, 2), (1000, VIEWS[:1], 0)],
+)
+async def test_needless_questions(
+    clock: make.Clock,
+    order_age_ms: float,
+    present: list[endpoints.EndpointView],
+    asked: int,
+) -> None:
+    """Guards against waits that can't change where a request runs."""
+    fleet = Fleet(clock, 9)
+    await fleet.order()
+    clock.now_ms += order_age_ms
+    key = exchange.versions.session_key('engine', SELECTED[0])
+    ranked = owners.owners(key, fleet.names)
+    asker = min(set(fleet.names) - set(ranked))
+    fleet.lost = frozenset(fleet.names)
+    found = fleet.daemons[asker].exchange
+    found.present = functools.partial(
+        rollout_control.versions_present, views=present
+    )
+    fleet.sent = 0
+    await found.look_up('engine', SELECTED[0], remaining_ms=3)
+    assert fleet.sent == asked
+
+
+async def test_errors_of_the_exchange(
+    clock: make.Clock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests that fail as the exchange does, and long logs."""
     fleet = Fleet(clock, 3)
     await fleet.order()
+    logged = []
+    monkeypatch.setattr(
+        exchange.eliot, 'log_message', lambda name, **_: logged.append(name)
+    )
+    monkeypatch.setattr(exchange, '_may_log', exchange._make_log_limit())
+    names = fleet.names
     fleet.names = (None,)  # type: ignore[assignment]
     for session in SELECTED:
         for daemon in fleet.daemons.values():
             assert await daemon.serve(session) == 'v1'
+    assert logged.count('session_exchange_failed') == 1
+    fleet.names = names
+    fleet.lost = frozenset(fleet.names)
+    fleet.restart('d0')
+    clock.now_ms += 1000
+    for session in SELECTED:
+        assert await fleet.daemons['d0'].serve(session) == 'v1'
+    assert logged.count('session_unanswered') == 1
+    failing = fleet.daemons['d0'].exchange
+    monkeypatch.setattr(failing, 'sessions', None)
+    failing.record_start('engine', SELECTED[0], 'v1')
+    failing.record_answer('engine', SELECTED[0], 'v1')
+    failing.record_end('engine', SELECTED[0], 'v1')
+    assert logged.count('session_exchange_failed') == 2
 
 
 GOOD = {messages.FIELD: 'report', 'reports': [['00', 'v1', 0]]}
@@ -211,9 +344,6 @@
         {messages.FIELD: 'unknown'},
         {messages.FIELD: []},
         {'reports': 1},
-        {'reports': [['00', 'v1', 0], ['01', 'v1']]},
-        {'reports': [['00', 'v1', 0], ['01', 'v1', -1]]},
-        {'reports': [['00', 'v1', 0], ['01', None, 1]]},
         {'reports': [['0' * 17, 'v1', 0]]},
         {'reports': [['00', 'v1', 0]] * 51},
         {messages.FIELD: 'question', 'number': 'x', 'key': '00'},
@@ -241,6 +371,43 @@
     assert receiver.sessions.newest('00', clock.now_ms) is not None
 
 
+@pytest.mark.parametrize(
+    'row', [['01', 'v1'], ['01', 'v1', -1], ['01', None, 1], 7, None]
+)
+async def test_malformed_reports(
+    clock: make.Clock, row: object, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a report that is lost, or logged often, for another."""
+    logged = []
+    monkeypatch.setattr(
+        exchange.eliot, 'log_message', lambda name, **_: logged.append(name)
+    )
+    exchange._log_bad_report.cache_clear()
+    receiver = Fleet(clock, 1).daemons['d0'].exchange
+    for _ in range(3):
+        receiver.receive(
+            {**GOOD, 'reports': [row, ['00', 'v1', 0]]}, ('10.0.0.1', 1)
+        )
+    assert receiver.sessions.version_of('00', clock.now_ms) == 'v1'
+    assert receiver.sessions.version_of('01', clock.now_ms) is None
+    assert logged == ['bad_session_report']
+
+
+def test_versions_that_are_too_long() -> None:
+    """Guards against a version for which receivers reject a datagram."""
+    long = messages.Report('01', 'v' * 101, 0)
+    payload = messages.encode_reports([long, messages.Report('00', 'v1', 0)])
+    decoded = messages.decode(orjson.loads(payload))
+    assert decoded == messages.Reports(
+        (messages.Report('00', 'v1', 0),), is_correction=False
+    )
+    known = decisions.Answer(long.version, 0, is_certain=True)
+    reply = messages.encode_reply(messages.Reply(1, 'd', known))
+    assert not decisions.is_answered(
+        [messages.decode(orjson.loads(reply)).answer]
+    )
+
+
 async def test_question_over_the_network() -> None:
     """Guards against answers that don't reach the daemon that has asked."""
     names = ('d1', 'd2')
@@ -277,4 +444,5 @@
     """Return the control of a daemon that has read an order."""
     made = Daemon(name, Fleet(make.Clock(), 1)).control
     made.apply_order(make.order())
+    made.by_service['engine'].order_read_ms -= 1000
     return made
