Measure the load of a service with one objective for all routes

The load behind the price of engine time was measured with the objective of the route that happened to ask, so that routes with different objectives swung the price of a shared service for each other. It is now the shortest objective of the stream routes that send to the service, for the smoothed load as well as for the load of the engine that would read; the price moves to a module of its own.

--- a/packages/daemon/src/yuccarouter/gateway/model_choice/decision.py
+++ b/packages/daemon/src/yuccarouter/gateway/model_choice/decision.py
@@ -68,7 +68,8 @@
 
     ``sufficient`` is the probability that the answer at hand suffices.
     ``remaining_ms`` is the time left to the deadline, and ``attempts_left``
-    how often the request may still run.
+    how often the request may still run. ``service_objective_ms`` is the one by
+    which the load of the service's engines is measured.
     """
 
     value: float
@@ -78,6 +79,7 @@
     objective_ms: float
     attempts_left: int
     price: bid_price.Price
+    service_objective_ms: float
 
 
 @attrs.frozen
@@ -197,7 +199,7 @@
 
 def _cost(situation: Situation, option: Option) -> float:
     engine_load = engines.backlog_load(
-        option.backlog_ms, situation.objective_ms
+        option.backlog_ms, situation.service_objective_ms
     )
     read_cost = situation.price.cost(option.read_ms, engine_load)
     return read_cost + _ATTEMPT_VALUE_SHARE * situation.value
--- a/packages/daemon/src/yuccarouter/gateway/model_choice/selection.py
+++ b/packages/daemon/src/yuccarouter/gateway/model_choice/selection.py
@@ -13,13 +13,13 @@
     confidences,
     decision,
     engines,
+    service_prices,
     value,
 )
 from yuccarouter_common import clocks
 
 if TYPE_CHECKING:
     from yuccarouter.gateway import state
-    from yuccarouter.gateway.model_choice import bid_price
 
 # Timeout of a read by a larger model, as a multiple of the expected time. The
 # adaptive timeout is shorter than the read of a long prompt, which would be
@@ -135,6 +135,9 @@
     ) -> decision.Situation:
         out = self.out
         is_repeatable = out.may_run_again(after=0)
+        service_objective_ms = service_prices.objective_ms(
+            out.gateway, out.service, out.route
+        )
         return decision.Situation(
             value=self._value(),
             sufficient=confidences.sufficiency(confidence),
@@ -144,7 +147,10 @@
             attempts_left=(
                 out.route.max_attempts - out.runs if is_repeatable else 0
             ),
-            price=_observed_price(out, now_ms),
+            price=service_prices.observed(
+                out.gateway, out.service, service_objective_ms, now_ms
+            ),
+            service_objective_ms=service_objective_ms,
         )
 
     def _engine(self, now_ms: float) -> engines.Found | None:
@@ -241,28 +247,6 @@
     metrics.UNCERTAIN_ANSWERS.labels(service, reason).inc()
 
 
-def _observed_price(
-    out: attempts.OutgoingCall, now_ms: float
-) -> bid_price.Price:
-    gateway = out.gateway
-    prices = gateway.bid_prices
-    if prices.is_observation_due(out.service, now_ms):
-        views = [
-            view
-            for view in gateway.directory
-            if view.announced.service == out.service
-            and not view.announced.is_draining
-        ]
-        load = engines.service_load(
-            views,
-            out.route.objective_ms,
-            prices.answer_ms(out.service),
-            now_ms,
-        )
-        prices.observe(out.service, load, now_ms)
-    return prices.price(out.service)
-
-
 def _log(
     out: attempts.OutgoingCall,
     confidence: float | None,
--- a/packages/daemon/tests/gateway/model_choice/test_decision.py
+++ b/packages/daemon/tests/gateway/model_choice/test_decision.py
@@ -31,6 +31,7 @@
         'objective_ms': 2000,
         'attempts_left': 2,
         'price': IDLE,
+        'service_objective_ms': fields.get('objective_ms', 2000),
         **fields,
     }
     return decision.Situation(**values)
--- a/packages/daemon/tests/gateway/model_choice/test_selection.py
+++ b/packages/daemon/tests/gateway/model_choice/test_selection.py
@@ -15,6 +15,7 @@
     model,
     model_escalation,
     rollout_control,
+    routes,
     state,
     streaming,
 )
@@ -49,7 +50,7 @@
         path_prefix='/',
         kind=model.Kind.STREAM,
         timeout_ms=30_000,
-        objective_ms=2000,
+        objective_ms=fields.pop('objective_ms', 2000),
         gap_objective_ms=200,
         priority=0,
         max_attempts=3,
@@ -222,3 +223,50 @@
     asked.begin(2)
     for timeout_ms in timeouts_ms:
         assert asked.head_timeout_ms(chosen, 3000, remaining_ms) == timeout_ms
+
+
+@pytest.mark.parametrize(
+    ('others', 'load'),
+    [
+        ((), 0.4),
+        (({'objective_ms': 500},), 0.8),
+        (({'objective_ms': 500}, {'objective_ms': 8000}), 0.8),
+        (({'objective_ms': 500, 'kind': model.Kind.SAFE},), 0.4),
+        (
+            (
+                {
+                    'objective_ms': 500,
+                    'shares': (model.ServiceShare('engine', 0),),
+                },
+            ),
+            0.4,
+        ),
+    ],
+)
+def test_load_is_the_same_for_all_routes(
+    clock: make.Clock, others: tuple[dict[str, Any], ...], load: float
+) -> None:
+    """Guards against routes that swing the price of a service for each other.
+
+    A route with a long objective would take loaded engines for idle ones.
+    """
+    relay = make_relay(clock, controls=True, objective_ms=1000)
+    out = relay.out
+    known = [out.route, *(attrs.evolve(out.route, **other) for other in others)]
+    out.gateway.table = routes.RouteTable(
+        model.Configuration(
+            1,
+            tuple(known),
+            services={},
+            organisations=(),
+            limits=model.Limits(1000),
+        )
+    )
+    for view in out.gateway.directory:
+        view.pending_prefill_ms = 200
+    for route in known:
+        clock.now_ms += 10_000
+        out.route = route
+        assert relay.choice is not None
+        situation = relay.choice._situation(20, clock.now_ms)
+        assert math.isclose(situation.price.load, load, abs_tol=0.01)
