Leave engines that can't be used out of the load of a service

The load behind the price counted all engines that did not drain. Evacuated, paused, rate limited and unreachable ones are idle, so that the price stayed low while the others were full. The load is now that of the engines that choice.is_usable accepts and that answer, or of the silent ones if there is no other, as in the choice of an endpoint.

--- a/packages/daemon/src/yuccarouter/gateway/model_choice/service_prices.py
+++ b/packages/daemon/src/yuccarouter/gateway/model_choice/service_prices.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from yuccarouter.gateway import model
+from yuccarouter.gateway import choice, model
 from yuccarouter.gateway.model_choice import engines
 
 if TYPE_CHECKING:
-    from yuccarouter.gateway import state
+    from yuccarouter.gateway import endpoints, state
     from yuccarouter.gateway.model_choice import bid_price
 
 
@@ -40,19 +40,49 @@
     """Return the price, after a look at the engines if one is due."""
     prices = gateway.bid_prices
     if prices.is_observation_due(service, now_ms):
-        views = [
-            view
-            for view in gateway.directory
-            if view.announced.service == service
-            and not view.announced.is_draining
-        ]
         load = engines.service_load(
-            views, service_objective_ms, prices.answer_ms(service), now_ms
+            usable_engines(gateway, service, now_ms),
+            service_objective_ms,
+            prices.answer_ms(service),
+            now_ms,
         )
         prices.observe(service, load, now_ms)
     return prices.price(service)
 
 
+def usable_engines(
+    gateway: state.Gateway, service: str, now_ms: float
+) -> list[endpoints.EndpointView]:
+    """Return the engines that may get a request now, whatever their version.
+
+    Those that can't be used are idle, and would hide the load of the others.
+    Engines that recently did not answer are returned only if there is no other.
+    """
+    unreachable = gateway.failure_reports.unreachable(now_ms)
+    requirements = choice.Requirements(
+        service=service,
+        objective_ms=0,
+        versions=None,
+        tried=frozenset(),
+        out_of_service=gateway.evacuated_data_centres,
+        local_data_centre=gateway.conf.data_centre,
+        cold_share=None,
+        max_in_flight=0,
+        rate_limited=gateway.rate_limits.exhausted(now_ms),
+    )
+    usable = [
+        view
+        for view in gateway.service_index.of(service).every
+        if choice.is_usable(view, requirements, now_ms)
+    ]
+    answering = [
+        view
+        for view in usable
+        if view.avoid_until_ms <= now_ms and view.name not in unreachable
+    ]
+    return answering or usable
+
+
 def _sends_to(route: model.Route, service: str) -> bool:
     return any(
         share.service == service and share.weight > 0 for share in route.shares
--- a/packages/daemon/tests/gateway/model_choice/test_selection.py
+++ b/packages/daemon/tests/gateway/model_choice/test_selection.py
@@ -19,7 +19,11 @@
     state,
     streaming,
 )
-from yuccarouter.gateway.model_choice import decision, selection
+from yuccarouter.gateway.model_choice import (
+    decision,
+    selection,
+    service_prices,
+)
 
 MODELS = ('small', 'middle', 'large')
 # Read times of the models in ms per token.
@@ -270,3 +274,36 @@
         assert relay.choice is not None
         situation = relay.choice._situation(20, clock.now_ms)
         assert math.isclose(situation.price.load, load, abs_tol=0.01)
+
+
+@pytest.mark.parametrize(
+    'reason', ['evacuated', 'paused', 'limited', 'unreachable', 'silent']
+)
+def test_load_is_that_of_usable_engines(
+    clock: make.Clock, monkeypatch: pytest.MonkeyPatch, reason: str
+) -> None:
+    """Guards against a low price because of idle engines that can't be used.
+
+    Two engines of three are out of use, and the third one is loaded.
+    """
+    gateway = make_relay(clock, controls=True).out.gateway
+    loaded, *idle = gateway.directory
+    loaded.pending_prefill_ms = 5000
+    names = frozenset(view.name for view in idle)
+    for view in idle:
+        view.announced = attrs.evolve(
+            view.announced,
+            data_centre='evacuated' if reason == 'evacuated' else 'a',
+        )
+        until_ms = clock.now_ms + 10_000
+        view.paused_until_ms = until_ms if reason == 'paused' else 0
+        view.avoid_until_ms = until_ms if reason == 'silent' else 0
+    gateway.evacuated_data_centres = frozenset(('evacuated',))
+    for owner, method, is_meant in (
+        (gateway.rate_limits, 'exhausted', reason == 'limited'),
+        (gateway.failure_reports, 'unreachable', reason == 'unreachable'),
+    ):
+        found = names if is_meant else frozenset()
+        monkeypatch.setattr(type(owner), method, lambda *_, found=found: found)
+    price = service_prices.observed(gateway, 'engine', 2000, clock.now_ms)
+    assert price.load == 1
