Don't count a prompt that is being read as waiting

An engine counted as having waiting requests with a backlog of over 25 ms, which a single prompt exceeds while it is read, so that large reads found no engine under steady moderate load.

--- a/packages/daemon/src/yuccarouter/gateway/model_choice/selection.py
+++ b/packages/daemon/src/yuccarouter/gateway/model_choice/selection.py
@@ -105,7 +105,7 @@
         """Return the model to ask next, ``None`` to accept the answer."""
         now_ms = clocks.monotonic_ms()
         situation = self._situation(confidence, now_ms)
-        engine = self._engine(now_ms)
+        engine = self._engine(situation.service_objective_ms, now_ms)
         options = [
             self._option(index, larger, confidence, engine, now_ms)
             for larger in range(index + 1, len(self.models))
@@ -153,7 +153,9 @@
             service_objective_ms=service_objective_ms,
         )
 
-    def _engine(self, now_ms: float) -> engines.Found | None:
+    def _engine(
+        self, service_objective_ms: float, now_ms: float
+    ) -> engines.Found | None:
         """Return the best engine for the largest model.
 
         It stands for all larger models: a search among all engines takes much
@@ -166,7 +168,9 @@
                 out.call, out.route, out.service, avoided, self.models[-1]
             )
 
-        return engines.choose_without_waiting(choose, now_ms)
+        return engines.choose_without_waiting(
+            choose, service_objective_ms, now_ms
+        )
 
     def _option(
         self,
@@ -190,7 +194,7 @@
             read_ms=read_ms(
                 gateway, self.models, larger, self._tokens(larger, engine)
             ),
-            is_waited_for=engines.is_waited_for(view, now_ms),
+            is_waited_for=engine.is_waited_for,
             passed_over=engine.passed_over,
         )
 
