Price engine time by first answers only

Each answer of a larger model was recorded with its read and no value, so that the escalations that the price should limit lowered it. Only the first answer to a request is recorded now, with its value, and also for streams of routes that have no choice of models, as they use the same engines.

--- a/packages/daemon/src/yuccarouter/gateway/model_choice/bid_price.py
+++ b/packages/daemon/src/yuccarouter/gateway/model_choice/bid_price.py
@@ -81,10 +81,7 @@
     def record_answer(
         self, service: str, value: float, engine_ms: float
     ) -> None:
-        """Record the engine time of an answer.
-
-        ``value`` is 0 for a further answer to the same request.
-        """
+        """Record the value and the engine time of a request's first answer."""
         known = self._services.setdefault(service, _ServicePrice())
         known.value = _DECAY_FACTOR * known.value + max(0, value)
         known.engine_ms = (
@@ -93,7 +90,7 @@
         known.answers = _DECAY_FACTOR * known.answers + 1
 
     def answer_ms(self, service: str) -> float:
-        """Return the mean engine time of an answer."""
+        """Return the mean engine time of a request's first answer."""
         known = self._services.get(service, _ServicePrice())
         return known.engine_ms / known.answers
 
--- a/packages/daemon/src/yuccarouter/gateway/model_choice/selection.py
+++ b/packages/daemon/src/yuccarouter/gateway/model_choice/selection.py
@@ -14,7 +14,6 @@
     decision,
     engines,
     service_prices,
-    value,
 )
 from yuccarouter_common import clocks
 
@@ -45,7 +44,6 @@
     _is_larger_asked: bool = False
     _decided: decision.Option | None = None
     _before: tuple[int, float] | None = None
-    _is_counted: bool = False
 
     @property
     def models(self) -> tuple[str, ...]:
@@ -80,9 +78,7 @@
             max(adaptive_ms, _READ_TIMEOUT_MULTIPLE * expected_ms), max_ms
         )
 
-    def record_answer(
-        self, index: int, confidence: float | None, prefill_tokens: float
-    ) -> None:
+    def record_answer(self, index: int, confidence: float | None) -> None:
         """Record the head of an answer of the model ``index``."""
         out = self.out
         before = self._before
@@ -94,12 +90,6 @@
                 confidence,
                 clocks.monotonic_ms(),
             )
-        out.gateway.bid_prices.record_answer(
-            out.service,
-            0 if self._is_counted else self._value(),
-            read_ms(out.gateway, self.models, index, prefill_tokens),
-        )
-        self._is_counted = True
 
     def larger_index(self, index: int, confidence: float | None) -> int | None:
         """Return the model to ask next, ``None`` to accept the answer."""
@@ -220,9 +210,7 @@
         )
 
     def _value(self) -> float:
-        return value.request_value(
-            self.out.priority, model.prompt_tokens(self.out.call)
-        )
+        return service_prices.request_value(self.out)
 
 
 def read_ms(
--- a/packages/daemon/src/yuccarouter/gateway/model_choice/service_prices.py
+++ b/packages/daemon/src/yuccarouter/gateway/model_choice/service_prices.py
@@ -5,10 +5,10 @@
 from typing import TYPE_CHECKING
 
 from yuccarouter.gateway import choice, model
-from yuccarouter.gateway.model_choice import engines
+from yuccarouter.gateway.model_choice import engines, value
 
 if TYPE_CHECKING:
-    from yuccarouter.gateway import endpoints, state
+    from yuccarouter.gateway import attempts, endpoints, state
     from yuccarouter.gateway.model_choice import bid_price
 
 
@@ -31,6 +31,22 @@
     )
 
 
+def request_value(out: attempts.OutgoingCall) -> float:
+    """Return the value of a right answer to a request in time."""
+    return value.request_value(out.priority, model.prompt_tokens(out.call))
+
+
+def record_first_answer(out: attempts.OutgoingCall, read_ms: float) -> None:
+    """Record the first answer to a request, and the time of its read.
+
+    Answers of larger models to the same request are left out: they would lower
+    the price that limits them.
+    """
+    out.gateway.bid_prices.record_answer(
+        out.service, request_value(out), read_ms
+    )
+
+
 def observed(
     gateway: state.Gateway,
     service: str,
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -22,7 +22,7 @@
     state,
     stream_timeouts,
 )
-from yuccarouter.gateway.model_choice import selection
+from yuccarouter.gateway.model_choice import selection, service_prices
 from yuccarouter_common import clocks, errors, refusals
 
 if TYPE_CHECKING:
@@ -96,7 +96,8 @@
     ``model_index`` is the index of the current model in ``plan.models``, and
     ``response`` the caller's response, ``None`` until its head is sent.
     ``choice`` holds the state of the choice of models by load, ``None`` where
-    the smallest and the largest model are asked.
+    the smallest and the largest model are asked. ``is_answer_recorded`` is true
+    once an answer counts in the price of engine time.
     """
 
     out: attempts.OutgoingCall
@@ -106,6 +107,7 @@
     model_index: int = 0
     response: web.StreamResponse | None = None
     choice: selection.Selection | None = None
+    is_answer_recorded: bool = False
 
     @property
     def model(self) -> str:
@@ -232,16 +234,36 @@
         timeout.record(clocks.monotonic_ms() - opened.sent_ms, prefill_tokens)
         if opened.head.status != _OK:
             return await _forward_failure(relay, opened)
-        if relay.choice is not None and relay.response is None:
-            relay.choice.record_answer(
-                relay.model_index, opened.head.confidence, prefill_tokens
-            )
+        _record_head(relay, opened.head.confidence, prefill_tokens)
         if _escalate_if_uncertain(relay, opened.head.confidence):
             return None
         await _relay_stream(relay, opened)
         return relay.response
 
 
+def _record_head(
+    relay: Relay, confidence: float | None, prefill_tokens: float
+) -> None:
+    """Record the head of an answer, for the choice of models by load.
+
+    Routes without a choice of models use the same engines, and count in the
+    price of their time as well.
+    """
+    out = relay.out
+    if relay.response is not None or not state.controls_load(
+        out.gateway, out.service
+    ):
+        return
+    if not relay.is_answer_recorded:
+        relay.is_answer_recorded = True
+        read_ms = selection.read_ms(
+            out.gateway, relay.plan.models, relay.model_index, prefill_tokens
+        )
+        service_prices.record_first_answer(out, read_ms)
+    if relay.choice is not None:
+        relay.choice.record_answer(relay.model_index, confidence)
+
+
 def _escalate_if_uncertain(relay: Relay, confidence: float | None) -> bool:
     """Select the next larger model if this answer is too uncertain.
 
--- a/packages/daemon/tests/gateway/model_choice/test_selection.py
+++ b/packages/daemon/tests/gateway/model_choice/test_selection.py
@@ -60,7 +60,7 @@
         max_attempts=3,
         shares=(model.ServiceShare('engine', 1),),
         is_resumable=True,
-        models=MODELS,
+        models=fields.pop('models', MODELS),
     )
     out = attempts.OutgoingCall(
         gateway=gateway,
@@ -162,7 +162,7 @@
     learned = relay.out.gateway.confidences
     assert relay.choice is not None
     for index, confidence in ((0, 30), (0, 30), (2, 90), (2, 90)):
-        relay.choice.record_answer(index, confidence, 1000)
+        relay.choice.record_answer(index, confidence)
     (counts,) = learned.message(clock.now_ms).values()
     assert sum(counts) == 1
 
@@ -311,3 +311,25 @@
         monkeypatch.setattr(type(owner), method, lambda *_, found=found: found)
     price = service_prices.observed(gateway, 'engine', 2000, clock.now_ms)
     assert price.load == 1
+
+
+@pytest.mark.parametrize(
+    ('models', 'controls', 'answers'),
+    [(MODELS, True, 1), (('small',), True, 1), (MODELS, False, 0)],
+)
+def test_price_is_that_of_first_answers(
+    clock: make.Clock, models: tuple[str, ...], controls: bool, answers: int
+) -> None:
+    """Guards against a price that falls because of the reads that it limits.
+
+    It counts the first answers of all routes that use the engines.
+    """
+    relay = make_relay(clock, controls=controls, models=models)
+    prices = relay.out.gateway.bid_prices
+    before = prices.price('engine').value_per_ms
+    streaming._record_head(relay, 30, 1000)
+    first = prices.price('engine').value_per_ms
+    assert (first != before) is bool(answers)
+    relay.model_index = len(relay.plan.models) - 1
+    streaming._record_head(relay, 90, 54_000)
+    assert prices.price('engine').value_per_ms == first
