Take read times of larger models from the capacity part

Decisions on models used prefill times that are linear in the prompt's length and don't follow the engine's speed, whereas the backlog and the choice of the engine rest on service_times and the engine's factor, so that long reads and slow engines seemed in time. selection.read_ms now uses service_times, and the times of an option are multiplied by the factor of the engine that was found.

--- a/packages/daemon/src/yuccarouter/gateway/capacity/work.py
+++ b/packages/daemon/src/yuccarouter/gateway/capacity/work.py
@@ -186,6 +186,10 @@
         while len(self._reads) > _MAX_NAMES:
             self._reads.popitem(last=False)
 
+    def knows_reads(self, model: str) -> bool:
+        """Return whether a read of this model was timed."""
+        return model in self._reads
+
     def read_ms(self, model: str, tokens: float) -> float:
         """Return the time in which an idle engine reads prompt tokens."""
         fit = self._reads.get(model)
--- a/packages/daemon/src/yuccarouter/gateway/model_choice/selection.py
+++ b/packages/daemon/src/yuccarouter/gateway/model_choice/selection.py
@@ -170,9 +170,13 @@
         engine: engines.Found,
         now_ms: float,
     ) -> decision.Option:
-        """Return the option to ask the model ``larger`` after ``index``."""
+        """Return the option to ask the model ``larger`` after ``index``.
+
+        Its times are those at the present speed of the engine.
+        """
         gateway = self.out.gateway
-        view = engine.chosen.endpoint
+        chosen = engine.chosen
+        factor = 1.0 if chosen.time_factor is None else chosen.time_factor
         pair = self._pair(index, larger)
         return decision.Option(
             index=larger,
@@ -180,8 +184,9 @@
             sufficient=gateway.confidences.expected_sufficiency(
                 pair, confidence, now_ms
             ),
-            backlog_ms=view.backlog_ms(now_ms),
-            read_ms=read_ms(
+            backlog_ms=factor * chosen.endpoint.backlog_ms(now_ms),
+            read_ms=factor
+            * read_ms(
                 gateway, self.models, larger, self._tokens(larger, engine)
             ),
             is_waited_for=engine.is_waited_for,
@@ -216,18 +221,18 @@
 def read_ms(
     gateway: state.Gateway, models: tuple[str, ...], index: int, tokens: float
 ) -> float:
-    """Return the expected time of an idle engine to read ``tokens``.
+    """Return the time of an idle engine of usual speed to read ``tokens``.
 
     A middle model that was never asked is taken to lie at equal ratios between
     the smallest and the largest one. The initial estimate of its own, which is
     that of a large model, would keep it from ever being asked.
     """
-    speeds = gateway.prefill_speeds
-    own_ms = speeds.expected_ms(models[index], tokens)
-    if speeds.is_known(models[index]):
+    times = gateway.service_times
+    own_ms = times.read_ms(models[index], tokens)
+    if times.knows_reads(models[index]):
         return own_ms
-    smallest_ms = speeds.expected_ms(models[0], tokens)
-    largest_ms = speeds.expected_ms(models[-1], tokens)
+    smallest_ms = times.read_ms(models[0], tokens)
+    largest_ms = times.read_ms(models[-1], tokens)
     if min(smallest_ms, largest_ms) <= 0:
         return own_ms
     share = index / max(1, len(models) - 1)
--- a/packages/daemon/tests/gateway/model_choice/test_selection.py
+++ b/packages/daemon/tests/gateway/model_choice/test_selection.py
@@ -45,7 +45,9 @@
         gateway.directory.apply_announcement(view.announced)
     for name in fields.pop('known', MODELS):
         for _ in range(400):
-            gateway.prefill_speeds.record(name, 25 + 5000 * SPEEDS[name], 5000)
+            elapsed_ms = 25 + 5000 * SPEEDS[name]
+            gateway.prefill_speeds.record(name, elapsed_ms, 5000)
+            gateway.service_times.record_read(name, 5000, elapsed_ms, 0)
     for _ in range(1000):
         gateway.retry_budget.record_request('engine', clock.now_ms)
     route = model.Route(
@@ -333,3 +335,29 @@
     relay.model_index = len(relay.plan.models) - 1
     streaming._record_head(relay, 90, 54_000)
     assert prices.price('engine').value_per_ms == first
+
+
+@pytest.mark.parametrize('percent', [100, 250])
+def test_times_follow_length_and_speed(clock: make.Clock, percent: int) -> None:
+    """Guards against long reads that seem in time, but are late.
+
+    The read time grows faster than the prompt, and on slow engines.
+    """
+    relay = make_relay(clock, controls=True, tokens=40_000, known=())
+    gateway = relay.out.gateway
+    for tokens in [*range(1000, 50_000, 1000)] * 4:
+        units = tokens / 10_000
+        read_ms = 200 * units + 100 * units**2
+        for name in MODELS:
+            gateway.service_times.record_read(name, tokens, 25 + read_ms, 0)
+            gateway.prefill_speeds.record(name, 25 + read_ms, tokens)
+    for view in gateway.directory:
+        view.pending_prefill_ms = 100
+        gateway.speeds.record(view.name, percent, clock.now_ms)
+    assert relay.choice is not None
+    engine = relay.choice._engine(2000, clock.now_ms)
+    assert engine is not None
+    option = relay.choice._option(0, 2, 20, engine, clock.now_ms)
+    factor = percent / 100
+    assert math.isclose(option.read_ms, 2400 * factor, rel_tol=0.05)
+    assert math.isclose(option.backlog_ms, 100 * factor)
