Guard the bookkeeping of the choice of models against exceptions

Only the decision itself was guarded, so that an exception while an answer was recorded, a larger model was begun or a timeout was calculated failed the request. A single guard now covers all of them, logs model_choice_failed once with the cause and writes the traceback; the request is served as without load control. The five cases of the new test failed before the change (the one in the price for its missing traceback) and pass now, as do the tests of model_choice and the lint.

--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import sys
 from typing import TYPE_CHECKING, Final
 
 import aiohttp
@@ -26,7 +27,7 @@
 from yuccarouter_common import clocks, errors, refusals
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
+    from collections.abc import Awaitable, Iterator
 
     from yuccarouter.gateway import choice
 
@@ -224,9 +225,10 @@
             chosen.endpoint.backlog_ms(clocks.monotonic_ms()),
         )
         if relay.choice is not None:
-            adaptive_ms = relay.choice.head_timeout_ms(
-                chosen, adaptive_ms, out.remaining_ms()
-            )
+            with _guarded(relay):
+                adaptive_ms = relay.choice.head_timeout_ms(
+                    chosen, adaptive_ms, out.remaining_ms()
+                )
         head_timeout_ms = min(head_timeout_ms, adaptive_ms)
     async with attempts.open_attempt(
         out, chosen, relay.model, relay.resume_id, head_timeout_ms
@@ -234,13 +236,31 @@
         timeout.record(clocks.monotonic_ms() - opened.sent_ms, prefill_tokens)
         if opened.head.status != _OK:
             return await _forward_failure(relay, opened)
-        _record_head(relay, opened.head.confidence, prefill_tokens)
+        with _guarded(relay):
+            _record_head(relay, opened.head.confidence, prefill_tokens)
         if _escalate_if_uncertain(relay, opened.head.confidence):
             return None
         await _relay_stream(relay, opened)
         return relay.response
 
 
+@contextlib.contextmanager
+def _guarded(relay: Relay) -> Iterator[None]:
+    """Log exceptions of the choice of models by load.
+
+    The request is then served as without it.
+    """
+    try:
+        yield
+    except Exception as fault:
+        eliot.log_message(
+            'model_choice_failed',
+            request=relay.out.call.request_id,
+            reason=repr(fault),
+        )
+        eliot.write_traceback(exc_info=sys.exc_info())
+
+
 def _record_head(
     relay: Relay, confidence: float | None, prefill_tokens: float
 ) -> None:
@@ -297,7 +317,8 @@
     )
     relay.model_index = larger_index
     if relay.choice is not None:
-        relay.choice.begin(larger_index)
+        with _guarded(relay):
+            relay.choice.begin(larger_index)
     out.has_run = True
     out.tried = frozenset()
     return True
@@ -306,14 +327,8 @@
 def _larger_model_index(relay: Relay, confidence: float | None) -> int | None:
     """Return the larger model to ask, ``None`` to accept the answer."""
     if relay.choice is not None:
-        try:
+        with _guarded(relay):
             return relay.choice.larger_index(relay.model_index, confidence)
-        except Exception as fault:
-            eliot.log_message(
-                'model_choice_failed',
-                request=relay.out.call.request_id,
-                reason=repr(fault),
-            )
     if _should_ask_larger_model(relay, confidence):
         return len(relay.plan.models) - 1
     return None
--- a/packages/daemon/tests/gateway/model_choice/test_selection.py
+++ b/packages/daemon/tests/gateway/model_choice/test_selection.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
-from typing import Any
+import types
+from typing import TYPE_CHECKING, Any
 
 import attrs
 import gateway_makers as make
@@ -20,11 +22,15 @@
     streaming,
 )
 from yuccarouter.gateway.model_choice import (
+    bid_price,
     decision,
     selection,
     service_prices,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
 MODELS = ('small', 'middle', 'large')
 # Read times of the models in ms per token.
 SPEEDS = {'small': 0.004, 'middle': 0.011, 'large': 0.04}
@@ -361,3 +367,51 @@
     factor = percent / 100
     assert math.isclose(option.read_ms, 2400 * factor, rel_tol=0.05)
     assert math.isclose(option.backlog_ms, 100 * factor)
+
+
+@pytest.mark.parametrize(
+    ('owner', 'method'),
+    [
+        (selection.Selection, 'head_timeout_ms'),
+        (selection.Selection, 'record_answer'),
+        (selection.Selection, 'begin'),
+        (bid_price.BidPrices, 'record_answer'),
+        (bid_price.BidPrices, 'price'),
+    ],
+)
+async def test_fault_in_an_attempt(
+    clock: make.Clock, monkeypatch: pytest.MonkeyPatch, owner: Any, method: str
+) -> None:
+    """Guards against a request that is lost to an error in the bookkeeping.
+
+    The attempt goes on, and the log has the cause with its traceback.
+    """
+
+    def fail(*_: Any) -> None:
+        raise ZeroDivisionError
+
+    @contextlib.asynccontextmanager
+    async def answer(*_: Any) -> AsyncIterator[types.SimpleNamespace]:
+        head = types.SimpleNamespace(status=200, confidence=20.0)
+        yield types.SimpleNamespace(head=head, sent_ms=clock.now_ms)
+
+    lines: list[str] = []
+    tracebacks: list[Any] = []
+    eliot = streaming.eliot
+    monkeypatch.setattr(
+        eliot, 'log_message', lambda text, **_: lines.append(text)
+    )
+    monkeypatch.setattr(
+        eliot,
+        'write_traceback',
+        lambda exc_info: tracebacks.append(exc_info[0]),
+    )
+    monkeypatch.setattr(attempts, 'open_attempt', answer)
+    monkeypatch.setattr(owner, method, fail)
+    relay = make_relay(clock, controls=True)
+    chosen = streaming._next_endpoint(relay)
+    assert chosen is not None
+    assert await streaming._attempt(relay, chosen) is None
+    assert relay.model == 'large'
+    assert lines.count('model_choice_failed') == 1
+    assert tracebacks == [ZeroDivisionError]
