--- a/packages/daemon/src/yuccarouter/gateway/model_choice/selection.py
+++ b/packages/daemon/src/yuccarouter/gateway/model_choice/selection.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import attrs
 import eliot
@@ -13,30 +13,37 @@
     confidences,
     decision,
     engines,
-    value,
+    service_prices,
 )
 from yuccarouter_common import clocks
 
 if TYPE_CHECKING:
     from yuccarouter.gateway import state
-    from yuccarouter.gateway.model_choice import bid_price
+
+# Timeout of a read by a larger model, as a multiple of the expected time. The
+# adaptive timeout is shorter than the read of a long prompt, which would be
+# read again elsewhere.
+_READ_TIMEOUT_MULTIPLE: Final = 2.0
+# The same multiple where less time is left than for two reads. Expected waits
+# have errors of up to a quarter.
+_MIN_TIMEOUT_MULTIPLE: Final = 1.25
 
 
 @attrs.define
 class Selection:
     """The models asked for one request, and what comes next.
 
-    ``expected_ms`` is the expected time to the first event of the larger model
-    that is asked, 0 before, and ``avoided`` names the engines on which requests
-    wait when it was chosen.
+    ``expected_ms`` is the expected time to the first event of the next attempt
+    if a larger model was just selected, and 0 otherwise. ``avoided`` names the
+    engines on which requests wait when it was chosen.
     """
 
     out: attempts.OutgoingCall
     expected_ms: float = 0
     avoided: frozenset[str] = frozenset()
+    _is_larger_asked: bool = False
     _decided: decision.Option | None = None
     _before: tuple[int, float] | None = None
-    _is_counted: bool = False
 
     @property
     def models(self) -> tuple[str, ...]:
@@ -49,9 +56,29 @@
         self.avoided = frozenset()
         return avoided
 
-    def record_answer(
-        self, index: int, confidence: float | None, prefill_tokens: float
-    ) -> None:
+    def head_timeout_ms(
+        self, chosen: choice.Choice, adaptive_ms: float, remaining_ms: float
+    ) -> float:
+        """Return the timeout of the next attempt's head.
+
+        It is at least ``adaptive_ms`` and twice the expected time of a larger
+        model's read, as long as another engine can read the prompt in the rest
+        of ``remaining_ms``.
+        """
+        if not self._is_larger_asked:
+            return adaptive_ms
+        # The decided time holds for the first attempt at the model only. Later
+        # ones are sent to other engines, which have other backlogs.
+        expected_ms = self.expected_ms or chosen.expected_ms
+        self.expected_ms = 0
+        max_ms = max(
+            remaining_ms - expected_ms, _MIN_TIMEOUT_MULTIPLE * expected_ms
+        )
+        return min(
+            max(adaptive_ms, _READ_TIMEOUT_MULTIPLE * expected_ms), max_ms
+        )
+
+    def record_answer(self, index: int, confidence: float | None) -> None:
         """Record the head of an answer of the model ``index``."""
         out = self.out
         before = self._before
@@ -63,18 +90,12 @@
                 confidence,
                 clocks.monotonic_ms(),
             )
-        out.gateway.bid_prices.record_answer(
-            out.service,
-            0 if self._is_counted else self._value(),
-            read_ms(out.gateway, self.models, index, prefill_tokens),
-        )
-        self._is_counted = True
 
     def larger_index(self, index: int, confidence: float | None) -> int | None:
         """Return the model to ask next, ``None`` to accept the answer."""
         now_ms = clocks.monotonic_ms()
         situation = self._situation(confidence, now_ms)
-        engine = self._engine(now_ms)
+        engine = self._engine(situation.service_objective_ms, now_ms)
         options = [
             self._option(index, larger, confidence, engine, now_ms)
             for larger in range(index + 1, len(self.models))
@@ -97,12 +118,16 @@
         if decided is not None and decided.index == index:
             self.expected_ms = decided.wait_ms
             self.avoided = decided.passed_over
+            self._is_larger_asked = True
 
     def _situation(
         self, confidence: float | None, now_ms: float
     ) -> decision.Situation:
         out = self.out
         is_repeatable = out.may_run_again(after=0)
+        service_objective_ms = service_prices.objective_ms(
+            out.gateway, out.service, out.route
+        )
         return decision.Situation(
             value=self._value(),
             sufficient=confidences.sufficiency(confidence),
@@ -112,10 +137,15 @@
             attempts_left=(
                 out.route.max_attempts - out.runs if is_repeatable else 0
             ),
-            price=_observed_price(out, now_ms),
+            price=service_prices.observed(
+                out.gateway, out.service, service_objective_ms, now_ms
+            ),
+            service_objective_ms=service_objective_ms,
         )
 
-    def _engine(self, now_ms: float) -> engines.Found | None:
+    def _engine(
+        self, service_objective_ms: float, now_ms: float
+    ) -> engines.Found | None:
         """Return the best engine for the largest model.
 
         It stands for all larger models: a search among all engines takes much
@@ -128,7 +158,9 @@
                 out.call, out.route, out.service, avoided, self.models[-1]
             )
 
-        return engines.choose_without_waiting(choose, now_ms)
+        return engines.choose_without_waiting(
+            choose, service_objective_ms, now_ms
+        )
 
     def _option(
         self,
@@ -138,9 +170,13 @@
         engine: engines.Found,
         now_ms: float,
     ) -> decision.Option:
-        """Return the option to ask the model ``larger`` after ``index``."""
+        """Return the option to ask the model ``larger`` after ``index``.
+
+        Its times are those at the present speed of the engine.
+        """
         gateway = self.out.gateway
-        view = engine.chosen.endpoint
+        chosen = engine.chosen
+        factor = 1.0 if chosen.time_factor is None else chosen.time_factor
         pair = self._pair(index, larger)
         return decision.Option(
             index=larger,
@@ -148,11 +184,12 @@
             sufficient=gateway.confidences.expected_sufficiency(
                 pair, confidence, now_ms
             ),
-            backlog_ms=view.backlog_ms(now_ms),
-            read_ms=read_ms(
+            backlog_ms=factor * chosen.endpoint.backlog_ms(now_ms),
+            read_ms=factor
+            * read_ms(
                 gateway, self.models, larger, self._tokens(larger, engine)
             ),
-            is_waited_for=engines.is_waited_for(view, now_ms),
+            is_waited_for=engine.is_waited_for,
             passed_over=engine.passed_over,
         )
 
@@ -178,26 +215,24 @@
         )
 
     def _value(self) -> float:
-        return value.request_value(
-            self.out.priority, model.prompt_tokens(self.out.call)
-        )
+        return service_prices.request_value(self.out)
 
 
 def read_ms(
     gateway: state.Gateway, models: tuple[str, ...], index: int, tokens: float
 ) -> float:
-    """Return the expected time of an idle engine to read ``tokens``.
+    """Return the time of an idle engine of usual speed to read ``tokens``.
 
     A middle model that was never asked is taken to lie at equal ratios between
     the smallest and the largest one. The initial estimate of its own, which is
     that of a large model, would keep it from ever being asked.
     """
-    speeds = gateway.prefill_speeds
-    own_ms = speeds.expected_ms(models[index], tokens)
-    if speeds.is_known(models[index]):
+    times = gateway.service_times
+    own_ms = times.read_ms(models[index], tokens)
+    if times.knows_reads(models[index]):
         return own_ms
-    smallest_ms = speeds.expected_ms(models[0], tokens)
-    largest_ms = speeds.expected_ms(models[-1], tokens)
+    smallest_ms = times.read_ms(models[0], tokens)
+    largest_ms = times.read_ms(models[-1], tokens)
     if min(smallest_ms, largest_ms) <= 0:
         return own_ms
     share = index / max(1, len(models) - 1)
@@ -209,28 +244,6 @@
     metrics.UNCERTAIN_ANSWERS.labels(service, reason).inc()
 
 
-def _observed_price(
-    out: attempts.OutgoingCall, now_ms: float
-) -> bid_price.Price:
-    gateway = out.gateway
-    prices = gateway.bid_prices
-    if prices.is_observation_due(out.service, now_ms):
-        views = [
-            view
-            for view in gateway.directory
-            if view.announced.service == out.service
-            and not view.announced.is_draining
-        ]
-        load = engines.service_load(
-            views,
-            out.route.objective_ms,
-            prices.answer_ms(out.service),
-            now_ms,
-        )
-        prices.observe(out.service, load, now_ms)
-    return prices.price(out.service)
-
-
 def _log(
     out: attempts.OutgoingCall,
     confidence: float | None,
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import sys
 from typing import TYPE_CHECKING, Final
 
 import aiohttp
@@ -22,11 +23,11 @@
     state,
     stream_timeouts,
 )
-from yuccarouter.gateway.model_choice import selection
+from yuccarouter.gateway.model_choice import selection, service_prices
 from yuccarouter_common import clocks, errors, refusals
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
+    from collections.abc import Awaitable, Iterator
 
     from yuccarouter.gateway import choice
 
@@ -36,10 +37,6 @@
 _SOCKET_READ_S: Final = 0.005
 # Longest gap between events that is on time, for routes that set none.
 _DEFAULT_GAP_OBJECTIVE_MS: Final = 2000.0
-# Timeout of a read by a larger model, as a multiple of the expected time. The
-# adaptive timeout is shorter than the read of a long prompt, which would be
-# read again elsewhere.
-_READ_TIMEOUT_MULTIPLE: Final = 2.0
 
 
 class StreamBrokenError(errors.RouterError):
@@ -100,7 +97,8 @@
     ``model_index`` is the index of the current model in ``plan.models``, and
     ``response`` the caller's response, ``None`` until its head is sent.
     ``choice`` holds the state of the choice of models by load, ``None`` where
-    the smallest and the largest model are asked.
+    the smallest and the largest model are asked. ``is_answer_recorded`` is true
+    once an answer counts in the price of engine time.
     """
 
     out: attempts.OutgoingCall
@@ -110,6 +108,7 @@
     model_index: int = 0
     response: web.StreamResponse | None = None
     choice: selection.Selection | None = None
+    is_answer_recorded: bool = False
 
     @property
     def model(self) -> str:
@@ -226,8 +225,10 @@
             chosen.endpoint.backlog_ms(clocks.monotonic_ms()),
         )
         if relay.choice is not None:
-            expected_ms = relay.choice.expected_ms
-            adaptive_ms = max(adaptive_ms, _READ_TIMEOUT_MULTIPLE * expected_ms)
+            with _guarded(relay):
+                adaptive_ms = relay.choice.head_timeout_ms(
+                    chosen, adaptive_ms, out.remaining_ms()
+                )
         head_timeout_ms = min(head_timeout_ms, adaptive_ms)
     async with attempts.open_attempt(
         out, chosen, relay.model, relay.resume_id, head_timeout_ms
@@ -235,16 +236,54 @@
         timeout.record(clocks.monotonic_ms() - opened.sent_ms, prefill_tokens)
         if opened.head.status != _OK:
             return await _forward_failure(relay, opened)
-        if relay.choice is not None and relay.response is None:
-            relay.choice.record_answer(
-                relay.model_index, opened.head.confidence, prefill_tokens
-            )
+        with _guarded(relay):
+            _record_head(relay, opened.head.confidence, prefill_tokens)
         if _escalate_if_uncertain(relay, opened.head.confidence):
             return None
         await _relay_stream(relay, opened)
         return relay.response
 
 
+@contextlib.contextmanager
+def _guarded(relay: Relay) -> Iterator[None]:
+    """Log exceptions of the choice of models by load.
+
+    The request is then served as without it.
+    """
+    try:
+        yield
+    except Exception as fault:
+        eliot.log_message(
+            'model_choice_failed',
+            request=relay.out.call.request_id,
+            reason=repr(fault),
+        )
+        eliot.write_traceback(exc_info=sys.exc_info())
+
+
+def _record_head(
+    relay: Relay, confidence: float | None, prefill_tokens: float
+) -> None:
+    """Record the head of an answer, for the choice of models by load.
+
+    Routes without a choice of models use the same engines, and count in the
+    price of their time as well.
+    """
+    out = relay.out
+    if relay.response is not None or not state.controls_load(
+        out.gateway, out.service
+    ):
+        return
+    if not relay.is_answer_recorded:
+        relay.is_answer_recorded = True
+        read_ms = selection.read_ms(
+            out.gateway, relay.plan.models, relay.model_index, prefill_tokens
+        )
+        service_prices.record_first_answer(out, read_ms)
+    if relay.choice is not None:
+        relay.choice.record_answer(relay.model_index, confidence)
+
+
 def _escalate_if_uncertain(relay: Relay, confidence: float | None) -> bool:
     """Select the next larger model if this answer is too uncertain.
 
@@ -278,7 +317,8 @@
     )
     relay.model_index = larger_index
     if relay.choice is not None:
-        relay.choice.begin(larger_index)
+        with _guarded(relay):
+            relay.choice.begin(larger_index)
     out.has_run = True
     out.tried = frozenset()
     return True
@@ -287,14 +327,8 @@
 def _larger_model_index(relay: Relay, confidence: float | None) -> int | None:
     """Return the larger model to ask, ``None`` to accept the answer."""
     if relay.choice is not None:
-        try:
+        with _guarded(relay):
             return relay.choice.larger_index(relay.model_index, confidence)
-        except Exception as fault:
-            eliot.log_message(
-                'model_choice_failed',
-                request=relay.out.call.request_id,
-                reason=repr(fault),
-            )
     if _should_ask_larger_model(relay, confidence):
         return len(relay.plan.models) - 1
     return None
--- a/packages/daemon/tests/gateway/model_choice/test_learning.py
+++ b/packages/daemon/tests/gateway/model_choice/test_learning.py
@@ -29,18 +29,22 @@
 def test_lost_digests(daemons: int, own_lift: int, peer_lift: int) -> None:
     """Guards against counts of peers that apply after their digests stopped.
 
-    Each daemon then decides on its own figures, which differ from theirs.
+    Each daemon then decides on its own figures, which differ from theirs. They
+    still apply between two digests of the same peer.
     """
     peer = learned(peer_lift).message(0)
     own = learned(own_lift, answers=20)
     alone = own.expected_sufficiency(MIDDLE, 40, 0)
     for number in range(daemons - 1):
+        own.merge(f'd{number}', {MIDDLE.key: [7] * 11, 'a': [0] * 11}, 500)
         own.merge(f'd{number}', peer, 1000)
-    joint = own.expected_sufficiency(MIDDLE, 40, 3400)
+    # Longer than the interval of one peer's digests at 400 daemons, 20 s.
+    joint = own.expected_sufficiency(MIDDLE, 40, 31_000)
     assert confidences.sufficiency(40) <= joint <= 1
     if peer_lift > 40 > own_lift:
         assert joint > alone
-    assert own.expected_sufficiency(MIDDLE, 40, 3700) == alone
+    assert own.expected_sufficiency(MIDDLE, 40, 61_100) == alone
+    assert not own._peer_sums
 
 
 @pytest.mark.parametrize(
@@ -171,6 +175,32 @@
         left = [view for view in views if view.name not in avoided]
         return choice.Choice(left[0], 0, len(left), 0) if left else None
 
-    found = engines.choose_without_waiting(choose, 0)
+    found = engines.choose_without_waiting(choose, 2000, 0)
     assert (found and found.chosen.endpoint.name) == name
     assert (set(found.passed_over) if found else set()) == passed
+
+
+@pytest.mark.parametrize(
+    ('backlog_ms', 'waiting', 'age_ms', 'is_waited_for'),
+    [
+        (0, None, 0, False),
+        (200, None, 0, False),
+        (300, None, 0, True),
+        (900, 0, 500, False),
+        (900, 0, 2000, True),
+        (0, 1, 500, True),
+        (0, 1, 2000, False),
+        (1100, 0, 500, True),
+    ],
+)
+def test_a_prompt_that_is_read_does_not_wait(
+    backlog_ms: float, waiting: int | None, age_ms: float, is_waited_for: bool
+) -> None:
+    """Guards against large reads that find no engine under moderate load.
+
+    An engine that reads one prompt has no waiting requests.
+    """
+    view = make.view(pending_prefill_ms=backlog_ms)
+    if waiting is not None:
+        view.record_load(model.Load(1, waiting, 64), 10_000 - age_ms)
+    assert engines.is_waited_for(view, 2000, 10_000) is is_waited_for
