Check the start and the end of an attempt's session in the test

The session exchange now records the start and the end of attempts apart, and the fake of this test only knew one call for both.

--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -206,16 +206,20 @@
     out.call = make.call(session='s')
     recorded: list[tuple[str, ...]] = []
     exchange: Any = types.SimpleNamespace(
-        record=lambda *request: recorded.append(request)
+        record_start=lambda *request: recorded.append(('start', *request)),
+        record_end=lambda *request: recorded.append(('end', *request)),
     )
     out.gateway.session_exchange = exchange
     chosen = out.next_endpoint('')
     assert chosen is not None
     with pytest.raises(asyncio.CancelledError):
         async with attempts.open_attempt(out, chosen, '', '', 1000):
-            assert recorded == [('engine', 's', 'v1')]
+            assert recorded == [('start', 'engine', 's', 'v1')]
             raise asyncio.CancelledError
-    assert recorded == [('engine', 's', 'v1')] * 2
+    assert recorded == [
+        ('start', 'engine', 's', 'v1'),
+        ('end', 'engine', 's', 'v1'),
+    ]
 
 
 def crashing_call(*results: Any) -> attempts.OutgoingCall:
