Follow the exchange's interface in test_arrivals

SessionExchange.record is now record_start and record_end, and the fake in test_arrivals.py still had the old name. The fake has both methods; the assertions are unchanged.

--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -204,7 +204,8 @@
     out.call = make.call(session='s')
     recorded: list[tuple[str, ...]] = []
     exchange: Any = types.SimpleNamespace(
-        record=lambda *request: recorded.append(request)
+        record_start=lambda *request: recorded.append(request),
+        record_end=lambda *request: recorded.append(request),
     )
     out.gateway.session_exchange = exchange
     chosen = out.next_endpoint('')
