--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -115,8 +115,6 @@
         self._make_digest = make_digest
         self._on_digest = on_digest
         self.transport: asyncio.DatagramTransport | None = None
-        self._next_index = 0
-        self._transport: asyncio.DatagramTransport | None = None
         # Daemons that start together would otherwise all send to the same
         # peers, and these would hear nothing until the next round.
         self._next_index = random.randrange(_MAX_FIRST_INDEX)
