--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -208,8 +208,6 @@
     exchange: Any = types.SimpleNamespace(
         record_start=lambda *request: recorded.append(('start', *request)),
         record_end=lambda *request: recorded.append(('end', *request)),
-        record_start=lambda *request: recorded.append(request),
-        record_end=lambda *request: recorded.append(request),
     )
     out.gateway.session_exchange = exchange
     chosen = out.next_endpoint('')
