Name the release in the log, and count what confirms a replica

Two questions of the incident could not be answered from logs. And an answer that confirmed a replica could not be told from none: yuccarouter_gateway_confirmations_total counts them by topic and kind of call.

Decisions are unchanged.

--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -21,6 +21,14 @@
     16.0,
 )
 
+BUILD: Final = prometheus_client.Info(
+    'yuccarouter_gateway_build', 'The release that runs'
+)
+CONFIRMATIONS: Final = prometheus_client.Counter(
+    'yuccarouter_gateway_confirmations',
+    'Answers of the store that confirmed a replica, by kind of call',
+    ('topic', 'source'),
+)
 ANSWERS: Final = prometheus_client.Counter(
     'yuccarouter_gateway_answers',
     'Final answers to callers',
--- a/packages/daemon/src/yuccarouter/gateway/program.py
+++ b/packages/daemon/src/yuccarouter/gateway/program.py
@@ -9,7 +9,8 @@
 import eliot
 
 from yuccarouter import lifecycle
-from yuccarouter.gateway import bootstrap, logs, reload
+from yuccarouter import release as releases
+from yuccarouter.gateway import bootstrap, logs, metrics, reload
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,11 +23,12 @@
     make_daemon: Callable[[], daemon.Daemon],
     load: Callable[[], settings.GatewaySettings],
     settings_path: str,
+    release: str = releases.UNKNOWN,
 ) -> int:
     """Run a gateway until SIGTERM or SIGINT and return its exit status.
 
     ``load`` reads the settings again and raises ``RouterError`` if they are
-    invalid.
+    invalid. ``release`` is named in the log and the metrics.
     """
     log = logs.start(conf.name)
     stop = asyncio.Event()
@@ -40,7 +42,13 @@
 
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, begin_stop)
-    eliot.log_message('started', name=conf.name, data_centre=conf.data_centre)
+    metrics.BUILD.info({'release': release})
+    eliot.log_message(
+        'started',
+        name=conf.name,
+        data_centre=conf.data_centre,
+        release=release,
+    )
     log_task = asyncio.create_task(log.run())
     reloader = reload.Reloader(role.gateway, load, settings_path)
     loop.add_signal_handler(signal.SIGHUP, reloader.apply)
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -257,21 +257,22 @@
                     begin_read,
                     wait_ms,
                     self._check_delay_ms,
-                    lambda: self._record_success(call_began_ms),
+                    lambda: self._record_success(call_began_ms, _FROM_CHECK),
                 )
         except TimeoutError:
             return 0
         finally:
             self._call = None
         confirmed_before = self.newest_confirmation()
+        source = _FROM_CHECK if is_from_check else _FROM_READ
         if is_from_check:
-            self._record_success(call_began_ms)
+            confirmed_ms = call_began_ms
         elif page.entries:
             # It may have been answered at any time since it began.
-            self._record_success(waits_from_ms)
+            confirmed_ms = waits_from_ms
         else:
-            self._record_success(min(clocks.boot_ms(), waits_from_ms + wait_ms))
-        source = _FROM_CHECK if is_from_check else _FROM_READ
+            confirmed_ms = min(clocks.boot_ms(), waits_from_ms + wait_ms)
+        self._record_success(confirmed_ms, source)
         self._apply_all(page.entries, source, confirmed_before)
         self.table.advance(page.next_offset)
         return max(
@@ -316,7 +317,7 @@
         began_ms = clocks.boot_ms()
         page = await self.store.newest(self.name)
         confirmed_before = self.newest_confirmation()
-        self._record_success(began_ms)
+        self._record_success(began_ms, _FROM_LOAD)
         self._note_generation(page.next_offset)
         present = frozenset(entry.key for entry in page.entries)
         for removal in self._removals(present):
@@ -412,11 +413,12 @@
                     clocks.monotonic_ms() + self.rewrite_grace_ms
                 )
 
-    def _record_success(self, confirmed_ms: float) -> None:
-        """Record an answer of the store.
+    def _record_success(self, confirmed_ms: float, source: str) -> None:
+        """Record an answer of the store to a call of the kind ``source``.
 
         It had no other records than those of the answer at ``confirmed_ms``.
         """
+        metrics.CONFIRMATIONS.labels(self.name, source).inc()
         self.consecutive_failures = 0
         if confirmed_ms > self.confirmation.at_ms:
             self.confirmation = confirmations.Confirmation(confirmed_ms)
