Bound the age of the configuration that says a route or key doesn't exist

The absence of a failure, or of a peer's silence, was taken for the answer that nothing had changed. Callers must not repeat a request after 404 or 401.

Now one bound decides, whichever way the confirmation came (read, check, load or peer): the age limit of the orders, which the settings state. It replaces a constant of 1.5 s and Gossip.confirms. Known routes are served as before, since an outage of the store must not end service; configuration_unconfirmed says so in the log.

--- a/packages/daemon/src/yuccarouter/gateway/checked_reads.py
+++ b/packages/daemon/src/yuccarouter/gateway/checked_reads.py
@@ -33,8 +33,8 @@
     ``begin_read`` reads the records from one offset on and waits up to the
     given time in ms for the first. ``check_delay_ms`` returns the time until
     the next check, infinite for none. ``on_checked`` is called after each check
-    that was answered and found no records. A read or check that fails ends the other one, and
-    its error is raised: the store can't be relied on at that moment.
+    that was answered and found no records. A read or check that fails ends the
+    other one, and its error is raised: the store can't be relied on then.
     """
     if check_delay_ms() == math.inf:
         return await begin_read(wait_ms), False
--- a/packages/daemon/src/yuccarouter/gateway/confirmations.py
+++ b/packages/daemon/src/yuccarouter/gateway/confirmations.py
@@ -25,6 +25,10 @@
         """Return the time since then."""
         return clocks.boot_ms() - self.at_ms
 
+    def is_within(self, limit_ms: float) -> bool:
+        """Return whether the replica is not older than a limit."""
+        return self.age_ms() <= limit_ms
+
     def rounded_age_ms(self) -> int | None:
         """Return the age for the log, ``None`` if there is none."""
         age_ms = self.age_ms()
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -233,14 +233,6 @@
         """Return the peers that sent a digest a moment ago."""
         return [self.known_peers[name] for name in self.live_names()]
 
-    def confirms(self, topic: topics.Topic) -> bool:
-        """Return whether a peer that reads the topic has no newer record."""
-        return any(
-            topic.name in peer.reads
-            and peer.newest.get(topic.name, -1) <= topic.table.newest_offset
-            for peer in self.live_peers()
-        )
-
     async def run(self) -> None:
         """Send digests until cancelled."""
         while True:
--- a/packages/daemon/src/yuccarouter/gateway/request_handler.py
+++ b/packages/daemon/src/yuccarouter/gateway/request_handler.py
@@ -15,6 +15,7 @@
     attempts,
     buffered,
     caller_connections,
+    configuration_age,
     metrics,
     model,
     refusal_responses,
@@ -44,10 +45,14 @@
 def make_handler(gateway: state.Gateway) -> Handler:
     """Return the handler that serves callers' requests."""
 
+    age_log = configuration_age.AgeLog()
+
     async def serve(request: web.BaseRequest) -> web.StreamResponse:
         call = gateway.platform.decode_call(request)
-        arrived_ms = clocks.monotonic_ms()
-        return await _serve_call(_Exchange(gateway, request, call, arrived_ms))
+        exchange = _Exchange(
+            gateway, request, call, clocks.monotonic_ms(), age_log
+        )
+        return await _serve_call(exchange)
 
     return serve
 
@@ -109,6 +114,7 @@
     request: web.BaseRequest
     call: model.Call
     arrived_ms: float
+    age_log: configuration_age.AgeLog
     route: model.Route | None = None
     out: attempts.OutgoingCall | None = None
     applied: _AppliedConfiguration = _AppliedConfiguration()
@@ -189,7 +195,7 @@
 async def _answer(exchange: _Exchange) -> web.StreamResponse:
     gateway = exchange.gateway
     await gate.hold_until_configured(gateway, exchange.call)
-    exchange.applied = _applied_configuration(gateway)
+    exchange.applied = _applied_configuration(gateway, exchange.age_log)
     route = _find_route(exchange)
     exchange.route = route
     organisation = _authenticate(gateway, exchange.call, route)
@@ -204,16 +210,18 @@
     return await _forward(out, exchange.request)
 
 
-def _applied_configuration(gateway: state.Gateway) -> _AppliedConfiguration:
+def _applied_configuration(
+    gateway: state.Gateway, age_log: configuration_age.AgeLog
+) -> _AppliedConfiguration:
     if gateway.table is None or gateway.orders_topic is None:
         return _AppliedConfiguration()
     confirmation = gateway.orders_topic.newest_confirmation()
     age_ms = confirmation.rounded_age_ms()
     if age_ms is not None:
         metrics.observe_configuration_age(age_ms)
-    return _AppliedConfiguration(
-        gateway.table.configuration.version, age_ms, confirmation.source
-    )
+    version = gateway.table.configuration.version
+    age_log.record(gateway.orders_topic, version)
+    return _AppliedConfiguration(version, age_ms, confirmation.source)
 
 
 def _find_route(exchange: _Exchange) -> model.Route:
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -61,10 +61,6 @@
 _PROCESS_ID_BITS: Final = 32
 # Number of daemons that is assumed while no other one is registered.
 _DEFAULT_DAEMON_COUNT: Final = 8
-# Age of the configuration above which unknown keys and routes are answered
-# with a temporary error: a newer configuration that could not be read yet may
-# define them.
-_STALE_CONFIGURATION_MS: Final = 1500.0
 
 
 def _random_id() -> int:
@@ -175,14 +171,15 @@
 
     @property
     def is_configuration_stale(self) -> bool:
-        """Whether a newer configuration may exist that could not be read."""
+        """Whether a newer configuration may be in force.
+
+        Unknown keys and routes are then answered with a temporary error: the
+        newer configuration may define them.
+        """
         topic = self.orders_topic
-        if topic is None:
-            return True
-        age_ms = topic.confirmation.age_ms()
-        if not topic.is_failing or age_ms <= _STALE_CONFIGURATION_MS:
-            return False
-        return self.gossip is None or not self.gossip.confirms(topic)
+        return topic is None or not topic.newest_confirmation().is_within(
+            topic.max_age_ms
+        )
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send requests here.
--- a/packages/daemon/tests/gateway/test_bad_messages.py
+++ b/packages/daemon/tests/gateway/test_bad_messages.py
@@ -116,7 +116,7 @@
         orjson.dumps(self.gateway.rate_limits.message())
         shares = fleet_shares.FleetShares(self.gateway.demand, lambda: 2, tuple)
         shares.admitted_share('engine', 'a', 'k', 500, now_ms)
-        self.gossip.confirms(self.topic)
+        peers.confirmation(self.gossip, self.topic)
         peers.most_advanced_peer(self.gossip, self.topic)
         asyncio.run(
             self.control.take_due_steps(gateway_store.MemoryStore(), self.topic)
--- a/packages/daemon/tests/gateway/test_state.py
+++ b/packages/daemon/tests/gateway/test_state.py
@@ -5,7 +5,8 @@
 import collections
 import os
 import pathlib
-from typing import Any
+import types
+from typing import Any, cast
 
 import attrs
 import eliot
@@ -13,7 +14,16 @@
 import orjson
 import pytest
 
-from yuccarouter.gateway import logs, model, ports, routes, state
+from yuccarouter.gateway import (
+    confirmations,
+    logs,
+    model,
+    peers,
+    ports,
+    routes,
+    state,
+    topics,
+)
 from yuccarouter_common import records
 
 
@@ -106,6 +116,57 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('own_age_ms', 'is_failing', 'digest', 'expected'),
+    [
+        (1900, False, None, False),
+        (1900, True, None, False),
+        # A read that waits has had no answer, and no call has failed yet.
+        (2100, False, None, True),
+        (2100, True, None, True),
+        # A peer is heard, and was confirmed lately, long ago, or never.
+        (60_000, True, {'newest': {'t': 5}, 'ages_ms': {'t': 300}}, False),
+        (60_000, True, {'newest': {'t': 5}, 'ages_ms': {'t': 60_000}}, True),
+        (60_000, True, {'newest': {'t': 5}}, True),
+        # It has a record that is missing here.
+        (60_000, True, {'newest': {'t': 6}, 'ages_ms': {'t': 300}}, True),
+    ],
+)
+def test_names_that_a_newer_configuration_may_define(
+    clock: make.Clock,
+    own_age_ms: float,
+    is_failing: bool,
+    digest: dict[str, Any] | None,
+    expected: bool,
+) -> None:
+    """Guards against callers who are told that a route or key doesn't exist.
+
+    It may have been in force for seconds where the store or a peer has not
+    confirmed the configuration, whichever way its age became unknown.
+    """
+    gossip = peers.Gossip(dict, lambda name, digest: None)
+    topic = topics.Topic(
+        't',
+        cast('ports.Store', None),
+        lambda entry: None,
+        lambda outage_ms: None,
+        max_age_ms=2000,
+        confirmed_by_peers=lambda topic: peers.confirmation(gossip, topic),
+        confirmation=confirmations.Confirmation(clock.now_ms - own_age_ms),
+        is_failing=is_failing,
+    )
+    topic.table.apply(make.entry('config', offset=5))
+    if digest is not None:
+        reads = {'reads': ['t'], 'name': 'd2'}
+        gossip.datagram_received(
+            orjson.dumps({**reads, **digest}), ('127.0.0.1', 1)
+        )
+    gateway = types.SimpleNamespace(orders_topic=topic, gossip=gossip)
+    is_stale = state.Gateway.is_configuration_stale.fget
+    assert is_stale is not None
+    assert is_stale(gateway) is expected
+
+
 def test_log_is_bounded_and_never_blocks() -> None:
     """Guards against a slow reader of the log that blocks the process."""
     reading, writing = os.pipe()
