Keep records that are newer than the answer which lacks them

Cause: a load removed each known key that its answer lacked. Records that a peer had told of meanwhile are newer than that answer, so that for example an evacuation ended at this daemon until its next read was answered. An answer now removes records before its end offset only, as merges of peers' records did already; both use one method.

The new case of test_load_that_is_older_than_what_is_known failed before.

--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -103,14 +103,20 @@
         if offsets.number(next_offset):
             self.newest_offset = max(self.newest_offset, next_offset - 1)
 
-    def removals(self, present: frozenset[str]) -> list[ports.Entry]:
-        """Return tombstones for the stored keys that are not in ``present``."""
+    def removals(
+        self, present: frozenset[str], end_offset: int
+    ) -> list[ports.Entry]:
+        """Return tombstones for the stored keys that are not in ``present``.
+
+        These are the keys of an answer that holds the records before
+        ``end_offset``. It tells nothing about records that are newer.
+        """
         # The offset is one lower, so that the record counts as new when it is
         # read again: the answer that lacked it may have been stale.
         return [
             ports.Entry(key, b'', entry.offset - 1)
             for key, entry in self.entries.items()
-            if entry.value and key not in present
+            if entry.value and key not in present and entry.offset < end_offset
         ]
 
 
@@ -218,11 +224,8 @@
         are removed unless their record is newer than ``newest_offset``.
         """
         self._note_generation(newest_offset + 1)
-        removals = [] if present is None else self._removals(present)
-        for removal in removals:
-            if removal.offset < newest_offset:
-                self.table.entries[removal.key] = removal
-                self.on_record(removal)
+        if present is not None:
+            self._remove_absent(present, newest_offset + 1)
         self._apply_all(entries, _FROM_PEER, self.newest_confirmation())
         self.table.advance(newest_offset + 1)
 
@@ -320,9 +323,7 @@
         self._record_success(began_ms, _FROM_LOAD)
         self._note_generation(page.next_offset)
         present = frozenset(entry.key for entry in page.entries)
-        for removal in self._removals(present):
-            self.table.entries[removal.key] = removal
-            self.on_record(removal)
+        self._remove_absent(present, page.next_offset)
         ordered = sorted(page.entries, key=lambda item: item.offset)
         self._apply_all(ordered, _FROM_LOAD, confirmed_before)
         self.table.next_offset = page.next_offset
@@ -388,12 +389,14 @@
             return math.inf
         return max(0, self.grace_end_ms - clocks.monotonic_ms())
 
-    def _removals(self, present: frozenset[str]) -> list[ports.Entry]:
-        """Return tombstones for the records that the store lacks."""
+    def _remove_absent(self, present: frozenset[str], end_offset: int) -> None:
+        """Remove the records that an answer lacks, as ``Table.removals``."""
         if self.grace_end_ms is not None and self._grace_remaining_ms():
-            return []
+            return
         self.grace_end_ms = None
-        return self.table.removals(present)
+        for removal in self.table.removals(present, end_offset):
+            self.table.entries[removal.key] = removal
+            self.on_record(removal)
 
     def _note_generation(self, next_offset: int) -> None:
         """Start the grace period if the store was restored."""
--- a/packages/daemon/tests/gateway/test_topics.py
+++ b/packages/daemon/tests/gateway/test_topics.py
@@ -69,7 +69,7 @@
 
 
 async def test_stale_load() -> None:
-    """Guards against a stale answer that removes a record permanently."""
+    """Guards against a stale answer that removes a newer record."""
     store = gateway_store.MemoryStore()
     store.write(TOPIC, 'a', b'1')
     store.write(TOPIC, 'b', b'1')
@@ -80,7 +80,37 @@
     await read(topic)
     store.hidden = 0
     await read(topic)
-    assert changes[2:] == [('b', b''), ('b', b'1')]
+    assert changes[2:] == []
+
+
+@pytest.mark.parametrize(
+    ('key', 'known', 'expected'),
+    [
+        # A peer had a record that was written after the load's answer.
+        ('b', b'new', []),
+        # The record was removed before the answer.
+        ('a', b'1', [('a', b'')]),
+    ],
+)
+async def test_load_that_is_older_than_what_is_known(
+    key: str, known: bytes, expected: list[tuple[str, bytes]]
+) -> None:
+    """Guards against an evacuation that ends as an older answer lacks it.
+
+    A peer's records come while a load is on its way.
+    """
+    store = gateway_store.MemoryStore()
+    store.write(TOPIC, 'a', b'1')
+    topic, changes = follow(store)
+    await read(topic)
+    store.write(TOPIC, 'a', b'')
+    topic.merge([ports.Entry('b', b'new', 2)], frozenset(('a', 'b')), 2)
+    changes.clear()
+    topic.is_loaded = False
+    await read(topic)
+    removed = [change for change in changes if change[0] == key]
+    assert topic.table.entries[key].value == (b'' if expected else known)
+    assert removed == expected
 
 
 async def test_older_records_of_peers_change_nothing() -> None:
