Confirm only the beginning of a read that the store ends early

Cause: an empty answer to a waiting read counted as given when it arrived. A store that ends such a read before its time, as it closes its connections, may have given the answer seconds earlier, while records were written since. Now such an answer confirms the time at which the read began, unless the whole wait has passed.

Shown with fakes only: the users' store has not been seen to end reads early.

--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -274,7 +274,7 @@
             # It may have been answered at any time since it began.
             confirmed_ms = waits_from_ms
         else:
-            confirmed_ms = min(clocks.boot_ms(), waits_from_ms + wait_ms)
+            confirmed_ms = _waited_until_ms(waits_from_ms, wait_ms)
         self._record_success(confirmed_ms, source)
         self._apply_all(page.entries, source, confirmed_before)
         self.table.advance(page.next_offset)
@@ -469,6 +469,16 @@
     return limit_ms - topic.newest_confirmation().age_ms()
 
 
+def _waited_until_ms(began_ms: float, wait_ms: float) -> float:
+    """Return when a read that found no record was answered, at the latest.
+
+    A store that ends it early may have done so at any time since it began: the
+    answer may have been held back on its way.
+    """
+    end_ms = began_ms + wait_ms
+    return end_ms if clocks.boot_ms() >= end_ms else began_ms
+
+
 def _retry_delay_ms(failures: int, began_ms: float) -> float:
     """Return the delay before the next call, after one that has failed.
 
--- a/packages/daemon/tests/gateway/gateway_store.py
+++ b/packages/daemon/tests/gateway/gateway_store.py
@@ -147,7 +147,8 @@
     """A store that is away for a while, and ends calls in several ways.
 
     ``endings`` are the ways that a call which is open meanwhile may draw:
-    ``unanswered`` until its timeout, or ``broken off`` before that.
+    ``unanswered`` until its timeout, ``broken off`` before that, or ``refused``
+    at once.
     ``written_s`` holds when the records of each topic were written.
     """
 
@@ -191,5 +192,6 @@
         limit_s = max(0, wait_s) + _CALL_TIMEOUT_S
         if ending == 'broken off':
             limit_s = self.rng.uniform(0, _CALL_TIMEOUT_S)
-        await asyncio.sleep(limit_s)
+        if ending != 'refused':
+            await asyncio.sleep(limit_s)
         raise errors.UnavailableError(ending)
--- a/packages/daemon/tests/gateway/test_confirmations.py
+++ b/packages/daemon/tests/gateway/test_confirmations.py
@@ -5,11 +5,13 @@
 import asyncio
 import random
 
+import attrs
 import gateway_store
 import pytest
 import test_lost_readers
 import test_silent_store
 
+from yuccarouter.gateway import ports, topics
 from yuccarouter_testkit import virtual_time
 
 TOPICS = ('orders', 'endpoints', 'state')
@@ -104,3 +106,65 @@
         if found:
             false[seed] = found
     assert not false
+
+
+@attrs.define
+class EarlyStore(gateway_store.MemoryStore):
+    """A store that ends waiting reads early, and whose answers come late."""
+
+    answered_after_s: float = 0
+    delivered_after_s: float = 0
+
+    async def read(self, topic: str, offset: int, wait_ms: int) -> ports.Page:
+        """Return an answer of ``answered_after_s`` at a later time."""
+        wait_s = wait_ms / 1000
+        await asyncio.sleep(min(wait_s, self.answered_after_s))
+        page = await super().read(topic, offset, wait_ms)
+        await asyncio.sleep(min(wait_s, self.delivered_after_s))
+        return page
+
+
+@pytest.mark.parametrize(
+    ('answered_after_s', 'delivered_after_s', 'confirmed_s'),
+    [
+        # The whole wait: the store had no record at its end.
+        (8, 0, 8),
+        (8, 3, 8),
+        # Part of it: at some time since the read began, perhaps at once.
+        (2, 0, 0),
+        (0, 2, 0),
+    ],
+)
+def test_empty_answer_of_a_waiting_read(
+    monkeypatch: pytest.MonkeyPatch,
+    answered_after_s: float,
+    delivered_after_s: float,
+    confirmed_s: float,
+) -> None:
+    """Guards against an answer that confirms a time after it was given.
+
+    It may have been held back on its way while records were written.
+    """
+    loop = virtual_time.VirtualTimeLoop()
+    test_silent_store.use_clock_of(loop, monkeypatch)
+    store = EarlyStore(
+        answered_after_s=answered_after_s, delivered_after_s=delivered_after_s
+    )
+    store.write('orders', 'config', b'1')
+    topic = topics.Topic('orders', store, lambda _: None, lambda _: None)
+
+    async def confirmed_after_s() -> float:
+        following = asyncio.create_task(topic.follow())
+        await asyncio.sleep(0.005)
+        loaded_ms = topic.confirmation.at_ms
+        began_s = loop.time()
+        while topic.confirmation.at_ms == loaded_ms:
+            await asyncio.sleep(0.01)
+            if loop.time() > began_s + 12:
+                break
+        following.cancel()
+        return topic.confirmation.at_ms / 1000 - began_s
+
+    found_s = loop.run_until_complete(confirmed_after_s())
+    loop.close()
+    assert found_s == pytest.approx(confirmed_s, abs=0.05)
