Ask a store that has failed with a call that does not wait

Cause: the first call after a short failure waited for the next record, so that a store that was back looked lost until a record came or a check was due: up to 1.6 s for the shared state in the new test, and as long as peers confirm the replica, whose word puts off the check. Meanwhile this daemon counted as no reader for its data centre, and topics that wait for the orders' topic were not read.

Two of the nine new cases failed before (1.32 and 1.62 s; the limit is the longest pause and the call, 1.1 s). The call takes the place of the first waiting read, which begins at once after it: one call more after each short failure, none in calm (test_calls_while_nothing_changes is unchanged).

--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -365,14 +365,22 @@
             )
 
     def _wait_ms(self) -> int:
-        """Return how long a call may wait for the next record."""
-        if self.poll_interval_ms:
+        """Return how long a call may wait for the next record.
+
+        After a failure it does not wait, since its answer shows that the store
+        is back.
+        """
+        if self.poll_interval_ms or self.is_failing:
             return 0
         return math.ceil(min(self.long_poll_ms, self._grace_remaining_ms()))
 
     def _check_delay_ms(self) -> float:
-        """Return the time until the store is asked for missed records."""
-        if self.poll_interval_ms or math.isinf(self.max_age_ms):
+        """Return the time until the store is asked for missed records.
+
+        It is infinite for a call that does not wait.
+        """
+        does_wait = not self.poll_interval_ms and not self.is_failing
+        if not does_wait or math.isinf(self.max_age_ms):
             return math.inf
         share = _OTHER_CHECK_SHARE
         if self.checks_first():
--- a/packages/daemon/tests/gateway/test_confirmations.py
+++ b/packages/daemon/tests/gateway/test_confirmations.py
@@ -21,6 +21,8 @@
 OUTAGES = 4
 SAMPLE_INTERVAL_S = 0.05
 SEEDS = range(24)
+# The longest pause between calls that fail, and the call.
+MAX_RETURN_S = 1.1
 
 
 def false_confirmations(
@@ -168,3 +170,39 @@
     found_s = loop.run_until_complete(confirmed_after_s())
     loop.close()
     assert found_s == pytest.approx(confirmed_s, abs=0.05)
+
+
+@pytest.mark.parametrize('topic_name', TOPICS)
+@pytest.mark.parametrize('outage_s', [0.3, 0.6, 0.9])
+def test_return_of_a_store_that_refused_calls(
+    monkeypatch: pytest.MonkeyPatch, topic_name: str, outage_s: float
+) -> None:
+    """Guards against a daemon that counts the store as lost after its return.
+
+    Its first call after an outage was one that waits for the next record.
+    """
+    loop = virtual_time.VirtualTimeLoop()
+    test_silent_store.use_clock_of(loop, monkeypatch)
+    random.seed(1)
+
+    async def regained_after_s() -> float:
+        rng = random.Random(1)
+        store = gateway_store.BrokenOffStore(endings=('refused',), rng=rng)
+        for name in TOPICS:
+            store.write(name, 'config', b'1')
+        fleet: list[test_lost_readers.Daemon] = []
+        link = test_lost_readers.Link(store)
+        fleet.append(test_lost_readers.Daemon('a1', fleet, link))
+        fleet[0].start()
+        await asyncio.sleep(3.1)
+        store.silent_from_s = loop.time()
+        store.silent_until_s = loop.time() + outage_s
+        await asyncio.sleep(outage_s)
+        by_name = {topic.name: topic for topic in fleet[0].replicas}
+        while by_name[topic_name].is_failing:
+            await asyncio.sleep(0.01)
+        await fleet[0].kill()
+        return loop.time() - store.silent_until_s
+
+    assert loop.run_until_complete(regained_after_s()) <= MAX_RETURN_S
+    loop.close()
