End a daemon whose background work was cancelled from within

Cause: the supervisor waits for the first task that fails, and a task that ends as cancelled does not count as failed. If a library left a cancellation behind in the task that reads the orders, the daemon would serve its configuration from then on without a line in the log.

Now such an end counts as a failure: the process ends with its cause in the log and is started again. The new case failed before (no end within 5 s).

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -22,7 +22,7 @@
     topics,
 )
 from yuccarouter.gateway.sessions import exchange, messages
-from yuccarouter_common import clocks
+from yuccarouter_common import clocks, errors
 from yuccarouter_common.platform import errors as platform_errors
 
 if TYPE_CHECKING:
@@ -53,6 +53,12 @@
 _MAX_LOGGED_FIELDS: Final = 512
 
 
+class WorkCancelledError(errors.RouterError):
+    """Background work was cancelled from within, and does not go on."""
+
+    code = 'work_cancelled'
+
+
 class Daemon:
     """Starts, supervises and stops the servers and tasks of a gateway.
 
@@ -128,7 +134,7 @@
 
     def run(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Start background work as a supervised task."""
-        self._tasks.append(asyncio.create_task(work()))
+        self._tasks.append(asyncio.create_task(_supervise(work)))
 
     async def wait_until_stopped(self) -> None:
         """Wait until a task fails, and set ``crash_reason``."""
@@ -182,6 +188,23 @@
         await server.start()
 
 
+async def _supervise(work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run work; raises ``WorkCancelledError`` if nobody has cancelled it.
+
+    A task that ends as cancelled does not count as failed, and the daemon would
+    go on without it.
+    """
+    try:
+        await work()
+    except asyncio.CancelledError as fault:
+        task = asyncio.current_task()
+        if task is None or task.cancelling():
+            raise
+        raise WorkCancelledError(
+            'work ended by a stray cancellation'
+        ) from fault
+
+
 async def _wait_until_ready(
     gateway: state.Gateway, shared_state: topics.Topic
 ) -> None:
--- a/packages/daemon/tests/gateway/test_daemon.py
+++ b/packages/daemon/tests/gateway/test_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import attrs
@@ -41,14 +42,29 @@
     raise RuntimeError('out of order')
 
 
-async def test_failed_work_ends_the_process() -> None:
-    """Guards against a daemon that keeps running after a task has failed."""
+async def cancel_itself() -> None:
+    """End as a task does in which a library leaves a cancellation behind."""
+    raise asyncio.CancelledError
+
+
+@pytest.mark.parametrize(
+    ('failing', 'expected'),
+    [(fail, RuntimeError), (cancel_itself, daemon.WorkCancelledError)],
+)
+async def test_failed_work_ends_the_process(
+    failing: Callable[[], Coroutine[Any, Any, None]],
+    expected: type[Exception],
+) -> None:
+    """Guards against a daemon that keeps running after a task has failed.
+
+    Without the task that reads the orders, its configuration stays as it is.
+    """
     role = make_daemon()
-    for work in (run_forever, end_at_once, fail):
+    for work in (run_forever, end_at_once, failing):
         role.run(work)
     async with asyncio.timeout(5):
         await role.wait_until_stopped()
-    assert isinstance(role.crash_reason, RuntimeError)
+    assert isinstance(role.crash_reason, expected)
     await role.stop()
 
 
