Decide on a request by the configuration when its body has arrived

Callers saw requests run at the service of an older version, on a route that was dropped, or with a key that was removed, up to 10 s after the change was in force. Cause: route and key were looked up when the head of a request had arrived, and not again after its body, which may take seconds. Now they are looked up again if the configuration has changed meanwhile; the log names the version that decided.

Three of the four new cases failed before (on real processes, a body with a pause of 1 s); the fourth, a change of nothing else, passed and passes.

--- a/packages/daemon/src/yuccarouter/gateway/request_handler.py
+++ b/packages/daemon/src/yuccarouter/gateway/request_handler.py
@@ -195,11 +195,12 @@
 async def _answer(exchange: _Exchange) -> web.StreamResponse:
     gateway = exchange.gateway
     await gate.hold_until_configured(gateway, exchange.call)
-    exchange.applied = _applied_configuration(gateway, exchange.age_log)
-    route = _find_route(exchange)
-    exchange.route = route
-    organisation = _authenticate(gateway, exchange.call, route)
+    table = gateway.table
+    route, organisation = _look_up(exchange)
     body = await _read_body(exchange.request)
+    if gateway.table is not table:
+        # The body may have taken seconds to arrive.
+        route, organisation = _look_up(exchange)
     out = _prepare(exchange, route, organisation, body)
     exchange.out = out
     if not out.can_end_before_stop():
@@ -210,6 +211,20 @@
     return await _forward(out, exchange.request)
 
 
+def _look_up(
+    exchange: _Exchange,
+) -> tuple[model.Route, model.Organisation | None]:
+    """Return a request's route and organisation by the current configuration.
+
+    Raises ``RefusalError`` if there is none.
+    """
+    gateway = exchange.gateway
+    exchange.applied = _applied_configuration(gateway, exchange.age_log)
+    route = _find_route(exchange)
+    exchange.route = route
+    return route, _authenticate(gateway, exchange.call, route)
+
+
 def _applied_configuration(
     gateway: state.Gateway, age_log: configuration_age.AgeLog
 ) -> _AppliedConfiguration:
