Let a daemon that can read the store check reads first

Cause: the first daemon by name checks waiting reads early, and the others rely on it even while it can't read the store itself.

Now the first of those that read the topic checks. The new case failed with the earlier rule.

--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -465,17 +465,23 @@
             return []
         return names
 
-    def checks_first(self) -> bool:
+    def checks_first(self, topic: topics.Topic) -> bool:
         """Return whether this daemon checks reads that wait before others.
 
-        It is the first by name of those whose digests come in each interval. Of
-        many daemons, these are the ones of one data centre.
+        It is the first by name of those that read the topic from the store and
+        whose digests come in each interval. Of many daemons, these are the ones
+        of one data centre.
         """
         if len(self.gossip.members) <= _FANOUT:
             names = self.gossip.live_names()
         else:
             names = self._live_in_data_centre()
-        return all(self.name < name for name in names)
+        known_peers = self.gossip.known_peers
+        return all(
+            self.name < name
+            for name in names
+            if topic.name in known_peers[name].reads
+        )
 
     def _live_in_data_centre(self) -> list[str]:
         """Return the sorted names of the live peers in this data centre."""
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -65,7 +65,7 @@
     """Ignore a restore."""
 
 
-def _checks_first() -> bool:
+def _checks_first(_: Topic) -> bool:
     """Return that there is no peer that checks first."""
     return True
 
@@ -154,7 +154,7 @@
     on_restored: Callable[[], None] = _ignore
     logs_changes: bool = False
     max_age_ms: float = math.inf
-    checks_first: Callable[[], bool] = _checks_first
+    checks_first: Callable[[Topic], bool] = _checks_first
     confirmed_by_peers: Callable[[Topic], confirmations.Confirmation] = (
         _never_confirmed
     )
@@ -383,7 +383,7 @@
         if not does_wait or math.isinf(self.max_age_ms):
             return math.inf
         share = _OTHER_CHECK_SHARE
-        if self.checks_first():
+        if self.checks_first(self):
             share = _FIRST_CHECK_SHARE
         interval_ms = max(_MIN_CHECK_INTERVAL_MS, share * self.max_age_ms)
         return interval_ms - self.newest_confirmation().age_ms()
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -353,37 +353,48 @@
 
 
 @pytest.mark.parametrize(
-    ('peer_count', 'data_centre', 'age_ms', 'checks_first'),
+    ('peer_count', 'data_centre', 'reads', 'age_ms', 'checks_first'),
     [
-        (0, 'a', 0, True),
-        (1, 'a', 0, False),
-        (1, 'b', 0, False),
+        (0, 'a', ['t'], 0, True),
+        (1, 'a', ['t'], 0, False),
+        (1, 'b', ['t'], 0, False),
         # Peers of another data centre are heard too seldom in a large fleet.
-        (20, 'a', 0, False),
-        (20, 'b', 0, True),
+        (20, 'a', ['t'], 0, False),
+        (20, 'b', ['t'], 0, True),
         # The first one has not been heard for seconds.
-        (1, 'a', 3000, True),
+        (1, 'a', ['t'], 3000, True),
+        # It can't read the topic, and so can't check anything.
+        (1, 'a', ['other'], 0, True),
     ],
 )
 def test_who_checks_reads_first(
     clock: make.Clock,
     peer_count: int,
     data_centre: str,
+    reads: list[str],
     age_ms: float,
     checks_first: bool,
 ) -> None:
-    """Guards against calls of all daemons for what one of them can tell."""
+    """Guards against calls of all daemons for what one of them can tell.
+
+    That one must be able to tell it.
+    """
     gossip = peers.Gossip(dict, lambda name, digest: None)
     for number in range(peer_count):
         name = f'd1{number:02}'
         gossip.add_member(name, model.Address('127.0.0.1', 1))
-        digest = {'name': name, 'newest': {}, 'data_centre': data_centre}
+        digest = {
+            'name': name,
+            'newest': {},
+            'data_centre': data_centre,
+            'reads': reads,
+        }
         gossip.datagram_received(orjson.dumps(digest), ('127.0.0.1', 1))
     clock.now_ms += age_ms
     election = peers.ReaderElection(
         'd2', 'a', gossip, cast('aiohttp.ClientSession', None)
     )
-    assert election.checks_first() is checks_first
+    assert election.checks_first(topic()) is checks_first
 
 
 def test_first_receivers_of_digests() -> None:
