--- a/packages/daemon/src/yuccarouter/gateway/checked_reads.py
+++ b/packages/daemon/src/yuccarouter/gateway/checked_reads.py
@@ -47,6 +47,7 @@
                 continue
             found = await _check(begin_read, waiting)
             if found is None:
+                # The read has ended first, so that nothing answered the check.
                 continue
             if found.entries:
                 return found, True
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -274,7 +274,7 @@
             # It may have been answered at any time since it began.
             confirmed_ms = waits_from_ms
         else:
-            confirmed_ms = _waited_until_ms(waits_from_ms, wait_ms)
+            confirmed_ms = _empty_until_ms(waits_from_ms, wait_ms)
         self._record_success(confirmed_ms, source)
         self._apply_all(page.entries, source, confirmed_before)
         self.table.advance(page.next_offset)
@@ -477,11 +477,11 @@
     return limit_ms - topic.newest_confirmation().age_ms()
 
 
-def _waited_until_ms(began_ms: float, wait_ms: float) -> float:
-    """Return when a read that found no record was answered, at the latest.
+def _empty_until_ms(began_ms: float, wait_ms: float) -> float:
+    """Return until when the store certainly had no record for a waiting read.
 
-    A store that ends it early may have done so at any time since it began: the
-    answer may have been held back on its way.
+    If it has ended the read early, it may have done so at any time since the
+    beginning: the answer may have been held back on its way.
     """
     end_ms = began_ms + wait_ms
     return end_ms if clocks.boot_ms() >= end_ms else began_ms
