Tell for how long a daemon lacks records that its peers have

The logs could not tell the three hypotheses apart: peer_fetch_failed named neither the topic nor how long the call took, nothing told since when a daemon knew that it lacked a record, and the length of digests was not known.

Now peer_fetch_failed has topic, waited_ms and behind_ms, records_applied has behind_ms, and there are metrics of the lag, of calls to peers by outcome and of the length of the digest.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -359,6 +359,7 @@
         gateway.conf.name, gateway.conf.data_centre, gossip, session
     )
     gossip.dependants = election.dependants
+    gossip.replicas = replicas
     for topic in replicas:
         topic.checks_first = election.checks_first
         topic.confirmed_by_peers = functools.partial(peers.confirmation, gossip)
--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -91,6 +91,20 @@
     ('topic', 'source'),
     buckets=_LATENCY_BUCKETS_S,
 )
+RECORD_LAG_S: Final = prometheus_client.Histogram(
+    'yuccarouter_gateway_record_lag_seconds',
+    'Time from the first digest that told of a newer record to its use',
+    ('topic', 'source'),
+    buckets=_LATENCY_BUCKETS_S,
+)
+PEER_FETCHES: Final = prometheus_client.Counter(
+    'yuccarouter_gateway_peer_fetches',
+    'Calls to peers for records that are missing here, by outcome',
+    ('topic', 'outcome'),
+)
+DIGEST_BYTES: Final = prometheus_client.Gauge(
+    'yuccarouter_gateway_digest_bytes', 'Length of the last digest for peers'
+)
 CONFIGURATION_AGE_S: Final = prometheus_client.Histogram(
     'yuccarouter_gateway_configuration_age_seconds',
     'Time since the configuration that decided a request was last confirmed',
@@ -158,6 +172,11 @@
     RECORD_AGE_S.labels(topic, source).observe(age_ms / _MS_PER_S)
 
 
+def observe_record_lag(topic: str, source: str, behind_ms: float) -> None:
+    """Record for how long peers have had a new record of a topic."""
+    RECORD_LAG_S.labels(topic, source).observe(behind_ms / _MS_PER_S)
+
+
 def observe_configuration_age(age_ms: float) -> None:
     """Record when the configuration that decided a request was confirmed."""
     CONFIGURATION_AGE_S.observe(age_ms / _MS_PER_S)
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -18,6 +18,7 @@
 from yuccarouter.gateway import (
     addresses,
     confirmations,
+    metrics,
     model,
     numbers,
     offsets,
@@ -95,6 +96,22 @@
     confirmed_ms: dict[str, float] = attrs.field(factory=dict)
 
 
+def _peer(digest: dict[str, Any], sender: tuple[str | Any, int]) -> Peer:
+    """Return what a digest tells of its sender; raises ``_DIGEST_ERRORS``."""
+    boot_ms = clocks.boot_ms()
+    return Peer(
+        address=model.Address(sender[0], sender[1]),
+        received_ms=clocks.monotonic_ms(),
+        newest=_offsets(digest['newest'], digest.get('generations', {})),
+        data_centre=str(digest.get('data_centre', '')),
+        reads=tuple(digest.get('reads', ())),
+        confirmed_ms={
+            str(topic): boot_ms - numbers.number(age_ms)
+            for topic, age_ms in digest.get('ages_ms', {}).items()
+        },
+    )
+
+
 class Gossip(asyncio.DatagramProtocol):
     """Sends this daemon's digest to peers over UDP and receives theirs.
 
@@ -104,7 +121,8 @@
     ``dependants`` returns the names of the peers that get every digest. While
     ``has_news`` is set, the next digest does not wait for its interval.
     ``receivers`` process messages that are no digests, by the field that tells
-    them apart; ``transport`` sends such messages.
+    them apart; ``transport`` sends such messages. The lag of ``replicas`` is
+    kept by what digests tell.
     """
 
     def __init__(
@@ -124,6 +142,7 @@
         self.known_peers: dict[str, Peer] = {}
         self.dependants: Callable[[], list[str]] = list
         self.has_news = asyncio.Event()
+        self.replicas: list[topics.Topic] = []
         self.receivers: dict[
             str, Callable[[dict[str, Any], tuple[str | Any, int]], None]
         ] = {}
@@ -144,24 +163,18 @@
                     receive(digest, sender)
                     return
             name = str(digest['name'])
-            boot_ms = clocks.boot_ms()
-            self.known_peers[name] = Peer(
-                address=model.Address(sender[0], sender[1]),
-                received_ms=clocks.monotonic_ms(),
-                newest=_offsets(
-                    digest['newest'], digest.get('generations', {})
-                ),
-                data_centre=str(digest.get('data_centre', '')),
-                reads=tuple(digest.get('reads', ())),
-                confirmed_ms={
-                    str(topic): boot_ms - numbers.number(age_ms)
-                    for topic, age_ms in digest.get('ages_ms', {}).items()
-                },
-            )
+            self._note_peer(name, _peer(digest, sender))
             self._on_digest(name, digest)
         except _DIGEST_ERRORS as fault:
             eliot.log_message('bad_digest', sender=sender[0], reason=str(fault))
 
+    def _note_peer(self, name: str, peer: Peer) -> None:
+        """Note what a peer tells, and which of its records lack here."""
+        self.known_peers[name] = peer
+        for topic in self.replicas:
+            peer_offset = peer.newest.get(topic.name, -1)
+            topic.lag.note(peer_offset, topic.table.newest_offset)
+
     def error_received(self, exc: Exception) -> None:
         """Log that a datagram could not be sent."""
         eliot.log_message('digest_not_sent', reason=str(exc))
@@ -248,6 +261,7 @@
         if self.transport is None or not self.members:
             return
         payload = orjson.dumps(self._make_digest())
+        metrics.DIGEST_BYTES.set(len(payload))
         if len(payload) > _MAX_DATAGRAM_BYTES:
             eliot.log_message('digest_too_long', length=len(payload))
             return
@@ -541,6 +555,7 @@
     Returns whether the peer has answered.
     """
     known_generation, number = _generation_and_number(topic.table.newest_offset)
+    began_ms = clocks.monotonic_ms()
     try:
         async with session.get(
             f'http://{peer.address}{_RECORDS_PATH}',
@@ -560,10 +575,17 @@
             present = frozenset(document['present'])
             newest = _offset(generation, document['newest'])
     except _FETCH_ERRORS as fault:
+        metrics.PEER_FETCHES.labels(topic.name, 'failed').inc()
         eliot.log_message(
-            'peer_fetch_failed', peer=str(peer.address), reason=str(fault)
+            'peer_fetch_failed',
+            topic=topic.name,
+            peer=str(peer.address),
+            reason=str(fault) or type(fault).__name__,
+            waited_ms=round(clocks.monotonic_ms() - began_ms),
+            behind_ms=round(topic.lag.age_ms(topic.table.newest_offset)),
         )
         return False
+    metrics.PEER_FETCHES.labels(topic.name, 'answered').inc()
     if missing:
         eliot.log_message(
             'records_from_peer',
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -16,6 +16,7 @@
     metrics,
     offsets,
     ports,
+    record_lags,
     retry_pauses,
 )
 from yuccarouter_common import clocks
@@ -139,7 +140,8 @@
     ways before it is older than ``max_age_ms``: by further calls to the store,
     or by a peer, whose newest one ``confirmed_by_peers`` returns. The daemon
     for which ``checks_first`` is true calls the store before the others.
-    ``confirmation`` is that by the store's answers to this daemon itself.
+    ``confirmation`` is that by the store's answers to this daemon itself, and
+    ``lag`` tells for how long peers have had records that lack here.
     """
 
     name: str
@@ -162,6 +164,7 @@
     # The newest one before the records that are being applied.
     confirmation_before: confirmations.Confirmation = confirmations.NEVER
     table: Table = attrs.field(factory=Table)
+    lag: record_lags.RecordLag = attrs.field(factory=record_lags.RecordLag)
     pause: retry_pauses.RetryPause = attrs.field(
         factory=retry_pauses.RetryPause
     )
@@ -339,9 +342,10 @@
         """Apply records, and report how old the new ones may be.
 
         That is the time since the newest confirmation of a replica without
-        them.
+        them. How long peers have had them is reported as well.
         """
         self.confirmation_before = confirmed_before
+        behind_ms = self.lag.age_ms(self.table.newest_offset)
         count = 0
         for entry in entries:
             if self.table.apply(entry):
@@ -349,7 +353,10 @@
                 self.on_record(entry)
             else:
                 _log_ignored(self.name, entry, self.table.entries[entry.key])
-        if not count or math.isinf(confirmed_before.at_ms):
+        if not count:
+            return
+        metrics.observe_record_lag(self.name, source, behind_ms)
+        if math.isinf(confirmed_before.at_ms):
             return
         age_ms = round(confirmed_before.age_ms())
         metrics.observe_record_age(self.name, source, age_ms)
@@ -361,6 +368,7 @@
                 count=count,
                 pending_ms=_elapsed_ms(self.read_began_ms),
                 age_ms=age_ms,
+                behind_ms=round(behind_ms),
                 confirmed_by=confirmed_before.source,
             )
 
