Claim only the records that a replica holds without a gap

What callers may see: a configuration, an endpoint's record or a step of a roll-out that one daemon lacks for good, in calm as well. A record on a later page that was written between the pages raised the claim of the replica beyond one that an earlier page lacked. The daemon then told its peers that it had all, took their word as confirmation, and where peers read the topic for it, never read again; a peer that fetched from it went on after the gap.

Now a single record raises no claim: only the end of a load, of a read or of a peer's claim does. That it was the cause of the report is not shown.

Tests that made a replica with single records now also state up to where it has read; what they check is unchanged.

--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -82,8 +82,9 @@
     """The newest record of each key, by offset.
 
     A record that is not newer than the stored one of its key is ignored, so
-    that pages and peers may repeat records. ``newest_offset`` is that of the
-    newest record that was read, also of one that the store has dropped since.
+    that pages and peers may repeat records. ``newest_offset`` is that up to
+    which all records were read, also those that the store has dropped since.
+    Single newer ones may be stored: the pages of a load are not one snapshot.
     """
 
     entries: dict[str, ports.Entry] = attrs.field(factory=dict)
@@ -96,7 +97,6 @@
         if current is not None and current.offset >= entry.offset:
             return False
         self.entries[entry.key] = entry
-        self.newest_offset = max(self.newest_offset, entry.offset)
         return True
 
     def advance(self, next_offset: int) -> None:
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -62,6 +62,7 @@
         clock.now_ms = now_ms
         if now_ms == read_at_ms:
             replica.table.apply(make.entry('a', offset=5))
+            replica.table.advance(6)
         own_offset = replica.table.newest_offset
         replica.lag.note(5, own_offset)
         remaining_ms = peers.overdue_in_ms(gossip, replica, [])
@@ -146,6 +147,7 @@
     source = topic()
     source.table.apply(make.entry('a', b'\x00old', 1))
     source.table.apply(make.entry('b', orjson.dumps({'x': 1}), 4))
+    source.table.advance(5)
     runner = web.AppRunner(peers.records_app([source]))
     await runner.setup()
     site = web.TCPSite(runner, '127.0.0.1', 0)
@@ -153,6 +155,7 @@
     port = runner.addresses[0][1]
     replica = topic()
     replica.table.apply(make.entry('a', b'\x00old', 1))
+    replica.table.advance(2)
     gossip = peers.Gossip(dict, lambda name, digest: None)
     gossip.replicas = [replica]
     gossip.datagram_received(
@@ -235,6 +238,7 @@
     """
     source = topic()
     source.table.apply(make.entry('a', b'new', offsets.encode(2, 3)))
+    source.table.advance(offsets.encode(2, 4))
     runner = web.AppRunner(peers.records_app([source]))
     await runner.setup()
     site = web.TCPSite(runner, '127.0.0.1', 0)
@@ -242,6 +246,7 @@
     replica = topic()
     for key in ('a', 'b'):
         replica.table.apply(make.entry(key, b'old', offsets.encode(1, 90)))
+    replica.table.advance(offsets.encode(1, 91))
     gossip = peers.Gossip(dict, lambda name, digest: None)
     digest = {'name': 'd2', **peers.encode_newest([source])}
     gossip.datagram_received(
@@ -362,6 +367,7 @@
     """
     replica = topic()
     replica.table.apply(make.entry('a', offset=5))
+    replica.table.advance(6)
     gossip = peers.Gossip(dict, lambda name, digest: None)
     gossip.datagram_received(
         orjson.dumps({'name': 'd2', **digest}), ('127.0.0.1', 1)
--- a/packages/daemon/tests/gateway/test_state.py
+++ b/packages/daemon/tests/gateway/test_state.py
@@ -156,6 +156,7 @@
         is_failing=is_failing,
     )
     topic.table.apply(make.entry('config', offset=5))
+    topic.table.advance(6)
     if digest is not None:
         reads = {'reads': ['t'], 'name': 'd2'}
         gossip.datagram_received(
