--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,8 @@
 	touch $@
 
 test: setup
-	$(PY) -m pytest -n 4
+	$(PY) -m pytest -n 4 -m 'not alone'
+	$(PY) -m pytest -m alone
 
 lint: setup
 	$(VENV)/bin/ruff format --check packages platform conftest.py
