Bound what is received ahead of the request in progress

What callers saw: a process that ran out of memory. Cause: of requests that a client sends ahead, 32 were parsed, and up to 512 KiB of a body were read behind a request whose answer the client did not take.

Now a connection reads 16 KiB in a turn of the event loop, two heads are parsed ahead and 32 KiB of a body are read behind the request in progress. Ruled out: closing such connections. Clients inside the limits may send ahead, and what waits in the socket costs nothing.

--- a/packages/daemon/src/yuccarouter/gateway/caller_connections.py
+++ b/packages/daemon/src/yuccarouter/gateway/caller_connections.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
-from aiohttp import web, web_protocol
+from aiohttp import http_parser, web, web_protocol
 
 if TYPE_CHECKING:
     import asyncio
@@ -14,15 +14,43 @@
 _QUIET_S: Final = 0.4
 
 
+# What is received on one connection in a turn of the event loop, and held of a
+# request behind others on its connection.
+_MAX_RECEIVED_BYTES: Final = 16_384
+# Requests behind the one in progress whose heads are parsed.
+_MAX_WAITING_REQUESTS: Final = 2
+
+
 class CallerConnection(web_protocol.RequestHandler):
-    """A caller's connection that can tell whether it is idle."""
+    """A caller's connection that can tell whether it is idle.
+
+    What it receives ahead of what it processes is bounded.
+    """
 
     _received_s: float = 0
 
+    def __init__(self, manager: web.Server, **options: Any) -> None:
+        super().__init__(manager, **options)
+        # aiohttp has no public way to set how many requests are parsed ahead.
+        self._max_msg_queue_size = _MAX_WAITING_REQUESTS
+        self._msg_queue_resume_size = _MAX_WAITING_REQUESTS // 2
+        self._parser = http_parser.HttpRequestParser(
+            self,
+            self._loop,
+            _MAX_RECEIVED_BYTES,
+            max_line_size=self.max_line_size,
+            max_field_size=self.max_field_size,
+            max_headers=self.max_headers,
+            payload_exception=web.RequestPayloadError,
+            max_msg_queue_size=_MAX_WAITING_REQUESTS,
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register a new connection."""
+        """Register a new connection, and limit what is received at a time."""
         self._received_s = self._loop.time()
         super().connection_made(transport)
+        # The event loop has no public way to set the size of its reads.
+        transport.max_size = _MAX_RECEIVED_BYTES  # type: ignore[attr-defined]
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes."""
