Let connections with many small chunks read in turn

What callers saw: no answer for seconds, also after such clients had left. Cause: a chunk of one byte costs as much time as a large one, and all connections were read in each turn of the event loop, 256 KiB each: 43,000 chunks a connection. The loop stood still for as long as what was received took.

Now a connection whose received bytes took over a millisecond to process waits until its turn comes; one of them reads in each turn of the loop, so that others wait for one read of 16 KiB at most.

--- a/packages/daemon/src/yuccarouter/gateway/caller_connections.py
+++ b/packages/daemon/src/yuccarouter/gateway/caller_connections.py
@@ -6,6 +6,8 @@
 
 from aiohttp import http_parser, web, web_protocol
 
+from yuccarouter.gateway import read_turns
+
 if TYPE_CHECKING:
     import asyncio
 
@@ -19,18 +21,28 @@
 _MAX_RECEIVED_BYTES: Final = 16_384
 # Requests behind the one in progress whose heads are parsed.
 _MAX_WAITING_REQUESTS: Final = 2
+# Processing received bytes takes a fraction of this time, unless they are many
+# small chunks or header lines.
+_LONG_PROCESSING_S: Final = 0.001
 
 
 class CallerConnection(web_protocol.RequestHandler):
     """A caller's connection that can tell whether it is idle.
 
-    What it receives ahead of what it processes is bounded.
+    What it receives ahead of what it processes is bounded, and what takes long
+    to process waits for its turn.
     """
 
     _received_s: float = 0
+    _waits_for_turn: bool = False
+    # Since the last turn. The bytes of one read may be processed in parts.
+    _processing_s: float = 0
 
-    def __init__(self, manager: web.Server, **options: Any) -> None:
+    def __init__(
+        self, manager: web.Server, turns: read_turns.ReadTurns, **options: Any
+    ) -> None:
         super().__init__(manager, **options)
+        self._turns = turns
         # aiohttp has no public way to set how many requests are parsed ahead.
         self._max_msg_queue_size = _MAX_WAITING_REQUESTS
         self._msg_queue_resume_size = _MAX_WAITING_REQUESTS // 2
@@ -54,8 +66,26 @@
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes."""
-        self._received_s = self._loop.time()
+        began_s = self._loop.time()
+        self._received_s = began_s
         super().data_received(data)
+        self._processing_s += self._loop.time() - began_s
+        if self._processing_s >= _LONG_PROCESSING_S:
+            self._wait_for_turn()
+
+    def _wait_for_turn(self) -> None:
+        """Receive no more until this connection's turn comes."""
+        if self._waits_for_turn or self.transport is None:
+            return
+        self._waits_for_turn = True
+        self._pause_reading_for_buffer()
+        self._turns.wait(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._waits_for_turn = False
+        self._processing_s = 0
+        if len(self._messages) < self._max_msg_queue_size:
+            self._resume_reading_for_buffer()
 
     def is_idle(self) -> bool:
         """Return whether no request is in progress or about to arrive.
@@ -92,9 +122,15 @@
 class CallersServer(web.Server):
     """An HTTP server whose connections are ``CallerConnection``."""
 
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._turns = read_turns.ReadTurns()
+
     def __call__(self) -> CallerConnection:
         """Return the protocol of a new connection."""
-        return CallerConnection(self, loop=self._loop, **self._kwargs)
+        return CallerConnection(
+            self, self._turns, loop=self._loop, **self._kwargs
+        )
 
     def abort_connections(self) -> None:
         """Abort all connections, so that a partial answer is noticed."""
