Count callers' bodies in the memory of the process

What callers saw: a process that ran out of memory and was ended, with all its requests. Cause: each body is bounded, their sum was not; only unfinished answers of endpoints had a common limit.

Now one account counts what is held for callers and endpoints, with its copies, up to half of the memory in the settings (as the sixth for answers before, which have three copies). Beyond it, some are ended for the organisation or the endpoint for which most is held: of an organisation the requests that are still being read, those that have stalled longest first, with 503, a time to return and the truth that they have not run. A request that an endpoint may run is never ended for it, nor a request of less than 4 KiB. Head lines count as well, since short ones cost many times their length.

Ruled out: waiting for memory; a crowd that never ends its bodies would hold up all others.

The log names memory_exceeded with the organisation or the endpoint in place of answer_memory_exceeded. test_answer_memory moved with its module; its rows are unchanged.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -15,7 +15,6 @@
 from aiohttp import hdrs, web
 
 from yuccarouter.gateway import (
-    answer_memory,
     answer_progress,
     connections,
     crash_evidence,
@@ -23,6 +22,7 @@
     metrics,
     model,
     ports,
+    process_memory,
     prompt_parts,
     request_digests,
     rollouts,
@@ -40,6 +40,8 @@
 # Non-streamed answers are buffered in memory. Twenty that never end must fit
 # the smallest VM, which has 128 MB.
 MAX_ANSWER_BYTES: Final = 2_097_152
+# While a body is joined, and then written to the caller.
+_ANSWER_COPIES: Final = 3
 _OK: Final = 200
 # Lower ones, as that of a switch of protocols, end no request of a caller.
 _MIN_FINAL_STATUS: Final = 200
@@ -251,8 +253,8 @@
     head: model.AnswerHead
     view: endpoints.EndpointView
     progress: answer_progress.Progress
-    holding: answer_memory.Holding
-    memory: answer_memory.AnswerMemory
+    holding: process_memory.Holding
+    memory: process_memory.ProcessMemory
 
     @property
     def sent_ms(self) -> float:
@@ -273,7 +275,9 @@
         Until the end of an answer without a length is known, its connection
         holds it as well.
         """
-        copies = 2 if self.framing == 'none' else 1
+        copies = _ANSWER_COPIES
+        if self.framing == 'none':
+            copies *= 2
         self.memory.resize(self.holding, copies * held_bytes)
 
 
@@ -322,13 +326,17 @@
         finally:
             view.pending_prefill_ms -= prefill_ms
         elapsed_ms = clocks.monotonic_ms() - sent_ms
-        memory = out.gateway.answer_memory
+        memory = out.gateway.memory
 
         def end() -> None:
             response.content.set_exception(MemoryExceededError('ended'))
 
         try:
-            with memory.hold(view.name, end) as holding:
+            with memory.hold(
+                process_memory.Owner('endpoint', view.name),
+                process_memory.LARGEST_FIRST,
+                end,
+            ) as holding:
                 opened = _checked_answer(out, response, progress, holding)
                 if uncached_tokens and opened.head.status == _OK:
                     speeds.record(
@@ -458,7 +466,7 @@
     out: OutgoingCall,
     response: aiohttp.ClientResponse,
     progress: answer_progress.Progress,
-    holding: answer_memory.Holding,
+    holding: process_memory.Holding,
 ) -> OpenAnswer:
     """Return the answer; raises ``AttemptError`` if its head is rejected."""
     view = progress.view
@@ -495,7 +503,7 @@
     if generation is not None:
         parts = [part.name for part in generation.parts]
         view.record_cached(progress.model, parts, now_ms)
-    memory = out.gateway.answer_memory
+    memory = out.gateway.memory
     return OpenAnswer(response, head, view, progress, holding, memory)
 
 
--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -58,6 +58,11 @@
     'yuccarouter_gateway_surplus_answers',
     'Connections on which other bytes came after an answer',
 )
+MEMORY_EXCEEDED: Final = prometheus_client.Counter(
+    'yuccarouter_gateway_memory_exceeded',
+    'Times at which requests were ended as all held too much, by for whom',
+    ('owner',),
+)
 HELD_PROMPT_PARTS: Final = prometheus_client.Gauge(
     'yuccarouter_gateway_held_prompt_parts',
     'Sets of prompt parts that are held back as engines crash on them',
--- a/packages/daemon/src/yuccarouter/gateway/refusal_responses.py
+++ b/packages/daemon/src/yuccarouter/gateway/refusal_responses.py
@@ -59,6 +59,18 @@
     )
 
 
+def out_of_memory() -> refusals.RefusalError:
+    """Return the refusal of a request that was not read, for want of memory.
+
+    The memory is free again once others have ended.
+    """
+    return refusals.RefusalError(
+        'overloaded',
+        'this daemon holds too much for other requests',
+        retry_after_ms=_with_jitter(_SHORT_RETRY_AFTER_MS),
+    )
+
+
 def unfinished_at_stop(
     out: attempts.OutgoingCall | None,
 ) -> refusals.RefusalError:
--- a/packages/daemon/src/yuccarouter/gateway/request_handler.py
+++ b/packages/daemon/src/yuccarouter/gateway/request_handler.py
@@ -19,6 +19,7 @@
     metrics,
     model,
     refusal_responses,
+    request_bodies,
     routes,
     state,
     stopping,
@@ -36,8 +37,6 @@
 
 # Limit while no configuration is known.
 _DEFAULT_BODY_BYTES: Final = 4_194_304
-_BODY_TIMEOUT_S: Final = 10.0
-_CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _MS_PER_S: Final = 1000
 _MAX_PRIORITY: Final = 9
 
@@ -197,18 +196,23 @@
     await gate.hold_until_configured(gateway, exchange.call)
     table = gateway.table
     route, organisation = _look_up(exchange)
-    body = await _read_body(exchange.request)
-    if gateway.table is not table:
-        # The body may have taken seconds to arrive.
-        route, organisation = _look_up(exchange)
-    out = _prepare(exchange, route, organisation, body)
-    exchange.out = out
-    if not out.can_end_before_stop():
-        raise refusal_responses.shutting_down()
-    await gateway.session_exchange.look_up(
-        out.service, exchange.call.session, out.remaining_ms()
-    )
-    return await _forward(out, exchange.request)
+    with request_bodies.hold(
+        gateway.memory,
+        exchange.request,
+        organisation.name if organisation else '',
+    ) as held:
+        body = await held.read()
+        if gateway.table is not table:
+            # The body may have taken seconds to arrive.
+            route, organisation = _look_up(exchange)
+        out = _prepare(exchange, route, organisation, body)
+        exchange.out = out
+        if not out.can_end_before_stop():
+            raise refusal_responses.shutting_down()
+        await gateway.session_exchange.look_up(
+            out.service, exchange.call.session, out.remaining_ms()
+        )
+        return await _forward(out, exchange.request)
 
 
 def _look_up(
@@ -268,24 +272,6 @@
     raise refusals.RefusalError('unauthenticated', 'the API key is unknown')
 
 
-async def _read_body(request: web.BaseRequest) -> bytes:
-    if not request.can_read_body:
-        return b''
-    if request.headers.get('Expect', '').lower() == '100-continue':
-        await request.writer.write(_CONTINUE)
-    try:
-        async with asyncio.timeout(_BODY_TIMEOUT_S):
-            return await request.read()
-    except TimeoutError as fault:
-        raise refusals.RefusalError(
-            'request_timeout', 'the body did not arrive in time'
-        ) from fault
-    except web.HTTPRequestEntityTooLarge as fault:
-        raise refusals.RefusalError(
-            'body_too_large', 'the body is too large'
-        ) from fault
-
-
 def _prepare(
     exchange: _Exchange,
     route: model.Route,
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -12,7 +12,6 @@
 import orjson
 
 from yuccarouter.gateway import (
-    answer_memory,
     choice,
     cold_limit,
     crash_evidence,
@@ -20,6 +19,7 @@
     failure_reports,
     model,
     prefill_speeds,
+    process_memory,
     rate_limits,
     retry_budget,
     rollout_control,
@@ -85,7 +85,7 @@
     failure_reports: failure_reports.FailureReports = attrs.field(init=False)
     rate_limits: rate_limits.RateLimits = attrs.field(init=False)
     crash_evidence: crash_evidence.CrashEvidence = attrs.field(init=False)
-    answer_memory: answer_memory.AnswerMemory = attrs.field(init=False)
+    memory: process_memory.ProcessMemory = attrs.field(init=False)
     session_exchange: exchange.SessionExchange = attrs.field(init=False)
     speeds: speeds.EndpointSpeeds = attrs.field(init=False)
     service_index: service_index.ServiceIndex = attrs.field(init=False)
@@ -131,8 +131,8 @@
 
         bounds = self.conf.bounds
         self.overload = overload.Overload(self.conf.memory_bytes)
-        self.answer_memory = answer_memory.AnswerMemory(
-            answer_memory.limit_bytes(self.conf.memory_bytes)
+        self.memory = process_memory.ProcessMemory(
+            process_memory.limit_bytes(self.conf.memory_bytes)
         )
         self.speeds = speeds.EndpointSpeeds(service_of)
         self.service_index = service_index.ServiceIndex(
--- a/packages/daemon/tests/gateway/shares/test_counted_requests.py
+++ b/packages/daemon/tests/gateway/shares/test_counted_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import types
 from typing import Any
 
@@ -12,6 +13,7 @@
 
 from yuccarouter.gateway import (
     model,
+    process_memory,
     request_handler,
     retry_budget,
     routes,
@@ -68,6 +70,7 @@
         demand=counted,
         choose=leave,
         overload=overload.Overload(128_000_000),
+        memory=process_memory.ProcessMemory(math.inf),
         speeds=speeds.EndpointSpeeds(lambda endpoint: None),
         session_exchange=types.SimpleNamespace(look_up=look_up),
         orders_topic=None,
--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -20,7 +20,6 @@
 from aiohttp import client_reqrep, web
 
 from yuccarouter.gateway import (
-    answer_memory,
     answer_progress,
     attempts,
     choice,
@@ -32,6 +31,7 @@
     lost_answers,
     model,
     prefill_speeds,
+    process_memory,
     rate_limits,
     retries,
     retry_budget,
@@ -114,7 +114,7 @@
         gossip=None,
         session=Session(*results),
         stop=stopping.Stop(),
-        answer_memory=answer_memory.AnswerMemory(math.inf),
+        memory=process_memory.ProcessMemory(math.inf),
         speeds=speeds.EndpointSpeeds(lambda endpoint: None),
         endpoint_waits_ms=lambda service: [],
         platform=types.SimpleNamespace(
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_process_memory.py
@@ -0,0 +1,117 @@
+"""Tests of the limit on the memory of all unfinished answers together."""
+
+from __future__ import annotations
+
+import contextlib
+
+import pytest
+
+from yuccarouter.gateway import process_memory
+
+LIMIT_BYTES = 1000
+
+
+def owner_of(endpoint: str) -> process_memory.Owner:
+    return process_memory.Owner('endpoint', endpoint)
+
+
+@pytest.mark.parametrize(
+    ('held', 'ended'),
+    [
+        # Within the limit.
+        ([('e1', 500), ('e2', 500)], []),
+        # Many endless answers of one endpoint beside another's sound one.
+        ([('e1', 300), ('e1', 400), ('e2', 200), ('e1', 200)], [('e1', 400)]),
+        # A single large answer counts less than many of one endpoint.
+        ([('e2', 450), ('e1', 200), ('e1', 200), ('e1', 200)], [('e1', 200)]),
+        # One answer beyond the limit.
+        ([('e2', 100), ('e1', 1001)], [('e1', 1001)]),
+    ],
+)
+def test_which_answers_are_ended(
+    held: list[tuple[str, int]], ended: list[tuple[str, int]]
+) -> None:
+    """Guards against answers that together exceed the memory of the process.
+
+    Those of the endpoint that holds most are ended, and no others.
+    """
+    memory = process_memory.ProcessMemory(LIMIT_BYTES)
+    found: list[tuple[str, int]] = []
+    with contextlib.ExitStack() as stack:
+        for endpoint, held_bytes in held:
+            row = (endpoint, held_bytes)
+            holding = stack.enter_context(
+                memory.hold(
+                    owner_of(endpoint),
+                    process_memory.LARGEST_FIRST,
+                    lambda row=row: found.append(row),
+                )
+            )
+            memory.resize(holding, held_bytes)
+        assert found[: len(ended)] == ended
+        assert {name for name, _ in found} <= {name for name, _ in ended}
+        assert memory.held_bytes <= LIMIT_BYTES
+    assert memory.held_bytes == 0
+
+
+def test_answer_that_was_ended_counts_no_more() -> None:
+    """Guards against a limit that an ended answer's late bytes use up."""
+    memory = process_memory.ProcessMemory(LIMIT_BYTES)
+    ends: list[str] = []
+    with memory.hold(
+        owner_of('e1'),
+        process_memory.LARGEST_FIRST,
+        lambda: ends.append('e1'),
+    ) as holding:
+        memory.resize(holding, LIMIT_BYTES + 1)
+        memory.resize(holding, LIMIT_BYTES + 2)
+        assert memory.held_bytes == 0
+    assert ends == ['e1']
+    assert memory.held_bytes == 0
+
+
+CALLERS = [('crowd', 6000), ('crowd', 5000), ('other', 4500)]
+
+
+@pytest.mark.parametrize(
+    ('held', 'resized', 'sent', 'ended'),
+    [
+        (CALLERS, ('other', 5000), '', []),
+        # Of the organisation that holds most, the one that has stalled.
+        (CALLERS, ('crowd', 11_000), '', [('crowd', 6000)]),
+        (CALLERS, ('other', 10_000), '', [('crowd', 6000)]),
+        # An organisation that behaves holds most.
+        (CALLERS, ('other', 15_000), '', [('other', 4500)]),
+        # Requests that endpoints may run are not ended.
+        (CALLERS, ('crowd', 11_000), 'crowd', [('other', 4500)]),
+        # Small requests are not ended.
+        ([('crowd', 4000), ('small', 4000)], ('crowd', 17_000), 'crowd', []),
+    ],
+)
+def test_which_callers_are_ended(
+    held: list[tuple[str, int]],
+    resized: tuple[str, int],
+    sent: str,
+    ended: list[tuple[str, int]],
+) -> None:
+    """Guards against callers that are ended for others that do not behave."""
+    memory = process_memory.ProcessMemory(20_000)
+    found: list[tuple[str, int]] = []
+    with contextlib.ExitStack() as stack:
+        holdings = {}
+        for name, held_bytes in held:
+            holding = stack.enter_context(
+                memory.hold(
+                    process_memory.Owner('organisation', name),
+                    process_memory.STALLED_FIRST,
+                    lambda row=(name, held_bytes): found.append(row),
+                )
+            )
+            memory.resize(holding, held_bytes)
+            if name == sent:
+                holding.end = None
+            holdings[name] = holding
+        name, held_bytes = resized
+        memory.resize(holdings[name], held_bytes)
+    assert found == ended
+    assert memory.held_bytes == 0
