Count answers that callers do not read

What callers saw: a process that ran out of memory. Cause: an answer no longer counted once its endpoint had sent it, however long its caller took to read it; it was written as a whole, so that the connection held a second copy, and the connection kept the response until its next one.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -16,6 +16,7 @@
 
 from yuccarouter.gateway import (
     answer_progress,
+    caller_answers,
     connections,
     crash_evidence,
     lost_answers,
@@ -611,9 +612,13 @@
         chunks.clear()
 
 
-def response_with(opened: OpenAnswer, body: bytes) -> web.Response:
+def response_with(
+    out: OutgoingCall, opened: OpenAnswer, body: bytes
+) -> web.Response:
     """Return the response that passes an endpoint's answer to the caller."""
-    return web.Response(
+    return caller_answers.CallerAnswer(
+        opened.memory,
+        out.organisation,
         status=opened.head.status,
         body=body,
         headers=multidict.CIMultiDict(opened.head.headers),
--- a/packages/daemon/src/yuccarouter/gateway/buffered.py
+++ b/packages/daemon/src/yuccarouter/gateway/buffered.py
@@ -57,4 +57,4 @@
             attempts.record_failure(out, opened, 'failed')
         else:
             attempts.record_success(out, opened)
-        return attempts.response_with(opened, body)
+        return attempts.response_with(out, opened, body)
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -381,7 +381,7 @@
         raise attempts.AttemptError(
             'endpoint failed to resume the stream', 'failed', may_have_run=True
         )
-    return attempts.response_with(opened, body)
+    return attempts.response_with(out, opened, body)
 
 
 async def _relay_stream(relay: Relay, opened: attempts.OpenAnswer) -> None:
