Free an ended answer at once

An answer that is ended for want of memory keeps its error, whose traceback kept the answer and the request's body until the garbage collector ran.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -579,9 +579,10 @@
         ) from fault
     except MemoryExceededError as fault:
         record_endless(out, opened, fault.code)
+        # The answer keeps the error, whose traceback keeps the answer.
         raise AttemptError(
             fault.message, fault.code, may_have_run=True
-        ) from fault
+        ) from fault.with_traceback(None)
     if body is None:
         record_endless(out, opened, 'endless_answer')
         raise AttemptError(
