Serve heads of many short lines, and bound a head as a whole

What callers saw: 400 for a request of legal size with more than 128 header lines. Cause: the parser's default limit on their number, which is on no page of the users. Without it, nothing bounded a head as a whole: each line might have 64 KiB.

Now as many lines are parsed as fit into the longest head, and a connection whose head goes on beyond 128 KiB is closed, after the answers to requests before it.

--- a/packages/daemon/src/yuccarouter/gateway/caller_connections.py
+++ b/packages/daemon/src/yuccarouter/gateway/caller_connections.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING, Any, Final
 
-from aiohttp import http_parser, web, web_protocol
+import eliot
+from aiohttp import http_parser, streams, web, web_protocol
 
 from yuccarouter.gateway import read_turns
 
@@ -37,6 +38,9 @@
     _waits_for_turn: bool = False
     # Since the last turn. The bytes of one read may be processed in parts.
     _processing_s: float = 0
+    # Since the end of the last request.
+    _head_bytes: int = 0
+    _last_body: streams.StreamReader = streams.EMPTY_PAYLOAD
 
     def __init__(
         self, manager: web.Server, turns: read_turns.ReadTurns, **options: Any
@@ -68,11 +72,31 @@
         """Process received bytes."""
         began_s = self._loop.time()
         self._received_s = began_s
+        requests = self._request_count
         super().data_received(data)
+        self._limit_head(len(data), self._request_count - requests)
         self._processing_s += self._loop.time() - began_s
         if self._processing_s >= _LONG_PROCESSING_S:
             self._wait_for_turn()
 
+    def _limit_head(self, received_bytes: int, requests: int) -> None:
+        """Take no more of a head that is too long.
+
+        The parser limits each line and their number. Requests before it are
+        still answered, and the connection is closed then.
+        """
+        if requests:
+            self._last_body = self._messages[-1][1]
+        if requests or not self._last_body.is_eof():
+            self._head_bytes = 0
+            return
+        self._head_bytes += received_bytes
+        if self._head_bytes > self.max_line_size + self.max_field_size:
+            eliot.log_message('head_too_long', received_bytes=self._head_bytes)
+            self.close()
+            if self.transport is not None and self._current_request is None:
+                self.transport.abort()
+
     def _wait_for_turn(self) -> None:
         """Receive no more until this connection's turn comes."""
         if self._waits_for_turn or self.transport is None:
--- a/packages/daemon/src/yuccarouter/gateway/servers.py
+++ b/packages/daemon/src/yuccarouter/gateway/servers.py
@@ -18,6 +18,8 @@
     from yuccarouter.gateway import model, state
 
 _MAX_HEADER_BYTES: Final = 65536
+# The shortest header line has a name, a colon and its end.
+_MIN_LINE_BYTES: Final = 4
 # Idle timeout of callers' connections, longer than any idle timeout that is
 # configured elsewhere.
 _KEEPALIVE_TIMEOUT_S: Final = 75.0
@@ -84,6 +86,7 @@
         access_log=None,
         max_line_size=_MAX_HEADER_BYTES,
         max_field_size=_MAX_HEADER_BYTES,
+        max_headers=_MAX_HEADER_BYTES // _MIN_LINE_BYTES,
     )
 
 
