Bound requests and answers apart, and refuse what has no room at once

With a share by organisation that counted what endpoints work on, small requests were refused as well.

An organisation that holds half of the limit in open requests and unread answers gets no more sent. A body counts twice from its first byte on, so that it doesn't pass the limit when it is complete.

--- a/packages/daemon/src/yuccarouter/gateway/request_bodies.py
+++ b/packages/daemon/src/yuccarouter/gateway/request_bodies.py
@@ -21,7 +21,7 @@
 # Objects of a header line, beside its text. A head of legal size may consist of
 # thousands of short lines.
 _LINE_BYTES: Final = 500
-# While a body is sent, what the endpoint has not taken yet is a second copy.
+# While a body is joined, and while it is sent.
 _BODY_COPIES: Final = 2
 
 
@@ -31,7 +31,7 @@
 
     request: web.BaseRequest
     memory: process_memory.ProcessMemory
-    holding: process_memory.Holding
+    holding: process_memory.Holding = attrs.field(init=False)
     is_ended: bool = False
     _timeout: asyncio.Timeout | None = None
 
@@ -43,6 +43,8 @@
 
     async def read(self) -> bytes:
         """Return the body; raises ``RefusalError``, as it has not run."""
+        if self.memory.is_over_share(self.holding.owner):
+            raise refusal_responses.out_of_memory()
         head_bytes = _LINE_BYTES * len(self.request.headers)
         self.memory.resize(self.holding, head_bytes)
         body = b''
@@ -51,9 +53,7 @@
         if self.is_ended:
             raise refusal_responses.out_of_memory()
         # From now on an endpoint may run it.
-        self.holding.end = None
-        held_bytes = head_bytes + _BODY_COPIES * len(body)
-        self.memory.resize(self.holding, held_bytes)
+        self.memory.protect(self.holding)
         return body
 
     async def _read_body(self, head_bytes: int) -> bytes:
@@ -83,7 +83,8 @@
                         'body_too_large', 'the body is too large'
                     )
                 pieces.append(piece)
-                self.memory.resize(self.holding, head_bytes + length)
+                held_bytes = head_bytes + _BODY_COPIES * length
+                self.memory.resize(self.holding, held_bytes)
             return b''.join(pieces)
         finally:
             # An error that is kept refers to this frame.
@@ -98,7 +99,7 @@
 ) -> Iterator[HeldRequest]:
     """Count a request of an organisation within the context."""
     owner = process_memory.Owner('organisation', organisation)
-    with memory.hold(owner, process_memory.STALLED_FIRST) as holding:
-        held = HeldRequest(request, memory, holding)
-        holding.end = held.end
+    held = HeldRequest(request, memory)
+    with memory.hold(owner, process_memory.STALLED_FIRST, held.end) as holding:
+        held.holding = holding
         yield held
