Take a status above 599 for no answer

What callers saw (MIXED): an answer with the status 600 or 999, which an endpoint in trouble had sent. Cause: only statuses below 200 were rejected. Now those above 599 are too. test_statuses_that_are_not_final, 2 of 4 new rows failed before; 000 and 099 were rejected already.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -46,6 +46,7 @@
 _OK: Final = 200
 # Lower ones, as that of a switch of protocols, end no request of a caller.
 _MIN_FINAL_STATUS: Final = 200
+_MAX_STATUS: Final = 599
 # Share of the retry budget that is reserved for retries after failures.
 _FAILURE_RESERVE_SHARE: Final = 0.15
 
@@ -490,7 +491,8 @@
         raise AttemptError(
             'endpoint refused the request', 'refused', may_have_run=False
         )
-    is_answer = head.is_signed and head.status >= _MIN_FINAL_STATUS
+    has_status = _MIN_FINAL_STATUS <= head.status <= _MAX_STATUS
+    is_answer = head.is_signed and has_status
     if is_for_other_request or head.is_encoded or not is_answer:
         view.record_failure()
         _record_outcome(out, view, 'foreign_answer', status=head.status)
