Let a part of a digest change only what it tells

A digest in several parts cleared what other parts had told: a missing field was merged as an empty one, and replaced a peer's counts for the choice of models.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -378,16 +378,25 @@
     if it is malformed.
     """
     process = f'{name}/{digest.get("process", 0)}'
-    gateway.control.merge_peer_evidence(process, digest.get('rollouts', ()))
-    work = digest.get('work')
-    if work is not None:
-        gateway.directory.record_peer_backlog(name, work)
     now_ms = clocks.monotonic_ms()
-    gateway.failure_reports.merge(digest.get('lost', {}), now_ms)
-    gateway.rate_limits.merge(digest.get('rate_limits', {}), now_ms)
-    gateway.crash_evidence.merge(digest.get('crashes', ()), now_ms)
-    gateway.demand.merge(name, digest.get('demand'), now_ms)
-    gateway.confidences.merge(name, digest.get('confidences', {}), now_ms)
+    merges: dict[str, Callable[[Any], None]] = {
+        'rollouts': functools.partial(
+            gateway.control.merge_peer_evidence, process
+        ),
+        'work': functools.partial(gateway.directory.record_peer_backlog, name),
+        'lost': lambda field: gateway.failure_reports.merge(field, now_ms),
+        'rate_limits': lambda field: gateway.rate_limits.merge(field, now_ms),
+        'crashes': lambda field: gateway.crash_evidence.merge(field, now_ms),
+        'demand': lambda field: gateway.demand.merge(name, field, now_ms),
+        'confidences': lambda field: gateway.confidences.merge(
+            name, field, now_ms
+        ),
+    }
+    # What a part of a digest leaves out is as it was.
+    for field, merge in merges.items():
+        told = digest.get(field)
+        if told is not None:
+            merge(told)
     _merge_field(name, digest, 'speeds', gateway.speeds.merge)
     _merge_field(name, digest, 'queues', gateway.overload.loads.merge)
     if gateway.orders_topic and gateway.orders_topic.name in digest.get(
--- a/packages/daemon/tests/gateway/test_digest_parts.py
+++ b/packages/daemon/tests/gateway/test_digest_parts.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from typing import Any
+from unittest import mock
 
 import orjson
 import pytest
 
-from yuccarouter.gateway import digest_parts
+from yuccarouter.gateway import daemon, digest_parts
 
 MAX_BYTES = 8000
 DIGEST: dict[str, Any] = {
@@ -52,3 +53,25 @@
     ]
     for part in parts:
         assert {field: part[field] for field in ('name', 'process', 'sent_ms')}
+
+
+@pytest.mark.parametrize(
+    ('field', 'merge'),
+    [
+        ('rollouts', 'control.merge_peer_evidence'),
+        ('work', 'directory.record_peer_backlog'),
+        ('lost', 'failure_reports.merge'),
+        ('rate_limits', 'rate_limits.merge'),
+        ('crashes', 'crash_evidence.merge'),
+        ('demand', 'demand.merge'),
+        ('confidences', 'confidences.merge'),
+        ('speeds', 'speeds.merge'),
+        ('queues', 'overload.loads.merge'),
+    ],
+)
+def test_part_changes_only_what_it_tells(field: str, merge: str) -> None:
+    """Guards against a part of a digest that clears what other parts told."""
+    gateway = mock.MagicMock()
+    daemon.apply_digest(gateway, 'd2', {'name': 'd2', field: {'a': 1}})
+    called = [name for name, _, _ in gateway.mock_calls if '__' not in name]
+    assert called == [merge]
