End a daemon whose fetching of records was cancelled from within

A task group goes on without a task that was cancelled, so that a stray cancellation would have left one topic without its fetches, unnoticed. With gather the cancellation reaches the supervisor of background work, which ends the process. Found by reading; unproved by a test of its own.

--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -436,9 +436,10 @@
     Records can be missing because the store answers only other daemons, or
     because a pending long poll has lost its connection.
     """
-    async with asyncio.TaskGroup() as tasks:
-        for topic in replicas:
-            tasks.create_task(_fetch_overdue(session, gossip, topic))
+    # A task group would go on without a task that was cancelled.
+    await asyncio.gather(
+        *(_fetch_overdue(session, gossip, topic) for topic in replicas)
+    )
 
 
 async def _fetch_overdue(
