--- a/packages/daemon/src/yuccarouter/gateway/caller_connections.py
+++ b/packages/daemon/src/yuccarouter/gateway/caller_connections.py
@@ -91,7 +91,8 @@
             self._head_bytes = 0
             return
         self._head_bytes += received_bytes
-        if self._head_bytes > self.max_line_size + self.max_field_size:
+        limit_bytes = self.max_line_size + self.max_field_size
+        if self._head_bytes > limit_bytes and not self._close:
             eliot.log_message('head_too_long', received_bytes=self._head_bytes)
             self.close()
             if self.transport is not None and self._current_request is None:
