--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -12,6 +12,7 @@
 from yuccarouter.gateway import (
     connections,
     crash_records,
+    loop_delays,
     model,
     peers,
     ports,
@@ -109,6 +110,7 @@
         background: list[Callable[[], Coroutine[Any, Any, None]]] = [
             *(topic.follow for topic in replicas),
             gossip.run,
+            loop_delays.LoopDelays().run,
             self.gateway.session_exchange.run,
             functools.partial(
                 peers.fetch_missing_records, session, gossip, replicas
--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -155,6 +155,11 @@
     'Requests that came before the configuration, by how they went on',
     ('outcome',),
 )
+LOOP_DELAY_S: Final = prometheus_client.Histogram(
+    'yuccarouter_gateway_loop_delay_seconds',
+    'How late the event loop has run what was due',
+    buckets=_LATENCY_BUCKETS_S,
+)
 _MS_PER_S: Final = 1000
 
 IN_PROGRESS: Final = prometheus_client.Gauge(
@@ -185,3 +190,8 @@
 def observe_configuration_age(age_ms: float) -> None:
     """Record when the configuration that decided a request was confirmed."""
     CONFIGURATION_AGE_S.observe(age_ms / _MS_PER_S)
+
+
+def observe_loop_delay(delay_ms: float) -> None:
+    """Record how late the event loop was."""
+    LOOP_DELAY_S.observe(delay_ms / _MS_PER_S)
--- a/packages/testkit/src/yuccarouter_testkit/virtual_time.py
+++ b/packages/testkit/src/yuccarouter_testkit/virtual_time.py
@@ -22,10 +22,11 @@
     """Adds the time that it is asked to wait to ``now_s`` instead."""
 
     now_s: float = 0
+    turn_s: float = _TURN_S
 
     def select(self, timeout: float | None = None) -> Any:
         """Poll, and advance the time by ``timeout`` when nothing is ready."""
-        self.now_s += _TURN_S
+        self.now_s += self.turn_s
         ready = super().select(0)
         if not ready and timeout is None:
             return super().select(None)
@@ -35,12 +36,24 @@
 
 
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
-    """Runs timers in order without waiting for them."""
+    """Runs timers in order without waiting for them.
+
+    ``turn_s`` is how long each turn takes; a busy loop has long ones.
+    """
 
     def __init__(self) -> None:
         self._instant = _InstantSelector()
         super().__init__(self._instant)
 
+    @property
+    def turn_s(self) -> float:
+        """The time that each turn takes."""
+        return self._instant.turn_s
+
+    @turn_s.setter
+    def turn_s(self, turn_s: float) -> None:
+        self._instant.turn_s = turn_s
+
     def time(self) -> float:
         """Return virtual seconds since the loop was made."""
         return self._instant.now_s
