Leave answers of the store and of peers their turns of the event loop

What callers saw: requests handled by an old configuration at a daemon that no trouble has met. Cause: the timeouts of calls to the store (1.5 s) and to peers (0.8 s) count time only. A call takes seven turns of the event loop that all requests share. On a busy daemon with turns of 0.3 s no call ends in time, though each is answered within milliseconds: the daemon takes the store for lost and keeps its configuration as long as the load lasts. Class: a delay of the process itself is taken for the silence of another.

turn_timeouts.limit ends a call once the time is over and the loop has made twelve further turns, in which an answer that is there already reaches its task. In an idle process these take less than a millisecond.

--- a/packages/common/src/yuccarouter_common/platform/exchanges.py
+++ b/packages/common/src/yuccarouter_common/platform/exchanges.py
@@ -9,7 +9,7 @@
 import aiohttp
 import attrs
 
-from yuccarouter_common import records
+from yuccarouter_common import records, turn_timeouts
 from yuccarouter_common.platform import errors
 
 if TYPE_CHECKING:
@@ -28,6 +28,8 @@
 
 _Answer = TypeVar('_Answer')
 _ONLY_OK: Final = frozenset((_HTTP_OK,))
+# Calls are limited by ``turn_timeouts`` instead.
+_UNLIMITED: Final = aiohttp.ClientTimeout(total=None)
 
 
 @attrs.frozen
@@ -85,13 +87,16 @@
     side effects never raises ``AnswerLostError``.
     """
     try:
-        async with session.request(
-            request.method,
-            request.url,
-            data=request.body,
-            params=request.query,
-            timeout=aiohttp.ClientTimeout(total=request.timeout_s),
-        ) as response:
+        async with (
+            turn_timeouts.limit(request.timeout_s),
+            session.request(
+                request.method,
+                request.url,
+                data=request.body,
+                params=request.query,
+                timeout=_UNLIMITED,
+            ) as response,
+        ):
             return await _read(request, response, expected)
     except aiohttp.ClientConnectorError as fault:
         raise errors.UnavailableError(
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -28,7 +28,7 @@
     offsets,
     ports,
 )
-from yuccarouter_common import clocks, records
+from yuccarouter_common import clocks, records, turn_timeouts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -660,15 +660,18 @@
     known_generation, number = _generation_and_number(topic.table.newest_offset)
     began_ms = clocks.monotonic_ms()
     try:
-        async with session.get(
-            f'http://{peer.address}{_RECORDS_PATH}',
-            params={
-                'topic': topic.name,
-                'from': str(number + 1),
-                'generation': str(known_generation),
-            },
-            timeout=aiohttp.ClientTimeout(total=_RECORDS_TIMEOUT_S),
-        ) as answer:
+        async with (
+            turn_timeouts.limit(_RECORDS_TIMEOUT_S),
+            session.get(
+                f'http://{peer.address}{_RECORDS_PATH}',
+                params={
+                    'topic': topic.name,
+                    'from': str(number + 1),
+                    'generation': str(known_generation),
+                },
+                timeout=aiohttp.ClientTimeout(total=None),
+            ) as answer,
+        ):
             document = records.loads(await answer.read())
             generation = document.get('generation', known_generation)
             missing = [
