Leave connections to endpoints their turns of the event loop

What callers saw: 502 and repeats at a busy daemon, as no endpoint could be reached. The connector of the gateway's session applies the limit itself, by turn_timeouts.

--- a/packages/daemon/src/yuccarouter/gateway/connections.py
+++ b/packages/daemon/src/yuccarouter/gateway/connections.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextvars
 import functools
 import socket
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import aiohttp
+import attrs
 import eliot
 
 from yuccarouter import answer_connections, answer_ends
 from yuccarouter.gateway import metrics
+from yuccarouter_common import turn_timeouts
 
 if TYPE_CHECKING:
     from aiohappyeyeballs import AddrInfoType
+    from aiohttp import client_proto
 
 # Endpoints are a few milliseconds away. A lost SYN packet is sent again only
 # after a second, which is too long to wait for.
@@ -54,6 +58,21 @@
     return opened
 
 
+class _Connector(aiohttp.TCPConnector):
+    """Opens connections within a time that leaves them turns of the loop."""
+
+    async def _wrap_create_connection(
+        self, *args: Any, timeout: aiohttp.ClientTimeout, **kwargs: Any
+    ) -> tuple[asyncio.Transport, client_proto.ResponseHandler]:
+        # aiohttp has no other place for the time to open a connection.
+        async with turn_timeouts.limit(timeout.sock_connect):
+            return await super()._wrap_create_connection(
+                *args,
+                timeout=attrs.evolve(timeout, sock_connect=None),
+                **kwargs,
+            )
+
+
 def make_session(
     extra_event_fields: frozenset[bytes] = _NO_FIELDS,
 ) -> aiohttp.ClientSession:
@@ -67,7 +86,7 @@
     a request's own connection can't be opened, the request has certainly not
     run.
     """
-    connector = aiohttp.TCPConnector(
+    connector = _Connector(
         force_close=True,
         limit=0,
         limit_per_host=0,
