--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(ROOT)/packages/common/src:$(ROOT)/packages/daemon/src:$(ROOT)/packages/yuccactl/src:$(ROOT)/packages/testkit/src:$(ROOT)/platform
 PROTO := packages/common/src/yuccarouter_common/proto
 
-.PHONY: setup test lint format demo demo-serve bench load soak platform-soak experiment variants proto spreads replica-orders
+.PHONY: setup test lint format demo demo-serve bench load soak platform-soak experiment variants proto spreads store-plays replica-orders
 
 setup: $(VENV)/.installed
 
@@ -62,6 +62,11 @@
 spreads: setup
 	SPREAD_STRIDE=1 $(PY) -m pytest -n 4 --timeout=$(SOAK_S) packages/daemon/tests/gateway/test_spreads.py
 
+# Drawn troubles of the store and of daemons, of which CI plays a few.
+PLAYS ?= 400
+store-plays: setup
+	STORE_PLAYS=$(PLAYS) $(PY) -m pytest -n 4 --timeout=$(SOAK_S) packages/daemon/tests/gateway/test_store_plays.py
+
 replica-orders: setup
 	cd packages/daemon/tests/gateway && $(PY) replica_orders.py
 
