--- a/packages/common/src/yuccarouter_common/turn_timeouts.py
+++ b/packages/common/src/yuccarouter_common/turn_timeouts.py
@@ -12,7 +12,9 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
-from typing import Final
+from typing import Final, TypeVar
+
+_Outcome = TypeVar('_Outcome')
 
 # A call over a connection of its own takes seven turns with aiohttp, and a few
 # more where other tasks wait for it. An idle loop passes them within a
@@ -47,3 +49,17 @@
             yield
         finally:
             handle.cancel()
+
+
+async def wait_first(
+    running: set[asyncio.Future[_Outcome]], timeout_s: float | None
+) -> tuple[set[asyncio.Future[_Outcome]], set[asyncio.Future[_Outcome]]]:
+    """Wait for the first of the futures; return those done, and the others.
+
+    None is done if the time is over, and then some turns.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with limit(timeout_s):
+            await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
+    done = {each for each in running if each.done()}
+    return done, running - done
--- a/packages/daemon/src/yuccarouter/gateway/hedged_calls.py
+++ b/packages/daemon/src/yuccarouter/gateway/hedged_calls.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Final, TypeVar
 
+from yuccarouter_common import turn_timeouts
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Sequence
 
@@ -21,7 +23,8 @@
     """Call targets in order until one call returns true; else return false.
 
     The next target is called as soon as a call fails, or does not end in
-    ``HEDGE_DELAY_S``. Calls that are open after an answer are cancelled.
+    ``HEDGE_DELAY_S`` and the turns that an answer takes in a busy process.
+    Calls that are open after an answer are cancelled.
     """
     remaining = list(targets)
     running: set[asyncio.Future[bool]] = set()
@@ -29,10 +32,8 @@
         while remaining or running:
             if remaining:
                 running.add(asyncio.ensure_future(call(remaining.pop(0))))
-            ended, running = await asyncio.wait(
-                running,
-                timeout=HEDGE_DELAY_S if remaining else None,
-                return_when=asyncio.FIRST_COMPLETED,
+            ended, running = await turn_timeouts.wait_first(
+                running, HEDGE_DELAY_S if remaining else None
             )
             if any(each.result() for each in ended):
                 return True
--- a/packages/daemon/tests/gateway/test_hedged_calls.py
+++ b/packages/daemon/tests/gateway/test_hedged_calls.py
@@ -46,3 +46,32 @@
     assert loop.time() == pytest.approx(elapsed_s, abs=0.02)
     assert not asyncio.all_tasks(loop)
     loop.close()
+
+
+@pytest.mark.parametrize(
+    ('turns', 'is_answered', 'called'),
+    [(1, True, 1), (7, True, 1), (9, True, 1), (40, True, 2)],
+)
+def test_first_answer_in_a_busy_process(
+    turns: int, is_answered: bool, called: int
+) -> None:
+    """Guards against more calls of a daemon that is busy already.
+
+    An answer takes some turns of its event loop, and these take long.
+    """
+    calls: list[int] = []
+
+    async def call(target: int) -> bool:
+        calls.append(target)
+        for _ in range(turns if len(calls) == 1 else 1):
+            await asyncio.sleep(0)
+        return True
+
+    loop = virtual_time.VirtualTimeLoop()
+    loop.turn_s = 0.1
+    outcome = loop.run_until_complete(
+        hedged_calls.first_answer([1, 2, 3], call)
+    )
+    loop.close()
+    assert outcome is is_answered
+    assert len(calls) == called
