--- a/packages/daemon/tests/gateway/store_plays.py
+++ b/packages/daemon/tests/gateway/store_plays.py
@@ -26,6 +26,8 @@
 if TYPE_CHECKING:
     import pytest
 
+    from yuccarouter.gateway import topics
+
 # The limits of the smallest deployment: a change is in force after the first,
 # and from the second on after trouble.
 APPLY_S: Final = 2.0
@@ -247,7 +249,7 @@
 ) -> None:
     """Note daemons that are late, go back, or claim too much."""
     loop = asyncio.get_running_loop()
-    newest: dict[tuple[str, int], int] = {}
+    newest: dict[str, tuple[topics.Topic, int]] = {}
     while loop.time() - zero_s < END_S:
         await asyncio.sleep(WATCH_INTERVAL_S)
         now_s = loop.time()
@@ -255,10 +257,11 @@
             replica = each.replicas[0]
             entry = replica.table.entries.get('config')
             version = int(entry.value) if entry else -1
-            process = (each.name, id(replica))
-            if version < newest.get(process, -1):
+            # A new process begins without a configuration.
+            before, seen = newest.get(each.name, (replica, -1))
+            if before is replica and version < seen:
                 play.found.append(f'{now_s - zero_s:.2f} {each.name} back')
-            newest[process] = version
+            newest[each.name] = (replica, version)
             due = sum(at_s <= now_s - APPLY_S for at_s in store.written_s) - 1
             if version < due and play.is_in_touch(each.name, now_s - zero_s):
                 play.found.append(
