Log what peers had told, and by what a request was sent

The logs could not distinguish the hypotheses of the incident: whether a late daemon had been told of newer orders, whether it reads what peers tell in time, and by which configuration a request was sent, besides the one that decided it.

request_ended gets configuration_behind_ms and sent_configuration; digests that waited are logged as digests_late and counted by delay. No decision changes.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -27,6 +27,7 @@
     prompt_parts,
     request_digests,
     rollouts,
+    state,
 )
 from yuccarouter.gateway.capacity import observations
 from yuccarouter.gateway.overload import gate
@@ -35,7 +36,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from yuccarouter.gateway import choice, endpoints, state
+    from yuccarouter.gateway import choice, endpoints
 
 _MS_PER_S: Final = 1000
 # Non-streamed answers are buffered in memory. Twenty that never end must fit
@@ -101,8 +102,9 @@
     ``last_endpoint`` is the one that got the newest attempt.
     ``crashes`` counts the crashes that a new one of them, or the request as a
     whole, may have caused. ``is_answer_begun`` is true once a part of the
-    answer was passed to the caller. ``admitted`` is the endpoint that admission
-    has just chosen, by the model.
+    answer was passed to the caller. ``sent_configuration`` is the version that
+    was in force when the newest attempt began. ``admitted`` is the endpoint
+    that admission has just chosen, by the model.
     """
 
     gateway: state.Gateway
@@ -124,6 +126,7 @@
     crashes: int = 0
     is_answer_begun: bool = False
     admitted: dict[str, choice.Choice] = attrs.field(factory=dict)
+    sent_configuration: int = -1
     part_ids: tuple[str, ...] = attrs.field(
         default=attrs.Factory(
             lambda out: prompt_parts.shared_part_ids(out.call), takes_self=True
@@ -722,6 +725,7 @@
     out.runs += 1
     out.tried |= {view.name}
     out.last_endpoint = view.name
+    out.sent_configuration = state.configuration_version(out.gateway)
 
 
 def _record_session_start(
--- a/packages/daemon/src/yuccarouter/gateway/loop_delays.py
+++ b/packages/daemon/src/yuccarouter/gateway/loop_delays.py
@@ -10,9 +10,8 @@
 from typing import Final
 
 import attrs
-import eliot
 
-from yuccarouter.gateway import metrics
+from yuccarouter.gateway import late_log, metrics
 from yuccarouter_common import clocks
 
 _MS_PER_S: Final = 1000
@@ -20,20 +19,15 @@
 # A call to the store or to a peer takes several turns of the loop. With this
 # delay in each of them, one takes about as long as its timeout allows.
 _LATE_MS: Final = 150.0
-# A line a second tells how long an overload lasts.
-_LOG_INTERVAL_MS: Final = 1000.0
 
 
 @attrs.define
 class LoopDelays:
-    """Measures the delays of the event loop, and logs long ones.
+    """Measures the delays of the event loop, and logs long ones."""
 
-    ``count`` and ``longest_ms`` are of the late wake-ups since the last line.
-    """
-
-    count: int = 0
-    longest_ms: float = 0
-    logged_ms: float = -_LOG_INTERVAL_MS
+    _log: late_log.LateLog = attrs.field(
+        factory=lambda: late_log.LateLog('event_loop_late', _LATE_MS)
+    )
 
     async def run(self) -> None:
         """Measure until cancelled."""
@@ -46,15 +40,4 @@
     def record(self, delay_ms: float, now_ms: float) -> None:
         """Record the delay of a wake-up."""
         metrics.observe_loop_delay(delay_ms)
-        if delay_ms >= _LATE_MS:
-            self.count += 1
-            self.longest_ms = max(self.longest_ms, delay_ms)
-        if self.count and now_ms - self.logged_ms >= _LOG_INTERVAL_MS:
-            eliot.log_message(
-                'event_loop_late',
-                count=self.count,
-                longest_ms=round(self.longest_ms),
-            )
-            self.count = 0
-            self.longest_ms = 0
-            self.logged_ms = now_ms
+        self._log.record(delay_ms, now_ms)
--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -160,6 +160,11 @@
     'How late the event loop has run what was due',
     buckets=_LATENCY_BUCKETS_S,
 )
+DIGEST_DELAY_S: Final = prometheus_client.Histogram(
+    'yuccarouter_gateway_digest_delay_seconds',
+    'How much longer digests waited than the fastest ones of their sender',
+    buckets=_LATENCY_BUCKETS_S,
+)
 _MS_PER_S: Final = 1000
 
 IN_PROGRESS: Final = prometheus_client.Gauge(
@@ -192,6 +197,11 @@
     CONFIGURATION_AGE_S.observe(age_ms / _MS_PER_S)
 
 
+def observe_digest_delay(delay_ms: float) -> None:
+    """Record how long a digest of a peer was on its way."""
+    DIGEST_DELAY_S.observe(delay_ms / _MS_PER_S)
+
+
 def observe_loop_delay(delay_ms: float) -> None:
     """Record how late the event loop was."""
     LOOP_DELAY_S.observe(delay_ms / _MS_PER_S)
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -22,22 +22,24 @@
     digest_delays,
     digest_parts,
     hedged_calls,
+    late_log,
     metrics,
     model,
     numbers,
     offsets,
     ports,
+    topics,
 )
 from yuccarouter_common import clocks, records, turn_timeouts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from yuccarouter.gateway import topics
-
 _GOSSIP_INTERVAL_S: Final = 0.4
 # News that come at the same time are sent together after this delay.
 _NEWS_DELAY_S: Final = 0.03
+# A digest that waited longer than the interval is older than the next one.
+_LATE_DIGEST_MS: Final = 400.0
 # Number of registered peers that get each digest, in turn.
 _FANOUT: Final = 8
 # Beyond the number of daemons, so that each peer may be the first.
@@ -174,6 +176,7 @@
         self.replicas: list[topics.Topic] = []
         self.data_centre = ''
         self._delays = digest_delays.DigestDelays()
+        self._late_log = late_log.LateLog('digests_late', _LATE_DIGEST_MS)
         self.call_failures = call_failures.CallFailures()
         self.readers: Callable[[topics.Topic], list[Peer]] = _no_readers
         self.receivers: dict[
@@ -207,6 +210,8 @@
         delay_ms = self._delays.delay_ms(name, digest)
         if delay_ms is None:
             return
+        metrics.observe_digest_delay(delay_ms)
+        self._late_log.record(delay_ms, clocks.monotonic_ms())
         if digest_parts.tells_replicas(digest):
             peer = _peer(digest, sender, delay_ms)
             self.known_peers[name] = peer
@@ -490,7 +495,7 @@
     timeout_ms = topic.poll_interval_ms + _OVERDUE_MARGIN_MS
     if is_silent:
         timeout_ms = _UNANSWERED_MARGIN_MS
-    return timeout_ms - topic.lag.age_ms(topic.table.newest_offset)
+    return timeout_ms - topics.behind_ms(topic)
 
 
 @attrs.define
@@ -688,7 +693,7 @@
             peer=str(peer.address),
             reason=str(fault) or type(fault).__name__,
             waited_ms=round(clocks.monotonic_ms() - began_ms),
-            behind_ms=round(topic.lag.age_ms(topic.table.newest_offset)),
+            behind_ms=round(topics.behind_ms(topic)),
         )
         return False
     metrics.PEER_FETCHES.labels(topic.name, 'answered').inc()
--- a/packages/daemon/src/yuccarouter/gateway/request_handler.py
+++ b/packages/daemon/src/yuccarouter/gateway/request_handler.py
@@ -24,6 +24,7 @@
     state,
     stopping,
     streaming,
+    topics,
 )
 from yuccarouter.gateway.shares import demand
 from yuccarouter.gateway.overload import gate
@@ -93,12 +94,14 @@
 
     ``age_ms`` is the time since the replica of the operators' orders was last
     confirmed as complete, ``None`` if it never was, and ``confirmed_by`` names
-    the peer that confirmed it, or the store.
+    the peer that confirmed it, or the store. ``behind_ms`` is for how long
+    peers had newer orders.
     """
 
     version: int = -1
     age_ms: int | None = None
     confirmed_by: str = ''
+    behind_ms: int = 0
 
 
 @attrs.define
@@ -238,9 +241,14 @@
     age_ms = confirmation.rounded_age_ms()
     if age_ms is not None:
         metrics.observe_configuration_age(age_ms)
-    version = gateway.table.configuration.version
+    version = state.configuration_version(gateway)
     age_log.record(gateway.orders_topic, version)
-    return _AppliedConfiguration(version, age_ms, confirmation.source)
+    return _AppliedConfiguration(
+        version,
+        age_ms,
+        confirmation.source,
+        round(topics.behind_ms(gateway.orders_topic)),
+    )
 
 
 def _find_route(exchange: _Exchange) -> model.Route:
@@ -343,7 +351,7 @@
     route = exchange.route
     kind = route.kind.value if route else ''
     metrics.ANSWERS.labels(kind, str(status), code).inc()
-    applied = exchange.applied
+    applied, out = exchange.applied, exchange.out
     eliot.log_message(
         'request_ended',
         request=exchange.call.request_id,
@@ -354,4 +362,6 @@
         configuration=applied.version,
         configuration_age_ms=applied.age_ms,
         confirmed_by=applied.confirmed_by,
+        configuration_behind_ms=applied.behind_ms,
+        sent_configuration=out.sent_configuration if out else -1,
     )
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -363,7 +363,7 @@
         ]
 
     def _apply_configuration(self, configuration: model.Configuration) -> None:
-        current_version = self.table.configuration.version if self.table else -1
+        current_version = configuration_version(self)
         if configuration.version <= current_version:
             return
         self.table = routes.RouteTable(configuration)
@@ -394,6 +394,11 @@
             self.gossip.apply_member_record(name, entry.value)
 
 
+def configuration_version(gateway: Gateway) -> int:
+    """Return the version of the configuration in force, -1 for none."""
+    return gateway.table.configuration.version if gateway.table else -1
+
+
 def _estimates(
     gateway: Gateway, route: model.Route, service: str, model_name: str
 ) -> work.Estimates | None:
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -366,7 +366,7 @@
         them. How long peers have had them is reported as well.
         """
         self.confirmation_before = confirmed_before
-        behind_ms = self.lag.age_ms(self.table.newest_offset)
+        lag_ms = behind_ms(self)
         count = 0
         for entry in entries:
             if self.table.apply(entry):
@@ -376,7 +376,7 @@
                 _log_ignored(self.name, entry, self.table.entries[entry.key])
         if not count:
             return
-        metrics.observe_record_lag(self.name, source, behind_ms)
+        metrics.observe_record_lag(self.name, source, lag_ms)
         if math.isinf(confirmed_before.at_ms):
             return
         age_ms = round(confirmed_before.age_ms())
@@ -389,7 +389,7 @@
                 count=count,
                 pending_ms=_elapsed_ms(self.read_began_ms),
                 age_ms=age_ms,
-                behind_ms=round(behind_ms),
+                behind_ms=round(lag_ms),
                 confirmed_by=confirmed_before.source,
             )
 
@@ -491,6 +491,11 @@
             self.is_loaded = False
 
 
+def behind_ms(topic: Topic) -> float:
+    """Return for how long peers have had records that a replica lacks."""
+    return topic.lag.age_ms(topic.table.newest_offset)
+
+
 def _is_waiting_for_probe(topic: Topic) -> bool:
     if topic.probe is None or not topic.probe.is_failing:
         return False
--- a/packages/daemon/tests/gateway/test_arrivals.py
+++ b/packages/daemon/tests/gateway/test_arrivals.py
@@ -94,6 +94,7 @@
     """Return a call whose attempts end with ``results``, in order."""
     views = [make.view(f'e{number}') for number in range(9)]
     gateway = types.SimpleNamespace(
+        table=None,
         conf=make.conf(),
         choose=lambda call, route, service, tried, name: choice.choose(
             views, make.need(tried=tried), clocks.monotonic_ms()
--- a/packages/daemon/tests/gateway/test_loop_delays.py
+++ b/packages/daemon/tests/gateway/test_loop_delays.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from yuccarouter.gateway import loop_delays
+from yuccarouter.gateway import late_log, loop_delays
 from yuccarouter_common import clocks
 from yuccarouter_testkit import virtual_time
 
@@ -30,7 +30,7 @@
     """Guards against an overload that no log shows, or fills the log."""
     logged: list[dict[str, Any]] = []
     monkeypatch.setattr(
-        loop_delays.eliot,
+        late_log.eliot,
         'log_message',
         lambda kind, **fields: logged.append(fields),
     )
