Follow the operators' orders on an event loop of their own

Callers of a busy daemon were served by a configuration that was 4.3 s old, with a limit of 3 s, although the store answered within milliseconds. Cause: a read of the store takes 6 turns of the event loop, one that follows another 17 or 18, and all requests share these turns, of up to 0.6 s each.

The replica of the orders, its checks and what it fetches from peers now run on an event loop in a thread. It replaces the route table and the data centres out of service, both immutable, so that the next decision uses them, whatever turn the callers' loop is in; roll-out orders are passed to the callers' loop.

Still over the goal: what is left are the turns of a read within the thread.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -23,7 +23,7 @@
     topics,
 )
 from yuccarouter.gateway.sessions import exchange, messages
-from yuccarouter_common import clocks, errors
+from yuccarouter_common import clocks, errors, loop_threads
 from yuccarouter_common.platform import errors as platform_errors
 
 if TYPE_CHECKING:
@@ -84,6 +84,8 @@
         )
         self._servers: list[servers.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._orders_thread = loop_threads.LoopThread('orders')
+        self._orders_session: aiohttp.ClientSession | None = None
         self.crash_reason: BaseException | None = None
 
     async def start(self) -> None:
@@ -91,8 +93,10 @@
         conf = self._conf
         session = self._session
         store = self._make_store(session, conf)
+        self.gateway.schedule = asyncio.get_running_loop().call_soon_threadsafe
         replicas = make_replicas(self.gateway, store)
         gossip = await _open_gossip(self.gateway, replicas)
+        gossip.schedule = self.gateway.schedule
         share_reads(self.gateway, gossip, replicas, session)
         shared_state = replicas[-1]
         stored_limits = rate_limit_records.RateLimitRecords(
@@ -108,12 +112,13 @@
             functools.partial(_rank, self.gateway),
         )
         background: list[Callable[[], Coroutine[Any, Any, None]]] = [
-            *(topic.follow for topic in replicas),
+            *await self._start_orders(replicas[0], gossip),
+            *(topic.follow for topic in replicas[1:]),
             gossip.run,
-            loop_delays.LoopDelays().run,
+            loop_delays.LoopDelays('callers').run,
             self.gateway.session_exchange.run,
             functools.partial(
-                peers.fetch_missing_records, session, gossip, replicas
+                peers.fetch_missing_records, session, gossip, replicas[1:]
             ),
             functools.partial(self.gateway.control.run, store, shared_state),
             functools.partial(_register, self.gateway, store, shared_state),
@@ -134,6 +139,31 @@
         stored_crashes.read()
         await self._start_server(self._callers_server)
 
+    async def _start_orders(
+        self, orders: topics.Topic, gossip: peers.Gossip
+    ) -> list[Callable[[], Coroutine[Any, Any, None]]]:
+        """Return the work that follows the operators' orders in a thread."""
+        thread = self._orders_thread
+        thread.start()
+        self._orders_session = await thread.run(
+            functools.partial(_make_session, self.gateway.platform)
+        )
+        orders.store = self._make_store(self._orders_session, self._conf)
+        orders.schedule = thread.schedule
+        return [
+            functools.partial(thread.run, work)
+            for work in (
+                orders.follow,
+                functools.partial(
+                    peers.fetch_missing_records,
+                    self._orders_session,
+                    gossip,
+                    [orders],
+                ),
+                loop_delays.LoopDelays('orders').run,
+            )
+        ]
+
     def run(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Start background work as a supervised task."""
         self._tasks.append(asyncio.create_task(_supervise(work)))
@@ -183,6 +213,9 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._orders_session is not None:
+            await self._orders_thread.run(self._orders_session.close)
+        await self._orders_thread.stop()
         await self._session.close()
 
     async def _start_server(self, server: servers.Server) -> None:
@@ -190,6 +223,11 @@
         await server.start()
 
 
+async def _make_session(platform: ports.Platform) -> aiohttp.ClientSession:
+    """Return a client session of the running event loop."""
+    return connections.make_session(platform.event_fields)
+
+
 async def _supervise(work: Callable[[], Coroutine[Any, Any, None]]) -> None:
     """Run work; raises ``WorkCancelledError`` if nobody has cancelled it.
 
@@ -299,11 +337,11 @@
     gateway.endpoints_topic = others[0]
     # Calls for the other topics wait until this one's has succeeded.
     orders.on_reconnected = functools.partial(
-        _on_orders_regained, gateway, others
+        _schedule_regained, gateway, others
     )
     for topic in others:
         # A waiting call for orders may not notice the restore.
-        topic.on_restored = orders.reload
+        topic.on_restored = functools.partial(topics.schedule_reload, orders)
     return [orders, *others]
 
 
@@ -311,6 +349,13 @@
     """Ignore the end of an outage of the store."""
 
 
+def _schedule_regained(
+    gateway: state.Gateway, others: list[topics.Topic], outage_ms: float
+) -> None:
+    """Let the callers' loop learn that the store answers again."""
+    gateway.schedule(_on_orders_regained, gateway, others, outage_ms)
+
+
 def _on_orders_regained(
     gateway: state.Gateway, others: list[topics.Topic], outage_ms: float
 ) -> None:
@@ -404,7 +449,9 @@
     if gateway.orders_topic and gateway.orders_topic.name in digest.get(
         'reads', ()
     ):
-        gateway.orders_topic.pause.end_on_news(now_ms)
+        gateway.orders_topic.schedule(
+            gateway.orders_topic.pause.end_on_news, now_ms
+        )
 
 
 def _merge_field(
--- a/packages/daemon/src/yuccarouter/gateway/logs.py
+++ b/packages/daemon/src/yuccarouter/gateway/logs.py
@@ -7,6 +7,7 @@
 import logging
 import os
 import sys
+import threading
 from typing import Any, Final
 
 import eliot
@@ -33,6 +34,7 @@
     """Buffers log messages and writes them as lines of JSON.
 
     The descriptor should be non-blocking; a full one never stops the process.
+    Messages may come from several threads.
     """
 
     def __init__(self, name: str, descriptor: int | None = None) -> None:
@@ -44,6 +46,7 @@
         self._buffered_bytes = 0
         self._tokens = _BURST_LINES
         self._dropped = 0
+        self._lock = threading.Lock()
 
     def write(self, message: dict[str, Any]) -> None:
         """Buffer a message, or drop and count it beyond the limits."""
@@ -57,8 +60,9 @@
         line = orjson.dumps(
             message, default=str, option=orjson.OPT_APPEND_NEWLINE
         )
-        self._buffer.append(line)
-        self._buffered_bytes += len(line)
+        with self._lock:
+            self._buffer.append(line)
+            self._buffered_bytes += len(line)
 
     async def run(self) -> None:
         """Write buffered lines at intervals, until cancelled."""
@@ -77,16 +81,19 @@
         """Write as much as the descriptor accepts without blocking."""
         if not self._buffer:
             return
-        data = b''.join(self._buffer)
-        self._buffer.clear()
+        with self._lock:
+            data = b''.join(self._buffer)
+            self._buffer.clear()
+            self._buffered_bytes = 0
         try:
             written = os.write(self._descriptor, data)
         except BlockingIOError:
             written = 0
         remainder = data[written:]
         if remainder:
-            self._buffer.append(remainder)
-        self._buffered_bytes = len(remainder)
+            with self._lock:
+                self._buffer.appendleft(remainder)
+                self._buffered_bytes += len(remainder)
 
 
 def start(name: str) -> LineLog:
--- a/packages/daemon/src/yuccarouter/gateway/loop_delays.py
+++ b/packages/daemon/src/yuccarouter/gateway/loop_delays.py
@@ -1,7 +1,6 @@
-"""How late the event loop runs what is due.
+"""How late an event loop runs what is due.
 
-All work of the process shares one event loop. Where a turn of it takes long,
-answers of the store and of peers wait for their turn like everything else.
+Where a turn of it takes long, all that it serves waits for its turn.
 """
 
 from __future__ import annotations
@@ -23,11 +22,16 @@
 
 @attrs.define
 class LoopDelays:
-    """Measures the delays of the event loop, and logs long ones."""
+    """Measures the delays of the event loop ``name``, and logs long ones."""
 
-    _log: late_log.LateLog = attrs.field(
-        factory=lambda: late_log.LateLog('event_loop_late', _LATE_MS)
-    )
+    name: str
+    _log: late_log.LateLog = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the log, whose lines name the loop."""
+        self._log = late_log.LateLog(
+            'event_loop_late', _LATE_MS, {'loop': self.name}
+        )
 
     async def run(self) -> None:
         """Measure until cancelled."""
@@ -39,5 +43,5 @@
 
     def record(self, delay_ms: float, now_ms: float) -> None:
         """Record the delay of a wake-up."""
-        metrics.observe_loop_delay(delay_ms)
+        metrics.observe_loop_delay(self.name, delay_ms)
         self._log.record(delay_ms, now_ms)
--- a/packages/daemon/src/yuccarouter/gateway/metrics.py
+++ b/packages/daemon/src/yuccarouter/gateway/metrics.py
@@ -157,7 +157,8 @@
 )
 LOOP_DELAY_S: Final = prometheus_client.Histogram(
     'yuccarouter_gateway_loop_delay_seconds',
-    'How late the event loop has run what was due',
+    'How late an event loop has run what was due',
+    ('loop',),
     buckets=_LATENCY_BUCKETS_S,
 )
 DIGEST_DELAY_S: Final = prometheus_client.Histogram(
@@ -202,6 +203,6 @@
     DIGEST_DELAY_S.observe(delay_ms / _MS_PER_S)
 
 
-def observe_loop_delay(delay_ms: float) -> None:
-    """Record how late the event loop was."""
-    LOOP_DELAY_S.observe(delay_ms / _MS_PER_S)
+def observe_loop_delay(loop: str, delay_ms: float) -> None:
+    """Record how late an event loop was."""
+    LOOP_DELAY_S.labels(loop).observe(delay_ms / _MS_PER_S)
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -30,7 +30,7 @@
     ports,
     topics,
 )
-from yuccarouter_common import clocks, records, turn_timeouts
+from yuccarouter_common import clocks, loop_threads, records, turn_timeouts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -133,8 +133,7 @@
 def _note_lags(replicas: list[topics.Topic], peer: Peer) -> None:
     """Note which records a peer has that lack here."""
     for topic in replicas:
-        peer_offset = peer.newest.get(topic.name, -1)
-        topic.lag.note(peer_offset, topic.table.newest_offset)
+        topics.schedule_note(topic, peer.newest.get(topic.name, -1))
 
 
 def _no_readers(_: topics.Topic) -> list[Peer]:
@@ -154,6 +153,7 @@
     them apart; ``transport`` sends such messages. The lag of ``replicas`` is
     kept by what digests tell. ``data_centre`` is that of this daemon.
     ``readers`` returns the peers that read a topic for this daemon.
+    ``schedule`` calls a function in the event loop that sends digests.
     """
 
     def __init__(
@@ -174,6 +174,7 @@
         self.dependants: Callable[[], list[str]] = list
         self.has_news = asyncio.Event()
         self.replicas: list[topics.Topic] = []
+        self.schedule: Callable[..., object] = loop_threads.call_now
         self.data_centre = ''
         self._delays = digest_delays.DigestDelays()
         self._late_log = late_log.LateLog('digests_late', _LATE_DIGEST_MS)
@@ -214,7 +215,8 @@
         self._late_log.record(delay_ms, clocks.monotonic_ms())
         if digest_parts.tells_replicas(digest):
             peer = _peer(digest, sender, delay_ms)
-            self.known_peers[name] = peer
+            # Other threads may be reading the peers.
+            self.known_peers = {**self.known_peers, name: peer}
             _note_lags(self.replicas, peer)
         self._on_digest(name, digest)
 
@@ -414,7 +416,8 @@
     if since_generation not in {None, generation}:
         since = 0
     oldest = offsets.encode(generation, since)
-    entries = topic.table.entries.values()
+    # Another thread may be applying records.
+    entries = tuple(topic.table.entries.values())
     return {
         'records': [
             [
@@ -464,7 +467,7 @@
             await _fetch_first(session, gossip, ahead, topic)
             if topic.table.newest_offset > known_offset:
                 # Others may hear of the records from this daemon only.
-                gossip.has_news.set()
+                gossip.schedule(gossip.has_news.set)
             else:
                 await asyncio.sleep(_GOSSIP_INTERVAL_S)
 
--- a/packages/daemon/src/yuccarouter/gateway/request_handler.py
+++ b/packages/daemon/src/yuccarouter/gateway/request_handler.py
@@ -198,7 +198,7 @@
     gateway = exchange.gateway
     await gate.hold_until_configured(gateway, exchange.call)
     table = gateway.table
-    route, organisation = _look_up(exchange)
+    route, organisation = _look_up(exchange, table)
     with request_bodies.hold(
         gateway.memory,
         exchange.request,
@@ -207,7 +207,7 @@
         body = await held.read()
         if gateway.table is not table:
             # The body may have taken seconds to arrive.
-            route, organisation = _look_up(exchange)
+            route, organisation = _look_up(exchange, gateway.table)
         out = _prepare(exchange, route, organisation, body)
         exchange.out = out
         if not out.can_end_before_stop():
@@ -219,29 +219,31 @@
 
 
 def _look_up(
-    exchange: _Exchange,
+    exchange: _Exchange, table: routes.RouteTable | None
 ) -> tuple[model.Route, model.Organisation | None]:
-    """Return a request's route and organisation by the current configuration.
+    """Return a request's route and organisation by a configuration.
 
     Raises ``RefusalError`` if there is none.
     """
     gateway = exchange.gateway
-    exchange.applied = _applied_configuration(gateway, exchange.age_log)
-    route = _find_route(exchange)
+    exchange.applied = _applied_configuration(gateway, table, exchange.age_log)
+    route = _find_route(exchange, table)
     exchange.route = route
-    return route, _authenticate(gateway, exchange.call, route)
+    return route, _authenticate(gateway, table, exchange.call, route)
 
 
 def _applied_configuration(
-    gateway: state.Gateway, age_log: configuration_age.AgeLog
+    gateway: state.Gateway,
+    table: routes.RouteTable | None,
+    age_log: configuration_age.AgeLog,
 ) -> _AppliedConfiguration:
-    if gateway.table is None or gateway.orders_topic is None:
+    if table is None or gateway.orders_topic is None:
         return _AppliedConfiguration()
     confirmation = gateway.orders_topic.newest_confirmation()
     age_ms = confirmation.rounded_age_ms()
     if age_ms is not None:
         metrics.observe_configuration_age(age_ms)
-    version = state.configuration_version(gateway)
+    version = table.configuration.version
     age_log.record(gateway.orders_topic, version)
     return _AppliedConfiguration(
         version,
@@ -251,12 +253,14 @@
     )
 
 
-def _find_route(exchange: _Exchange) -> model.Route:
+def _find_route(
+    exchange: _Exchange, table: routes.RouteTable | None
+) -> model.Route:
     gateway, call = exchange.gateway, exchange.call
-    if gateway.table is None:
+    if table is None:
         elapsed_ms = clocks.monotonic_ms() - exchange.arrived_ms
         raise gate.not_configured(gateway, call, elapsed_ms)
-    route = gateway.table.find(call.host, call.path)
+    route = table.find(call.host, call.path)
     if route is not None:
         return route
     if gateway.is_configuration_stale:
@@ -267,9 +271,11 @@
 
 
 def _authenticate(
-    gateway: state.Gateway, call: model.Call, route: model.Route
+    gateway: state.Gateway,
+    table: routes.RouteTable | None,
+    call: model.Call,
+    route: model.Route,
 ) -> model.Organisation | None:
-    table = gateway.table
     if table is None or not table.has_organisations:
         return None
     organisation = table.organisation(call.key)
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -39,9 +39,11 @@
 from yuccarouter.gateway.overload import admitted_shares
 from yuccarouter.gateway.overload import current as overload
 from yuccarouter.gateway.shares import demand, fleet_shares
-from yuccarouter_common import clocks, records
+from yuccarouter_common import clocks, loop_threads, records
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import aiohttp
 
     from yuccarouter.gateway import peers, ports, settings, topics
@@ -72,6 +74,10 @@
     """Shared state of a daemon's request path.
 
     ``process_id`` tells a restarted daemon from its earlier process.
+    ``schedule`` calls a function in the event loop that serves callers. The
+    route table and the data centres out of service are immutable, and replaced
+    by the thread that follows the operators' orders; nothing else of this state
+    is changed outside the callers' loop.
     """
 
     conf: settings.GatewaySettings
@@ -100,6 +106,7 @@
     orders_topic: topics.Topic | None = None
     endpoints_topic: topics.Topic | None = None
     process_id: int = attrs.field(factory=_random_id)
+    schedule: Callable[..., object] = loop_threads.call_now
     stop: stopping.Stop = attrs.field(factory=stopping.Stop)
     prefill_speeds: prefill_speeds.PrefillSpeeds = attrs.field(
         factory=prefill_speeds.PrefillSpeeds
@@ -192,7 +199,10 @@
         return any(True for _ in self.directory)
 
     def apply_operator_record(self, entry: ports.Entry) -> None:
-        """Apply a record that an operator wrote."""
+        """Apply a record that an operator wrote.
+
+        This may be called in another thread than that of the callers.
+        """
         platform = self.platform
         try:
             configuration = platform.decode_configuration(entry)
@@ -203,9 +213,9 @@
             return
         if configuration is not None:
             self._apply_configuration(configuration)
-            _end_holds(self)
+            self.schedule(_end_holds, self)
         if order is not None:
-            self.control.apply_order(order)
+            self.schedule(self.control.apply_order, order)
         if evacuation is not None:
             self._apply_evacuation(evacuation)
 
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -20,7 +20,7 @@
     record_lags,
     retry_pauses,
 )
-from yuccarouter_common import clocks
+from yuccarouter_common import clocks, loop_threads
 from yuccarouter_common.platform import errors
 
 if TYPE_CHECKING:
@@ -153,6 +153,9 @@
     ``confirmation`` is that by the store's answers to this daemon itself, and
     ``lag`` tells for how long peers have had records that lack here, and
     ``pending`` for how long a call that does not wait has had no answer.
+
+    Other threads may read the replica, and change it only by functions that
+    ``schedule`` calls in the event loop that follows the topic.
     """
 
     name: str
@@ -171,6 +174,7 @@
     confirmed_by_peers: Callable[[Topic], confirmations.Confirmation] = (
         _never_confirmed
     )
+    schedule: Callable[..., object] = loop_threads.call_now
     confirmation: confirmations.Confirmation = confirmations.NEVER
     # The newest one before the records that are being applied.
     confirmation_before: confirmations.Confirmation = confirmations.NEVER
@@ -491,6 +495,21 @@
             self.is_loaded = False
 
 
+def schedule_note(topic: Topic, peer_offset: int) -> None:
+    """Let a replica note the newest record of which a peer has told."""
+    if peer_offset > topic.table.newest_offset:
+        topic.schedule(_note, topic, peer_offset)
+
+
+def _note(topic: Topic, peer_offset: int) -> None:
+    topic.lag.note(peer_offset, topic.table.newest_offset)
+
+
+def schedule_reload(topic: Topic) -> None:
+    """Let a replica load its topic anew."""
+    topic.schedule(topic.reload)
+
+
 def behind_ms(topic: Topic) -> float:
     """Return for how long peers have had records that a replica lacks."""
     return topic.lag.age_ms(topic.table.newest_offset)
--- a/packages/daemon/tests/gateway/test_loop_delays.py
+++ b/packages/daemon/tests/gateway/test_loop_delays.py
@@ -34,7 +34,7 @@
         'log_message',
         lambda kind, **fields: logged.append(fields),
     )
-    delays = loop_delays.LoopDelays()
+    delays = loop_delays.LoopDelays('callers')
     for step, delay_ms in enumerate(delays_ms):
         delays.record(delay_ms, now_ms=step * 250)
     assert [(each['count'], each['longest_ms']) for each in logged] == lines
@@ -46,11 +46,13 @@
     monkeypatch.setattr(clocks, 'monotonic_ms', lambda: loop.time() * 1000)
     observed: list[float] = []
     monkeypatch.setattr(
-        loop_delays.metrics, 'observe_loop_delay', observed.append
+        loop_delays.metrics,
+        'observe_loop_delay',
+        lambda loop, delay_ms: observed.append(delay_ms),
     )
 
     async def scenario() -> None:
-        measuring = asyncio.create_task(loop_delays.LoopDelays().run())
+        measuring = asyncio.create_task(loop_delays.LoopDelays('callers').run())
         await asyncio.sleep(1.1)
         loop.turn_s = 0.3
         await asyncio.sleep(1.3)
--- a/packages/daemon/tests/gateway/test_silent_store.py
+++ b/packages/daemon/tests/gateway/test_silent_store.py
@@ -15,7 +15,7 @@
 import pytest
 
 from yuccarouter.gateway import daemon, model, peers, ports, state, topics
-from yuccarouter_common import clocks
+from yuccarouter_common import clocks, loop_threads
 from yuccarouter_testkit import virtual_time
 
 if TYPE_CHECKING:
@@ -47,6 +47,7 @@
         conf=make.conf(name),
         platform=types.SimpleNamespace(topics=TOPICS),
         gossip=None,
+        schedule=loop_threads.call_now,
         apply_operator_record=lambda entry: applied.note('orders', entry),
         apply_endpoint_record=lambda entry: applied.note('endpoints', entry),
         apply_state_record=lambda entry: applied.note('state', entry),
