Let a read of the store take fewer turns of its event loop

A change that followed another one waited for the next read: a pause of 200 ms after each page, and turns that no step needs. Ending a waiting read that was already done took two turns, as asyncio.wait schedules a callback for it. And the pause came after each page, also where none had come for seconds.

Now a call that is done isn't waited for, and the pause keeps pages 200 ms apart instead of following each one: a burst costs one call more than before.

Evidence: test_turns_from_one_change_to_the_next fails before (5 turns, and a pause) and passes after (3, and none).

--- a/packages/daemon/src/yuccarouter/gateway/checked_reads.py
+++ b/packages/daemon/src/yuccarouter/gateway/checked_reads.py
@@ -73,8 +73,9 @@
 
 async def _cancel(call: asyncio.Future[ports.Page]) -> None:
     """End a call whose outcome is of no use any more."""
-    call.cancel()
-    await asyncio.wait((call,))
+    if not call.done():
+        call.cancel()
+        await asyncio.wait((call,))
     if not call.cancelled():
         # An exception that is never retrieved would be logged as a fault.
         call.exception()
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -38,8 +38,9 @@
 # Longest time without a call while the probe topic fails. The store may answer
 # for this topic all the same: perhaps only the probe topic can't be decoded.
 _MAX_PROBE_WAIT_MS: Final = 5000.0
-# Delay after a page with records, so that a burst is read with few calls.
-_BATCH_DELAY_MS: Final = 200.0
+# Shortest time between two pages with records, so that a burst is read with few
+# calls.
+_PAGE_INTERVAL_MS: Final = 200.0
 # Interval of reading from peers.
 _PEER_READ_INTERVAL_MS: Final = 400.0
 # Share of the age limit in which peers must have confirmed a replica that they
@@ -195,6 +196,7 @@
     last_failure_ms: float = -math.inf
     grace_end_ms: float | None = None
     read_began_ms: float = -math.inf
+    last_page_ms: float = -math.inf
     call_began_ms: float = -math.inf
     _call: asyncio.Timeout | None = None
 
@@ -306,9 +308,12 @@
         self._record_success(confirmed_ms, source)
         self._apply_all(page.entries, source, confirmed_before)
         self.table.advance(page.next_offset)
-        return max(
-            self.poll_interval_ms, _BATCH_DELAY_MS if page.entries else 0
-        )
+        if not page.entries:
+            return self.poll_interval_ms
+        now_ms = clocks.monotonic_ms()
+        pause_ms = _PAGE_INTERVAL_MS - (now_ms - self.last_page_ms)
+        self.last_page_ms = now_ms
+        return max(self.poll_interval_ms, pause_ms, 0)
 
     async def _read_from_peer(self) -> float:
         """Read the topic from a peer and return the delay before the next read.
--- a/packages/daemon/tests/gateway/test_topics.py
+++ b/packages/daemon/tests/gateway/test_topics.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import contextlib
+import functools
 import math
+import operator
+from collections.abc import Callable
 
 import gateway_makers as make
 import gateway_store
@@ -305,3 +308,67 @@
         store.write(TOPIC, 'a', b'2')
         await read(topic)
     assert ages == [(source, age_ms)]
+
+
+class WaitingStore(gateway_store.MemoryStore):
+    """A store whose reads wait until ``arrive`` is called."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._arrival: asyncio.Future[None] | None = None
+
+    async def read(self, topic: str, offset: int, wait_ms: int) -> ports.Page:
+        self._arrival = asyncio.get_running_loop().create_future()
+        await self._arrival
+        return await super().read(topic, offset, 0)
+
+    @property
+    def is_asked(self) -> bool:
+        return self._arrival is not None and not self._arrival.done()
+
+    def arrive(self, value: bytes) -> None:
+        """Write a record, whose answer the event loop receives in this turn."""
+        assert self._arrival is not None
+        self.write(TOPIC, 'a', value)
+        self._arrival.set_result(None)
+
+
+async def turns_until(is_done: Callable[[], bool]) -> int:
+    """Return the number of turns of the loop until something is done."""
+    for turn in range(100):
+        if is_done():
+            return turn
+        await asyncio.sleep(0)
+    raise AssertionError('not done')
+
+
+@pytest.mark.parametrize(
+    ('since_page_ms', 'is_paused'), [(1000, False), (150, True)]
+)
+async def test_turns_from_one_change_to_the_next(
+    clock: make.Clock, since_page_ms: float, is_paused: bool
+) -> None:
+    """Guards against reads that take more turns than their steps need.
+
+    In a busy process, each turn of the event loop takes long. The next read
+    begins at once, unless the page before came a moment ago.
+    """
+    store = WaitingStore()
+    topic, changes = follow(store)
+    topic.max_age_ms = 3000
+    following = asyncio.create_task(topic.follow())
+    for number in (1, 2):
+        await turns_until(lambda: store.is_asked)
+        clock.now_ms += since_page_ms
+        store.arrive(b'%d' % number)
+        is_applied = functools.partial(
+            operator.contains, changes, ('a', b'%d' % number)
+        )
+        assert await turns_until(is_applied) <= 3
+    if is_paused:
+        await asyncio.sleep(0.01)
+        assert not store.is_asked
+    else:
+        assert await turns_until(lambda: store.is_asked) <= 2
+    following.cancel()
+    await asyncio.wait((following,))
