--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -308,12 +308,7 @@
         self._record_success(confirmed_ms, source)
         self._apply_all(page.entries, source, confirmed_before)
         self.table.advance(page.next_offset)
-        if not page.entries:
-            return self.poll_interval_ms
-        now_ms = clocks.monotonic_ms()
-        pause_ms = _PAGE_INTERVAL_MS - (now_ms - self.last_page_ms)
-        self.last_page_ms = now_ms
-        return max(self.poll_interval_ms, pause_ms, 0)
+        return _delay_after_ms(self, page)
 
     async def _read_from_peer(self) -> float:
         """Read the topic from a peer and return the delay before the next read.
@@ -535,6 +530,16 @@
     return limit_ms - topic.newest_confirmation().age_ms()
 
 
+def _delay_after_ms(topic: Topic, page: ports.Page) -> float:
+    """Return the delay of the next call after a page."""
+    if not page.entries:
+        return topic.poll_interval_ms
+    now_ms = clocks.monotonic_ms()
+    pause_ms = _PAGE_INTERVAL_MS - (now_ms - topic.last_page_ms)
+    topic.last_page_ms = now_ms
+    return max(topic.poll_interval_ms, pause_ms, 0)
+
+
 def _empty_until_ms(began_ms: float, wait_ms: float) -> float:
     """Return until when the store certainly had no record for a waiting read.
 
