Check key and route again before a request is sent

A request was sent with a key that had been revoked while the connection to its endpoint opened, 0.8 s at a busy daemon: key and route were looked up once, before that.

Once the connection is open, the call is compared with the table in force. If it would be decided otherwise, the connection is closed unsent and the request is decided anew, so that it is refused, or goes to the route's present service. Once an attempt may have run, the request goes on as it was decided.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -34,7 +34,7 @@
 from yuccarouter_common import clocks, errors
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from yuccarouter.gateway import choice, endpoints
 
@@ -53,7 +53,9 @@
 
 
 # Attempts that did not reach an engine, or that the engine ended.
-_NOT_DROPPED: Final = frozenset(('unreachable', 'answer_lost'))
+_NOT_DROPPED: Final = frozenset(
+    ('unreachable', 'answer_lost', 'superseded'),
+)
 # A request is not sent again after so many crashes if it, or a part of its
 # prompt, was never answered before. Others probably met the crashes by chance.
 _MAX_CRASHES: Final = 2
@@ -65,6 +67,17 @@
     code = 'memory_exceeded'
 
 
+class SupersededError(errors.RouterError):
+    """A newer configuration would not send a call that is not sent yet."""
+
+    code = 'superseded'
+
+
+def _always() -> bool:
+    """Return that no newer configuration decides otherwise."""
+    return True
+
+
 class AttemptError(errors.RouterError):
     """Raised when an attempt ends without a usable answer.
 
@@ -103,8 +116,9 @@
     ``crashes`` counts the crashes that a new one of them, or the request as a
     whole, may have caused. ``is_answer_begun`` is true once a part of the
     answer was passed to the caller. ``sent_configuration`` is the version that
-    was in force when the newest attempt began. ``admitted`` is the endpoint
-    that admission has just chosen, by the model.
+    was in force when the newest attempt began. ``is_current`` returns whether
+    the configuration in force would still send the call. ``admitted`` is the
+    endpoint that admission has just chosen, by the model.
     """
 
     gateway: state.Gateway
@@ -127,6 +141,7 @@
     is_answer_begun: bool = False
     admitted: dict[str, choice.Choice] = attrs.field(factory=dict)
     sent_configuration: int = -1
+    is_current: Callable[[], bool] = _always
     part_ids: tuple[str, ...] = attrs.field(
         default=attrs.Factory(
             lambda out: prompt_parts.shared_part_ids(out.call), takes_self=True
@@ -173,6 +188,14 @@
             min(own_ms, self.route.objective_ms)
         )
 
+    def check_before_send(self) -> None:
+        """Raise ``SupersededError`` for a call that must not be sent now.
+
+        Once an attempt may have run, the call goes on as it was decided.
+        """
+        if self.runs <= 1 and not self.has_run and not self.is_current():
+            raise SupersededError('the configuration has changed')
+
     def elapsed_ms(self) -> float:
         """Return the time since the call arrived."""
         return clocks.monotonic_ms() - self.arrived_ms
@@ -360,6 +383,9 @@
     out: OutgoingCall, progress: answer_progress.Progress, code: str = ''
 ) -> None:
     """Count an attempt as ended; ``code`` is that of its error, if any."""
+    if code == SupersededError.code:
+        out.runs -= 1
+        out.deliveries -= 1
     progress.view.in_flight -= 1
     if out.call.session:
         out.gateway.session_exchange.record_end(
@@ -458,13 +484,19 @@
         ),
     )
     connections.request_id.set(call.request_id)
-    return await out.gateway.session.request(
-        call.method,
-        yarl.URL(f'http://{view.announced.address}{call.target}', encoded=True),
-        headers=multidict.CIMultiDict(headers),
-        data=out.body or None,
-        allow_redirects=False,
-    )
+    checking = connections.check_before_send.set(out.check_before_send)
+    try:
+        return await out.gateway.session.request(
+            call.method,
+            yarl.URL(
+                f'http://{view.announced.address}{call.target}', encoded=True
+            ),
+            headers=multidict.CIMultiDict(headers),
+            data=out.body or None,
+            allow_redirects=False,
+        )
+    finally:
+        connections.check_before_send.reset(checking)
 
 
 def _checked_answer(
--- a/packages/daemon/src/yuccarouter/gateway/connections.py
+++ b/packages/daemon/src/yuccarouter/gateway/connections.py
@@ -6,6 +6,7 @@
 import contextvars
 import functools
 import socket
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Final
 
 import aiohttp
@@ -58,6 +59,17 @@
     return opened
 
 
+def _send_anyway() -> None:
+    """Let a request be sent."""
+
+
+# Called once the connection of a request is open, which may have taken a while,
+# and before the request is sent. An exception ends the request unsent.
+check_before_send: Final[contextvars.ContextVar[Callable[[], None]]] = (
+    contextvars.ContextVar('check_before_send', default=_send_anyway)
+)
+
+
 class _Connector(aiohttp.TCPConnector):
     """Opens connections within a time that leaves them turns of the loop."""
 
@@ -66,11 +78,17 @@
     ) -> tuple[asyncio.Transport, client_proto.ResponseHandler]:
         # aiohttp has no other place for the time to open a connection.
         async with turn_timeouts.limit(timeout.sock_connect):
-            return await super()._wrap_create_connection(
+            opened = await super()._wrap_create_connection(
                 *args,
                 timeout=attrs.evolve(timeout, sock_connect=None),
                 **kwargs,
             )
+        try:
+            check_before_send.get()()
+        except BaseException:
+            opened[0].abort()
+            raise
+        return opened
 
 
 def make_session(
--- a/packages/daemon/src/yuccarouter/gateway/request_handler.py
+++ b/packages/daemon/src/yuccarouter/gateway/request_handler.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import functools
 import random
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any, Final
@@ -205,17 +207,30 @@
         organisation.name if organisation else '',
     ) as held:
         body = await held.read()
-        if gateway.table is not table:
-            # The body may have taken seconds to arrive.
-            route, organisation = _look_up(exchange, gateway.table)
-        out = _prepare(exchange, route, organisation, body)
-        exchange.out = out
-        if not out.can_end_before_stop():
-            raise refusal_responses.shutting_down()
-        await gateway.session_exchange.look_up(
-            out.service, exchange.call.session, out.remaining_ms()
-        )
-        return await _forward(out, exchange.request)
+        while True:
+            if gateway.table is not table:
+                # The body may have taken seconds to arrive.
+                table = gateway.table
+                route, organisation = _look_up(exchange, table)
+            with contextlib.suppress(attempts.SupersededError):
+                return await _send(
+                    exchange,
+                    _prepare(exchange, table, route, organisation, body),
+                )
+            exchange.take_back_demand()
+
+
+async def _send(
+    exchange: _Exchange, out: attempts.OutgoingCall
+) -> web.StreamResponse:
+    """Return the answer to a call; raises ``attempts.SupersededError``."""
+    exchange.out = out
+    if not out.can_end_before_stop():
+        raise refusal_responses.shutting_down()
+    await exchange.gateway.session_exchange.look_up(
+        out.service, exchange.call.session, out.remaining_ms()
+    )
+    return await _forward(out, exchange.request)
 
 
 def _look_up(
@@ -288,6 +303,7 @@
 
 def _prepare(
     exchange: _Exchange,
+    table: routes.RouteTable | None,
     route: model.Route,
     organisation: model.Organisation | None,
     body: bytes,
@@ -302,7 +318,8 @@
     if organisation is not None and organisation.priority is not None:
         priority = organisation.priority
     service = routes.service_for(route, random.random())
-    gateway.retry_budget.record_request(service, arrived_ms)
+    if exchange.out is None:
+        gateway.retry_budget.record_request(service, arrived_ms)
     organisation_name = organisation.name if organisation else ''
     if state.controls_load(gateway, service):
         exchange.count_demand(service, organisation_name, route.kind)
@@ -316,6 +333,27 @@
         body=body,
         deadline_ms=arrived_ms + timeout_ms,
         arrived_ms=arrived_ms,
+        is_current=functools.partial(
+            _is_decided_alike, gateway, table, call, (route, organisation)
+        ),
+    )
+
+
+def _is_decided_alike(
+    gateway: state.Gateway,
+    table: routes.RouteTable | None,
+    call: model.Call,
+    decided: tuple[model.Route, model.Organisation | None],
+) -> bool:
+    """Return whether the table in force has the route and organisation."""
+    current = gateway.table
+    return current is table or (
+        current is not None
+        and decided
+        == (
+            current.find(call.host, call.path),
+            current.organisation(call.key),
+        )
     )
 
 
