Follow the endpoints' announcements in the thread of the orders

Requests went to endpoints that had drained for seconds: at a busy daemon, a read of the announcements took 10 or 11 turns of the callers' event loop, after an interval of up to drainMs / 2.2.

The replica of the announcements and what it fetches from peers now run in the thread that follows the orders; records are applied in order in the next turn of the callers' loop, all of them in one call. The shared state stays in the callers' loop: conditional appends rely on records that were applied there.

What is left is another cause: digests that wait in the socket.

--- a/packages/common/src/yuccarouter_common/loop_threads.py
+++ b/packages/common/src/yuccarouter_common/loop_threads.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+import functools
 import sys
 import threading
 from typing import TYPE_CHECKING, Any, Final
@@ -22,6 +24,34 @@
     function(*arguments)
 
 
+class Handover:
+    """Lets the functions of a thread be called in order by an event loop.
+
+    ``schedule`` calls a function in that loop. What is added before its next
+    turn is called in one.
+    """
+
+    def __init__(self, schedule: Callable[..., object]) -> None:
+        self._schedule = schedule
+        self._waiting: collections.deque[Callable[[], object]] = (
+            collections.deque()
+        )
+        self._is_scheduled = False
+
+    def add(self, function: Callable[..., object], *arguments: Any) -> None:
+        """Call a function in the next turn of the loop."""
+        self._waiting.append(functools.partial(function, *arguments))
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            self._schedule(self._call_all)
+
+    def _call_all(self) -> None:
+        # What the thread adds from here on may be scheduled once more.
+        self._is_scheduled = False
+        while self._waiting:
+            self._waiting.popleft()()
+
+
 class LoopThread:
     """An event loop whose turns don't wait for those of the callers' loop.
 
--- a/packages/common/tests/test_loop_threads.py
+++ b/packages/common/tests/test_loop_threads.py
@@ -12,6 +12,7 @@
 from yuccarouter_common import loop_threads
 
 WAIT_S = 10.0
+FUNCTIONS = 500
 
 
 @pytest_asyncio.fixture
@@ -76,3 +77,22 @@
             await running
     assert ended == (['work'] if is_started else [])
     assert 'test' not in {each.name for each in threading.enumerate()}
+
+
+async def test_handover(thread: loop_threads.LoopThread) -> None:
+    """Guards against functions that are lost, or called out of order."""
+    called: list[int] = []
+    is_last_called = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    handover = loop_threads.Handover(loop.call_soon_threadsafe)
+
+    async def add_all() -> None:
+        for number in range(FUNCTIONS):
+            handover.add(called.append, number)
+            await asyncio.sleep(0)
+        handover.add(is_last_called.set)
+
+    await thread.run(add_all)
+    async with asyncio.timeout(WAIT_S):
+        await is_last_called.wait()
+    assert called == list(range(FUNCTIONS))
--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any, Final
 
+import attrs
 import eliot
 
 from yuccarouter.gateway import (
@@ -84,21 +85,22 @@
         )
         self._servers: list[servers.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
-        self._orders_thread = loop_threads.LoopThread('orders')
-        self._orders_session: aiohttp.ClientSession | None = None
+        self._control_thread = loop_threads.LoopThread('control')
+        self._control_session: aiohttp.ClientSession | None = None
         self.crash_reason: BaseException | None = None
 
     async def start(self) -> None:
         """Start the tasks and the servers, the one for callers last."""
-        conf = self._conf
         session = self._session
-        store = self._make_store(session, conf)
-        self.gateway.schedule = asyncio.get_running_loop().call_soon_threadsafe
+        store = self._make_store(session, self._conf)
+        self.gateway.schedule = loop_threads.Handover(
+            asyncio.get_running_loop().call_soon_threadsafe
+        ).add
         replicas = make_replicas(self.gateway, store)
         gossip = await _open_gossip(self.gateway, replicas)
         gossip.schedule = self.gateway.schedule
-        share_reads(self.gateway, gossip, replicas, session)
-        shared_state = replicas[-1]
+        election = share_reads(self.gateway, gossip, replicas, session)
+        *read_in_thread, shared_state = replicas
         stored_limits = rate_limit_records.RateLimitRecords(
             self.gateway.rate_limits,
             store,
@@ -112,57 +114,52 @@
             functools.partial(_rank, self.gateway),
         )
         background: list[Callable[[], Coroutine[Any, Any, None]]] = [
-            *await self._start_orders(replicas[0], gossip),
-            *(topic.follow for topic in replicas[1:]),
+            *await self._start_thread(read_in_thread, election),
+            shared_state.follow,
             gossip.run,
             loop_delays.LoopDelays('callers').run,
             self.gateway.session_exchange.run,
             functools.partial(
-                peers.fetch_missing_records, session, gossip, replicas[1:]
+                peers.fetch_missing_records, session, gossip, [shared_state]
             ),
             functools.partial(self.gateway.control.run, store, shared_state),
             functools.partial(_register, self.gateway, store, shared_state),
             stored_limits.run,
             stored_crashes.run,
         ]
-        metrics_address = model.Address(conf.host, conf.metrics_port)
         for function in background:
             self.run(function)
-        for server in (
-            servers.app_server(peers.records_app(replicas), conf.peer),
-            servers.app_server(servers.metrics_app(), metrics_address),
-            servers.app_server(servers.readiness_app(self.gateway), conf.ready),
-        ):
-            await self._start_server(server)
+        await self._start_inner_servers(replicas)
         await _wait_until_ready(self.gateway, shared_state)
         stored_limits.read()
         stored_crashes.read()
         await self._start_server(self._callers_server)
 
-    async def _start_orders(
-        self, orders: topics.Topic, gossip: peers.Gossip
+    async def _start_thread(
+        self, replicas: list[topics.Topic], election: peers.ReaderElection
     ) -> list[Callable[[], Coroutine[Any, Any, None]]]:
-        """Return the work that follows the operators' orders in a thread."""
-        thread = self._orders_thread
+        """Return the work that follows topics in a thread of their own."""
+        thread = self._control_thread
         thread.start()
-        self._orders_session = await thread.run(
+        session = await thread.run(
             functools.partial(_make_session, self.gateway.platform)
         )
-        orders.store = self._make_store(self._orders_session, self._conf)
-        orders.schedule = thread.schedule
-        return [
-            functools.partial(thread.run, work)
-            for work in (
-                orders.follow,
-                functools.partial(
-                    peers.fetch_missing_records,
-                    self._orders_session,
-                    gossip,
-                    [orders],
-                ),
-                loop_delays.LoopDelays('orders').run,
-            )
+        self._control_session = session
+        store = self._make_store(session, self._conf)
+        election = attrs.evolve(election, session=session)
+        for topic in replicas:
+            topic.store = store
+            topic.schedule = thread.schedule
+            if topic.read_from_peer is not None:
+                topic.read_from_peer = election.read_from_peer
+        background: list[Callable[[], Coroutine[Any, Any, None]]] = [
+            *(each.follow for each in replicas),
+            functools.partial(
+                peers.fetch_missing_records, session, election.gossip, replicas
+            ),
+            loop_delays.LoopDelays('control').run,
         ]
+        return [functools.partial(thread.run, work) for work in background]
 
     def run(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Start background work as a supervised task."""
@@ -213,11 +210,22 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._orders_session is not None:
-            await self._orders_thread.run(self._orders_session.close)
-        await self._orders_thread.stop()
+        if self._control_session is not None:
+            await self._control_thread.run(self._control_session.close)
+        await self._control_thread.stop()
         await self._session.close()
 
+    async def _start_inner_servers(self, replicas: list[topics.Topic]) -> None:
+        """Start the servers for peers, for metrics and for the balancer."""
+        conf = self._conf
+        metrics_address = model.Address(conf.host, conf.metrics_port)
+        for server in (
+            servers.app_server(peers.records_app(replicas), conf.peer),
+            servers.app_server(servers.metrics_app(), metrics_address),
+            servers.app_server(servers.readiness_app(self.gateway), conf.ready),
+        ):
+            await self._start_server(server)
+
     async def _start_server(self, server: servers.Server) -> None:
         self._servers.append(server)
         await server.start()
@@ -318,8 +326,10 @@
         topics.Topic(
             names.endpoints,
             store,
-            gateway.apply_endpoint_record,
-            gateway.directory.on_store_reconnected,
+            functools.partial(gateway.schedule, gateway.apply_endpoint_record),
+            functools.partial(
+                gateway.schedule, gateway.directory.on_store_reconnected
+            ),
             poll_interval_ms=poll_interval_ms,
             probe=orders,
             rewrite_grace_ms=_REWRITE_GRACE_MS,
@@ -361,7 +371,7 @@
 ) -> None:
     """Read the other topics as well, and tell peers that the store answers."""
     for topic in others:
-        topic.pause.end()
+        topic.schedule(topic.pause.end)
     _tell_peers(gateway, outage_ms)
 
 
@@ -395,7 +405,7 @@
     gossip: peers.Gossip,
     replicas: list[topics.Topic],
     session: aiohttp.ClientSession,
-) -> None:
+) -> peers.ReaderElection:
     """Let a few daemons of a data centre read the topics for the others.
 
     Each daemon reads the operators' orders itself, since they must take effect
@@ -414,6 +424,7 @@
         topic.confirmed_by_peers = functools.partial(peers.confirmation, gossip)
     for topic in replicas[1:]:
         topic.read_from_peer = election.read_from_peer
+    return election
 
 
 def apply_digest(
--- a/packages/daemon/src/yuccarouter/gateway/overload/gate.py
+++ b/packages/daemon/src/yuccarouter/gateway/overload/gate.py
@@ -356,6 +356,8 @@
     if not (gateway.conf.controls_overload and holds.is_starting):
         return
     topic = gateway.endpoints_topic
+    # Endpoints that a thread has just read are known after this turn.
+    await asyncio.sleep(0)
     if gateway.table is not None and (topic is None or topic.is_loaded):
         return
     began_ms = clocks.monotonic_ms()
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -174,7 +174,7 @@
         self.dependants: Callable[[], list[str]] = list
         self.has_news = asyncio.Event()
         self.replicas: list[topics.Topic] = []
-        self.schedule: Callable[..., object] = loop_threads.call_now
+        self.schedule: Callable[..., None] = loop_threads.call_now
         self.data_centre = ''
         self._delays = digest_delays.DigestDelays()
         self._late_log = late_log.LateLog('digests_late', _LATE_DIGEST_MS)
--- a/packages/daemon/src/yuccarouter/gateway/state.py
+++ b/packages/daemon/src/yuccarouter/gateway/state.py
@@ -74,10 +74,10 @@
     """Shared state of a daemon's request path.
 
     ``process_id`` tells a restarted daemon from its earlier process.
-    ``schedule`` calls a function in the event loop that serves callers. The
-    route table and the data centres out of service are immutable, and replaced
-    by the thread that follows the operators' orders; nothing else of this state
-    is changed outside the callers' loop.
+    ``schedule`` calls functions in order in the event loop that serves callers.
+    The route table and the data centres out of service are immutable, and
+    replaced by the thread that follows the operators' orders; nothing else of
+    this state is changed outside the callers' loop.
     """
 
     conf: settings.GatewaySettings
@@ -106,7 +106,7 @@
     orders_topic: topics.Topic | None = None
     endpoints_topic: topics.Topic | None = None
     process_id: int = attrs.field(factory=_random_id)
-    schedule: Callable[..., object] = loop_threads.call_now
+    schedule: Callable[..., None] = loop_threads.call_now
     stop: stopping.Stop = attrs.field(factory=stopping.Stop)
     prefill_speeds: prefill_speeds.PrefillSpeeds = attrs.field(
         factory=prefill_speeds.PrefillSpeeds
--- a/packages/daemon/src/yuccarouter/gateway/topics.py
+++ b/packages/daemon/src/yuccarouter/gateway/topics.py
@@ -175,7 +175,7 @@
     confirmed_by_peers: Callable[[Topic], confirmations.Confirmation] = (
         _never_confirmed
     )
-    schedule: Callable[..., object] = loop_threads.call_now
+    schedule: Callable[..., None] = loop_threads.call_now
     confirmation: confirmations.Confirmation = confirmations.NEVER
     # The newest one before the records that are being applied.
     confirmation_before: confirmations.Confirmation = confirmations.NEVER
