Receive all waiting datagrams of peers in one turn

A busy daemon knew seconds late what its peers tell: newer records, leaving endpoints, failed endpoints, loads. The event loop's datagram transport receives one datagram in each turn.

Replicas learn of peers' records at once; of the rest, the newest fields of each sender are applied, after all were received.

--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -13,6 +13,7 @@
 from yuccarouter.gateway import (
     connections,
     crash_records,
+    datagram_ports,
     loop_delays,
     model,
     peers,
@@ -97,7 +98,7 @@
             asyncio.get_running_loop().call_soon_threadsafe
         ).add
         replicas = make_replicas(self.gateway, store)
-        gossip = await _open_gossip(self.gateway, replicas)
+        gossip = _open_gossip(self.gateway, replicas)
         gossip.schedule = self.gateway.schedule
         election = share_reads(self.gateway, gossip, replicas, session)
         *read_in_thread, shared_state = replicas
@@ -210,6 +211,10 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        gossip = self.gateway.gossip
+        if gossip is not None and gossip.transport is not None:
+            gossip.transport.close()
+            gossip.transport = None
         if self._control_session is not None:
             await self._control_thread.run(self._control_session.close)
         await self._control_thread.stop()
@@ -384,7 +389,7 @@
         gateway.gossip.has_news.set()
 
 
-async def _open_gossip(
+def _open_gossip(
     gateway: state.Gateway, replicas: list[topics.Topic]
 ) -> peers.Gossip:
     gossip = peers.Gossip(
@@ -393,10 +398,8 @@
     )
     gateway.gossip = gossip
     gossip.receivers[messages.FIELD] = gateway.session_exchange.receive
-    address = gateway.conf.peer
-    await asyncio.get_running_loop().create_datagram_endpoint(
-        lambda: gossip, local_addr=(address.host, address.port)
-    )
+    gossip.received.schedule = asyncio.get_running_loop().call_soon
+    gossip.transport = datagram_ports.open_port(gossip, gateway.conf.peer)
     return gossip
 
 
--- a/packages/daemon/src/yuccarouter/gateway/peers.py
+++ b/packages/daemon/src/yuccarouter/gateway/peers.py
@@ -5,9 +5,10 @@
 import asyncio
 import base64
 import contextlib
+import functools
 import math
 import random
-from typing import TYPE_CHECKING, Any, Final, cast
+from typing import TYPE_CHECKING, Any, Final
 
 import aiohttp
 import attrs
@@ -28,12 +29,15 @@
     numbers,
     offsets,
     ports,
+    received_digests,
     topics,
 )
 from yuccarouter_common import clocks, loop_threads, records, turn_timeouts
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
+
+    from yuccarouter.gateway import datagram_ports
 
 _GOSSIP_INTERVAL_S: Final = 0.4
 # News that come at the same time are sent together after this delay.
@@ -162,8 +166,10 @@
         on_digest: Callable[[str, dict[str, Any]], None],
     ) -> None:
         self._make_digest = make_digest
-        self._on_digest = on_digest
-        self.transport: asyncio.DatagramTransport | None = None
+        self.received = received_digests.ReceivedDigests(
+            functools.partial(_apply, on_digest)
+        )
+        self.transport: datagram_ports.DatagramPort | None = None
         # Daemons that start together would otherwise all send to the same
         # peers, and these would hear nothing until the next round.
         self._next_index = random.randrange(_MAX_FIRST_INDEX)
@@ -184,29 +190,26 @@
             str, Callable[[dict[str, Any], tuple[str | Any, int]], None]
         ] = {}
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport for sending."""
-        # The event loop's transport is not a subclass of the abstract one.
-        self.transport = cast('asyncio.DatagramTransport', transport)
-
     def datagram_received(
         self, payload: bytes, sender: tuple[str | Any, int]
     ) -> None:
         """Process a peer's message; a malformed one is logged and ignored."""
-        try:
+        with _logged_faults(sender[0]):
             digest = records.loads(payload)
             for field, receive in self.receivers.items():
                 if field in digest:
                     receive(digest, sender)
                     return
-            self._apply(digest, sender)
-        except _DIGEST_ERRORS as fault:
-            eliot.log_message('bad_digest', sender=sender[0], reason=str(fault))
+            self._note(digest, sender)
 
-    def _apply(
+    def _note(
         self, digest: dict[str, Any], sender: tuple[str | Any, int]
     ) -> None:
-        """Apply a digest, unless a later one of its sender has come before."""
+        """Note a digest, unless a later one of its sender has come before.
+
+        What it tells of replicas is known at once, the rest once all digests
+        that waited are received.
+        """
         name = str(digest['name'])
         delay_ms = self._delays.delay_ms(name, digest)
         if delay_ms is None:
@@ -218,7 +221,7 @@
             # Other threads may be reading the peers.
             self.known_peers = {**self.known_peers, name: peer}
             _note_lags(self.replicas, peer)
-        self._on_digest(name, digest)
+        self.received.add(name, digest)
 
     def error_received(self, exc: Exception) -> None:
         """Log that a datagram could not be sent."""
@@ -320,6 +323,24 @@
         self._next_index += _FANOUT
 
 
+@contextlib.contextmanager
+def _logged_faults(sender: object) -> Iterator[None]:
+    """Log a malformed message of a peer."""
+    try:
+        yield
+    except _DIGEST_ERRORS as fault:
+        eliot.log_message('bad_digest', sender=sender, reason=str(fault))
+
+
+def _apply(
+    on_digest: Callable[[str, dict[str, Any]], None],
+    name: str,
+    digest: dict[str, Any],
+) -> None:
+    with _logged_faults(name):
+        on_digest(name, digest)
+
+
 def _decode_address(value: bytes) -> model.Address:
     host, port = records.loads(value)
     return addresses.remote(host, port)
--- a/packages/daemon/tests/gateway/sessions/test_session_exchange.py
+++ b/packages/daemon/tests/gateway/sessions/test_session_exchange.py
@@ -11,7 +11,14 @@
 import orjson
 import pytest
 
-from yuccarouter.gateway import endpoints, model, peers, rollout_control, state
+from yuccarouter.gateway import (
+    datagram_ports,
+    endpoints,
+    model,
+    peers,
+    rollout_control,
+    state,
+)
 from yuccarouter.gateway.sessions import decisions, exchange, messages, owners
 
 VIEWS = [make.view('e1', version='v1'), make.view('e2', version='v2')]
@@ -415,17 +422,16 @@
         name: state.Gateway(make.conf(name), *([None] * 2), control(name))
         for name in names
     }
-    loop = asyncio.get_running_loop()
     for gateway in gateways.values():
         gateway.session_exchange = exchange.make_exchange(gateway)
         gossip = peers.Gossip(dict, lambda name, digest: None)
         gossip.receivers[messages.FIELD] = gateway.session_exchange.receive
         gateway.gossip = gossip
-        await loop.create_datagram_endpoint(
-            lambda gossip=gossip: gossip, local_addr=('127.0.0.1', 0)
+        gossip.transport = datagram_ports.open_port(
+            gossip, model.Address('127.0.0.1', 0)
         )
     for name, other in zip(names, reversed(names), strict=True):
-        socket = gateways[other].gossip.transport.get_extra_info('sockname')
+        socket = gateways[other].gossip.transport.address
         gateways[name].gossip.add_member(other, model.Address(*socket))
         for view in VIEWS:
             gateways[name].directory.apply_announcement(view.announced)
--- a/packages/daemon/tests/gateway/test_lost_readers.py
+++ b/packages/daemon/tests/gateway/test_lost_readers.py
@@ -90,7 +90,7 @@
             cast('state.Gateway', gateway), cast('ports.Store', self.link)
         )
         self.gossip = peers.Gossip(self._make_digest, lambda name, digest: None)
-        self.gossip.connection_made(cast('asyncio.DatagramTransport', self))
+        self.gossip.transport = cast('Any', self)
         for index, other in enumerate(self.fleet):
             if other is not self:
                 address = model.Address('127.0.0.1', index)
--- a/packages/daemon/tests/gateway/test_member_records.py
+++ b/packages/daemon/tests/gateway/test_member_records.py
@@ -9,7 +9,7 @@
 import orjson
 import pytest
 
-from yuccarouter.gateway import peers, state
+from yuccarouter.gateway import datagram_ports, model, peers, state
 
 
 def gateway_with(gossip: peers.Gossip) -> state.Gateway:
@@ -55,10 +55,9 @@
         lambda: {'name': 'd1', 'newest': {}},
         lambda name, digest: received.append(name),
     )
-    transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
-        lambda: gossip, local_addr=('127.0.0.1', 0)
-    )
-    own_port = transport.get_extra_info('sockname')[1]
+    transport = datagram_ports.open_port(gossip, model.Address('127.0.0.1', 0))
+    gossip.transport = transport
+    own_port = transport.address[1]
     gateway = gateway_with(gossip)
     for key, value in (
         ('member/d2', document),
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -15,6 +15,7 @@
 from aiohttp import web
 
 from yuccarouter.gateway import (
+    datagram_ports,
     endpoints,
     failure_reports,
     model,
@@ -109,18 +110,17 @@
     """Guards against digests that do not reach registered peers."""
     received: list[tuple[str, Any]] = []
     gossips = []
-    loop = asyncio.get_running_loop()
     for name in ('d1', 'd2'):
         gossip = peers.Gossip(
             lambda name=name: {'name': name, 'newest': {'t': 7}},
             lambda name, digest: received.append((name, digest['newest'])),
         )
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda gossip=gossip: gossip, local_addr=('127.0.0.1', 0)
+        gossip.transport = datagram_ports.open_port(
+            gossip, model.Address('127.0.0.1', 0)
         )
-        gossips.append((gossip, transport))
+        gossips.append((gossip, gossip.transport))
     (first, first_transport), (second, second_transport) = gossips
-    port = second_transport.get_extra_info('sockname')[1]
+    port = second_transport.address[1]
     first.add_member('d2', model.Address('127.0.0.1', port))
     first.send()
     async with asyncio.timeout(5):
@@ -429,13 +429,11 @@
     receivers: set[Any] = set()
     for _ in range(50):
         gossip = peers.Gossip(lambda: {}, lambda name, digest: None)
-        gossip.connection_made(
-            cast(
-                'asyncio.BaseTransport',
-                types.SimpleNamespace(
-                    sendto=lambda payload, address: receivers.add(address)
-                ),
-            )
+        gossip.transport = cast(
+            'Any',
+            types.SimpleNamespace(
+                sendto=lambda payload, address: receivers.add(address)
+            ),
         )
         for number in range(100):
             address = model.Address(f'10.0.0.{number}', 7300)
--- a/packages/daemon/tests/gateway/test_replica_claims.py
+++ b/packages/daemon/tests/gateway/test_replica_claims.py
@@ -11,7 +11,7 @@
 import orjson
 import pytest
 
-from yuccarouter.gateway import model, peers, ports, topics
+from yuccarouter.gateway import datagram_ports, model, peers, ports, topics
 
 
 @attrs.define
@@ -148,19 +148,18 @@
     """
     received: list[dict[str, Any]] = []
     gossips = []
-    loop = asyncio.get_running_loop()
     load = {f'endpoint-{number}': 0.5 for number in range(810)}
     for name in ('d1', 'd2'):
         gossip = peers.Gossip(
             lambda name=name: digest_of(name, demand=load, queues=load),
             lambda name, digest: received.append(digest),
         )
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda gossip=gossip: gossip, local_addr=('127.0.0.1', 0)
+        gossip.transport = datagram_ports.open_port(
+            gossip, model.Address('127.0.0.1', 0)
         )
-        gossips.append((gossip, transport))
+        gossips.append((gossip, gossip.transport))
     (first, first_transport), (_, second_transport) = gossips
-    port = second_transport.get_extra_info('sockname')[1]
+    port = second_transport.address[1]
     first.add_member('d2', model.Address('127.0.0.1', port))
     first.send()
     try:
