End the process if a record that was handed over can't be applied

Records of endpoints and roll-out orders are applied by functions that the thread hands over to the callers' loop. If one raised an error there, the event loop only logged it, and the daemon went on without the record. Before the thread, such an error ended the task that follows the topic, and with it the process.

Handover.run raises the error in a supervised task now.

--- a/packages/common/src/yuccarouter_common/loop_threads.py
+++ b/packages/common/src/yuccarouter_common/loop_threads.py
@@ -28,7 +28,7 @@
     """Lets the functions of a thread be called in order by an event loop.
 
     ``schedule`` calls a function in that loop. What is added before its next
-    turn is called in one.
+    turn is called in one. A function that fails ends ``run`` with its error.
     """
 
     def __init__(self, schedule: Callable[..., object]) -> None:
@@ -37,6 +37,14 @@
             collections.deque()
         )
         self._is_scheduled = False
+        self._has_failed = asyncio.Event()
+        self._fault: Exception | None = None
+
+    async def run(self) -> None:
+        """Wait until a function fails, and raise its error."""
+        await self._has_failed.wait()
+        if self._fault is not None:
+            raise self._fault
 
     def add(self, function: Callable[..., object], *arguments: Any) -> None:
         """Call a function in the next turn of the loop."""
@@ -48,8 +56,12 @@
     def _call_all(self) -> None:
         # What the thread adds from here on may be scheduled once more.
         self._is_scheduled = False
-        while self._waiting:
-            self._waiting.popleft()()
+        try:
+            while self._waiting:
+                self._waiting.popleft()()
+        except Exception as fault:
+            self._fault = fault
+            self._has_failed.set()
 
 
 class LoopThread:
--- a/packages/common/tests/test_loop_threads.py
+++ b/packages/common/tests/test_loop_threads.py
@@ -96,3 +96,19 @@
     async with asyncio.timeout(WAIT_S):
         await is_last_called.wait()
     assert called == list(range(FUNCTIONS))
+
+
+async def test_failed_function() -> None:
+    """Guards against a record that is lost without anyone's notice.
+
+    The process has to end, as it does when work of its own loop fails.
+    """
+    called: list[int] = []
+    loop = asyncio.get_running_loop()
+    handover = loop_threads.Handover(loop.call_soon_threadsafe)
+    handover.add(int, 'x')
+    handover.add(called.append, 1)
+    with pytest.raises(ValueError, match='invalid literal'):
+        async with asyncio.timeout(WAIT_S):
+            await handover.run()
+    assert not called
--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -94,9 +94,10 @@
         """Start the tasks and the servers, the one for callers last."""
         session = self._session
         store = self._make_store(session, self._conf)
-        self.gateway.schedule = loop_threads.Handover(
+        handover = loop_threads.Handover(
             asyncio.get_running_loop().call_soon_threadsafe
-        ).add
+        )
+        self.gateway.schedule = handover.add
         replicas = make_replicas(self.gateway, store)
         gossip = _open_gossip(self.gateway, replicas)
         gossip.schedule = self.gateway.schedule
@@ -117,6 +118,7 @@
         background: list[Callable[[], Coroutine[Any, Any, None]]] = [
             *await self._start_thread(read_in_thread, election),
             shared_state.follow,
+            handover.run,
             gossip.run,
             loop_delays.LoopDelays('callers').run,
             self.gateway.session_exchange.run,
