Bound what connections hold of an answer beside its body

Cause: the limit on a head ends with the head and that on a body counts its bytes, so that nothing limited what follows the last chunk. The parser keeps it as bytes and as text, of which a character takes four bytes once one of its line needs them. Ruled out: extensions and sizes of chunks, which the parser doesn't keep, and bytes after the answer.

Bytes in sequence that carry nothing of a body are limited to 16 KiB, and the memory of a head to 512 KiB. Both count in the memory of the process as they are held, and what is ended is freed at once: the connection, its error and the account referred to each other.

--- a/packages/daemon/src/yuccarouter/answer_connections.py
+++ b/packages/daemon/src/yuccarouter/answer_connections.py
@@ -12,16 +12,21 @@
 import attrs
 from aiohttp import client_proto, hdrs, http_exceptions, streams
 
-from yuccarouter import answer_ends
+from yuccarouter import answer_ends, held_fields
+from yuccarouter_common import errors
 
 if TYPE_CHECKING:
     from aiohttp.http_parser import RawResponseMessage
 
-# Limit on the bytes before an answer's body, interim answers included.
+# Limit on the bytes before an answer's body, interim answers included, and on
+# the memory that one head takes while it is parsed.
 MAX_HEAD_BYTES: Final = 524_288
 # Limit on interim answers, and on blank lines in place of heads: each of them
 # costs time. An endpoint sends one or two of them.
 MAX_INTERIM_HEADS: Final = 64
+# Limit on the bytes in sequence that carry nothing of a body: chunk sizes,
+# their extensions and trailers. A sound answer has a few dozen.
+MAX_FRAMING_BYTES: Final = 16_384
 # What is received on one connection in a turn of the event loop, so that a
 # connection on which much arrives doesn't delay the others.
 _MAX_RECEIVED_BYTES: Final = 16_384
@@ -49,26 +54,44 @@
     what: str
 
 
+class EndlessAnswerError(errors.RouterError, aiohttp.ClientPayloadError):
+    """What an answer has beside its body exceeds a limit."""
+
+    code = 'endless_answer'
+
+
+# Ends an answer, whose reader then gets the error.
+EndAnswer = Callable[[BaseException], None]
+# Called with the bytes that a connection holds of an answer beside its body.
+RecordHeld = Callable[[int, EndAnswer], None]
+
 # Returns what finds the end of an event stream that does not state it, or
 # ``None`` if its reader does.
 FindStreamEnd = Callable[[], answer_ends.AnswerEnd | None]
 
 
+def _ignore_held(held_bytes: int, end: EndAnswer) -> None:
+    """Count nothing."""
+
+
 def set_up(
     connector: aiohttp.TCPConnector,
     find_stream_end: FindStreamEnd,
     on_surplus: Callable[[Surplus], None],
+    on_held: RecordHeld = _ignore_held,
 ) -> None:
     """Let a connector pass on one answer for each of its connections.
 
     The connector must close a connection after its first request.
-    ``on_surplus`` is called once for a connection on which more came.
+    ``on_surplus`` is called once for a connection on which more came, and
+    ``on_held`` whenever a connection holds more of a head or trailer.
     """
     factory = functools.partial(
         _Connection,
         loop=asyncio.get_running_loop(),
         find_stream_end=find_stream_end,
         on_surplus=on_surplus,
+        on_held=on_held,
     )
     # aiohttp has no public way to set the class of its connections.
     connector._factory = factory  # type: ignore[assignment]  # noqa: WPS437
@@ -82,7 +105,8 @@
     together with it: bytes that are no answer then fail the parser only after
     the answer before them was passed on. An answer without a length ends where
     another one starts. aiohttp also takes it as complete if its connection is
-    reset, and accepts any number of interim answers.
+    reset, and accepts any number of interim answers, and trailers of any
+    length.
     """
 
     _parse = client_proto.ResponseHandler.data_received
@@ -92,16 +116,23 @@
         loop: asyncio.AbstractEventLoop,
         find_stream_end: FindStreamEnd,
         on_surplus: Callable[[Surplus], None],
+        on_held: RecordHeld,
     ) -> None:
         super().__init__(loop)
         self._find_stream_end = find_stream_end
         self._on_surplus = on_surplus
+        self._on_held = on_held
         self._head = bytearray()
         self._head_bytes = 0
         self._interim_heads = 0
         self._body: streams.StreamReader | None = None
         self._answer_end: answer_ends.AnswerEnd | None = None
         self._has_surplus = False
+        self._head_fields = held_fields.HeldFields()
+        # Since the last bytes of the body, of which ``_body_bytes`` came.
+        self._framing_fields = held_fields.HeldFields()
+        self._framing_bytes = 0
+        self._body_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit what is received at a time."""
@@ -157,7 +188,8 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         body = self._body
-        if body is not None and not body.is_eof():
+        has_failed = body is not None and body.exception() is not None
+        if body is not None and not (body.is_eof() or has_failed):
             # Without a transport, this side has closed the connection.
             if exc is not None or self.transport is None:
                 body.set_exception(
@@ -169,6 +201,7 @@
                 self._pass_on(self._answer_end.close(), body)
         # Errors of the answer refer to this connection, and may be kept.
         self._answer_end = None
+        self._head.clear()
         super().connection_lost(exc)
 
     def _find_head_end(self, data: bytes, position: int) -> int:
@@ -189,30 +222,76 @@
         if self._interim_heads > MAX_INTERIM_HEADS:
             return self._reject_head('follows too many interim answers')
         self._head += part
+        self._head_fields.add(part)
+        if self._head_fields.held_bytes > MAX_HEAD_BYTES:
+            return self._reject_head(f'takes over {MAX_HEAD_BYTES} bytes')
         is_complete = self._head.endswith(_HEAD_ENDS)
         if is_complete and _STATUS_LINE.search(self._head.lstrip(), 1):
             return self._reject_head('goes on with another answer')
         self._parse(part)
-        if self._body is None and is_complete:
+        if is_complete:
             self._head.clear()
+        if self._body is None and is_complete:
             self._interim_heads += 1
-        return self.exception() is None
+            self._head_fields = held_fields.HeldFields()
+        if self.exception() is None:
+            self._record_held()
+        # Without a transport, the answer has just been ended.
+        return self.exception() is None and self.transport is not None
 
     def _reject_head(self, reason: str) -> bool:
         """End the connection; return that it does not go on."""
+        self._end(EndlessAnswerError(f'answer head {reason}'))
+        return False
+
+    def _end(self, error: BaseException) -> None:
+        """Close the connection; who reads its answer gets the error."""
         # Aborting would remove the exception, and reading end without one.
         self.abort()
-        self.set_exception(aiohttp.ClientPayloadError(f'answer head {reason}'))
-        return False
+        # Its memory must not wait for the reader.
+        self._parser = None
+        self._head.clear()
+        if self._body is None:
+            self.set_exception(error)
+        elif not self._body.is_eof():
+            self._body.set_exception(error)
+
+    def _record_held(self) -> None:
+        self._on_held(
+            self._head_fields.held_bytes + self._framing_fields.held_bytes,
+            self._end,
+        )
 
     def _receive_body(self, data: bytes, body: streams.StreamReader) -> None:
         if body.is_eof():
             self._record_surplus('bytes')
         elif self._answer_end is None:
             self._parse(data)
+            self._limit_framing(data, body)
         else:
             self._pass_on(self._answer_end.feed(data), body)
 
+    def _limit_framing(self, data: bytes, body: streams.StreamReader) -> None:
+        """Limit what comes without a part of the body.
+
+        The parser keeps all trailers until their end.
+        """
+        if body.is_eof() or body.total_bytes > self._body_bytes:
+            self._body_bytes = body.total_bytes
+            self._framing_bytes = 0
+            self._framing_fields = held_fields.HeldFields()
+            return
+        self._framing_bytes += len(data)
+        self._framing_fields.add(data)
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self._end(
+                EndlessAnswerError(
+                    f'over {MAX_FRAMING_BYTES} bytes carry nothing of the body'
+                )
+            )
+        else:
+            self._record_held()
+
     def _pass_on(self, data: bytes, body: streams.StreamReader) -> None:
         """Pass on a part of an answer without a length, and end it if due."""
         if data:
--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -14,7 +14,9 @@
 import yarl
 from aiohttp import hdrs, web
 
+from yuccarouter import answer_connections
 from yuccarouter.gateway import (
+    answer_memory,
     answer_progress,
     caller_answers,
     connections,
@@ -23,7 +25,6 @@
     metrics,
     model,
     ports,
-    process_memory,
     prompt_parts,
     request_digests,
     rollouts,
@@ -48,9 +49,20 @@
 # Lower ones, as that of a switch of protocols, end no request of a caller.
 _MIN_FINAL_STATUS: Final = 200
 _MAX_STATUS: Final = 599
+# Errors of answers that go on beyond a limit.
+ENDLESS_ERRORS: Final = (
+    answer_memory.MemoryExceededError,
+    answer_connections.EndlessAnswerError,
+)
 # Share of the retry budget that is reserved for retries after failures.
 _FAILURE_RESERVE_SHARE: Final = 0.15
-
+# Errors of the connection while an answer's head is awaited.
+_HEAD_ERRORS: Final = (
+    aiohttp.ClientError,
+    OSError,
+    ValueError,
+    answer_memory.MemoryExceededError,
+)
 
 # Attempts that did not reach an engine, or that the engine ended.
 _NOT_DROPPED: Final = frozenset(
@@ -61,12 +73,6 @@
 _MAX_CRASHES: Final = 2
 
 
-class MemoryExceededError(errors.RouterError):
-    """An answer was ended, as all unfinished ones held too much memory."""
-
-    code = 'memory_exceeded'
-
-
 class SupersededError(errors.RouterError):
     """A newer configuration would not send a call that is not sent yet."""
 
@@ -281,8 +287,7 @@
     head: model.AnswerHead
     view: endpoints.EndpointView
     progress: answer_progress.Progress
-    holding: process_memory.Holding
-    memory: process_memory.ProcessMemory
+    held: answer_memory.AnswerMemory
 
     @property
     def sent_ms(self) -> float:
@@ -306,7 +311,7 @@
         copies = _ANSWER_COPIES
         if self.framing == 'none':
             copies *= 2
-        self.memory.resize(self.holding, copies * held_bytes)
+        self.held.resize_body(copies * held_bytes)
 
 
 @contextlib.asynccontextmanager
@@ -340,13 +345,16 @@
         time_factor=chosen.time_factor,
         waiting_before=gate.waiting_at(out, view, sent_ms),
     )
-    with out.gateway.control.latencies.follow(progress):
+    with (
+        out.gateway.control.latencies.follow(progress),
+        answer_memory.hold(out.gateway.memory, view.name) as held,
+    ):
         _record_send(out, view, sent_ms)
         view.in_flight += 1
         view.pending_prefill_ms += prefill_ms
         try:
             response = await _await_response(
-                out, progress, last_event_id, head_timeout_ms
+                out, progress, held, last_event_id, head_timeout_ms
             )
         except BaseException as fault:
             _end_attempt(out, progress, getattr(fault, 'code', ''))
@@ -354,26 +362,16 @@
         finally:
             view.pending_prefill_ms -= prefill_ms
         elapsed_ms = clocks.monotonic_ms() - sent_ms
-        memory = out.gateway.memory
-
-        def end() -> None:
-            response.content.set_exception(MemoryExceededError('ended'))
-
         try:
-            with memory.hold(
-                process_memory.Owner('endpoint', view.name),
-                process_memory.LARGEST_FIRST,
-                end,
-            ) as holding:
-                opened = _checked_answer(out, response, progress, holding)
-                if uncached_tokens and opened.head.status == _OK:
-                    speeds.record(
-                        model_name, elapsed_ms - backlog_ms, uncached_tokens
-                    )
-                observations.record_read(
-                    out.gateway, opened, elapsed_ms, backlog_ms
+            opened = _checked_answer(out, response, progress, held)
+            if uncached_tokens and opened.head.status == _OK:
+                speeds.record(
+                    model_name, elapsed_ms - backlog_ms, uncached_tokens
                 )
-                yield opened
+            observations.record_read(
+                out.gateway, opened, elapsed_ms, backlog_ms
+            )
+            yield opened
         finally:
             response.close()
             _end_attempt(out, progress)
@@ -398,6 +396,7 @@
 async def _await_response(
     out: OutgoingCall,
     progress: answer_progress.Progress,
+    held: answer_memory.AnswerMemory,
     last_event_id: str,
     head_timeout_ms: float,
 ) -> aiohttp.ClientResponse:
@@ -407,7 +406,7 @@
             max(0, head_timeout_ms) / _MS_PER_S
         ) as timeout:
             with _follow_waiting(out, progress, timeout):
-                return await _send(out, view, progress.model, last_event_id)
+                return await _send(out, progress, held, last_event_id)
     except (
         aiohttp.ConnectionTimeoutError,
         aiohttp.ClientConnectorError,
@@ -435,16 +434,26 @@
             'no_answer',
             may_have_run=True,
         ) from fault
-    except (aiohttp.ClientError, OSError, ValueError) as fault:
-        _record_lost_answer(
-            out, view, 'answer_lost', f'{type(fault).__name__}: {fault}'
-        )
-        raise AttemptError(
-            'connection failed before the answer arrived',
-            'answer_lost',
-            may_have_run=True,
-            lost=progress,
-        ) from fault
+    except _HEAD_ERRORS as fault:
+        # The connection keeps the error, whose traceback keeps the connection.
+        raise _lost_head(out, progress, fault) from fault.with_traceback(None)
+
+
+def _lost_head(
+    out: OutgoingCall, progress: answer_progress.Progress, fault: Exception
+) -> AttemptError:
+    """Record an answer without a head, and return the attempt's error."""
+    if isinstance(fault, answer_memory.MemoryExceededError):
+        _record_endless_head(out, progress.view, fault.code)
+        return AttemptError(fault.message, fault.code, may_have_run=True)
+    reason = f'{type(fault).__name__}: {fault}'
+    _record_lost_answer(out, progress.view, 'answer_lost', reason)
+    return AttemptError(
+        'connection failed before the answer arrived',
+        'answer_lost',
+        may_have_run=True,
+        lost=progress,
+    )
 
 
 def _follow_waiting(
@@ -467,11 +476,12 @@
 
 async def _send(
     out: OutgoingCall,
-    view: endpoints.EndpointView,
-    model_name: str,
+    progress: answer_progress.Progress,
+    held: answer_memory.AnswerMemory,
     last_event_id: str,
 ) -> aiohttp.ClientResponse:
     call = out.call
+    view = progress.view
     headers = out.gateway.platform.encode_attempt(
         call,
         ports.Attempt(
@@ -479,12 +489,13 @@
             deadline_ms=out.remaining_ms(),
             organisation=out.organisation,
             priority=out.priority,
-            model=model_name,
+            model=progress.model,
             last_event_id=last_event_id,
         ),
     )
     connections.request_id.set(call.request_id)
     checking = connections.check_before_send.set(out.check_before_send)
+    counting = connections.record_held.set(held.resize_fields)
     try:
         return await out.gateway.session.request(
             call.method,
@@ -496,6 +507,7 @@
             allow_redirects=False,
         )
     finally:
+        connections.record_held.reset(counting)
         connections.check_before_send.reset(checking)
 
 
@@ -503,7 +515,7 @@
     out: OutgoingCall,
     response: aiohttp.ClientResponse,
     progress: answer_progress.Progress,
-    holding: process_memory.Holding,
+    held: answer_memory.AnswerMemory,
 ) -> OpenAnswer:
     """Return the answer; raises ``AttemptError`` if its head is rejected."""
     view = progress.view
@@ -541,8 +553,7 @@
     if generation is not None:
         parts = [part.name for part in generation.parts]
         view.record_cached(progress.model, parts, now_ms)
-    memory = out.gateway.memory
-    return OpenAnswer(response, head, view, progress, holding, memory)
+    return OpenAnswer(response, head, view, progress, held)
 
 
 def _record_notices(
@@ -606,6 +617,12 @@
             'no_answer',
             may_have_run=True,
         ) from fault
+    except ENDLESS_ERRORS as fault:
+        record_endless(out, opened, fault.code, fault.message)
+        # The answer keeps the error, whose traceback keeps the answer.
+        raise AttemptError(
+            fault.message, fault.code, may_have_run=True
+        ) from fault.with_traceback(None)
     except (aiohttp.ClientError, OSError) as fault:
         record_failure(out, opened, 'broken_answer', str(fault))
         raise AttemptError(
@@ -614,12 +631,6 @@
             may_have_run=True,
             lost=opened.progress,
         ) from fault
-    except MemoryExceededError as fault:
-        record_endless(out, opened, fault.code)
-        # The answer keeps the error, whose traceback keeps the answer.
-        raise AttemptError(
-            fault.message, fault.code, may_have_run=True
-        ) from fault.with_traceback(None)
     if body is None:
         record_endless(out, opened, 'endless_answer')
         raise AttemptError(
@@ -655,7 +666,7 @@
 ) -> web.Response:
     """Return the response that passes an endpoint's answer to the caller."""
     return caller_answers.CallerAnswer(
-        opened.memory,
+        out.gateway.memory,
         out.organisation,
         status=opened.head.status,
         body=body,
@@ -807,6 +818,14 @@
     out.gateway.failure_reports.report_failure(view.name, now_ms)
 
 
+def _record_endless_head(
+    out: OutgoingCall, view: endpoints.EndpointView, outcome: str
+) -> None:
+    """Record a head beyond a limit, here and for the other daemons."""
+    _record_lost_answer(out, view, outcome)
+    out.gateway.failure_reports.report_failure(view.name, clocks.monotonic_ms())
+
+
 def _record_lost_answer(
     out: OutgoingCall,
     view: endpoints.EndpointView,
--- a/packages/daemon/src/yuccarouter/gateway/caller_answers.py
+++ b/packages/daemon/src/yuccarouter/gateway/caller_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from typing import TYPE_CHECKING, Any, Final
 
 from aiohttp import web
@@ -41,9 +42,11 @@
         # The connection keeps the response until its next one.
         self._body = None
         policy = process_memory.STALLED_FIRST
+        head_bytes = sum(map(sys.getsizeof, self.headers.values()))
         with self._memory.hold(self._owner, policy, self._abort) as holding:
             for rest_bytes, piece in _pieces(body):
-                self._memory.resize(holding, rest_bytes + len(piece))
+                held_bytes = head_bytes + rest_bytes + len(piece)
+                self._memory.resize(holding, held_bytes)
                 await self.write(piece)
             await web.StreamResponse.write_eof(self)
 
--- a/packages/daemon/src/yuccarouter/gateway/connections.py
+++ b/packages/daemon/src/yuccarouter/gateway/connections.py
@@ -70,6 +70,17 @@
 )
 
 
+def _count_nothing(held_bytes: int, end: answer_connections.EndAnswer) -> None:
+    """Count no memory."""
+
+
+# Called with what the connection of a request holds of its answer's head and
+# trailer, and with what ends the answer.
+record_held: Final[contextvars.ContextVar[answer_connections.RecordHeld]] = (
+    contextvars.ContextVar('record_held', default=_count_nothing)
+)
+
+
 class _Connector(aiohttp.TCPConnector):
     """Opens connections within a time that leaves them turns of the loop."""
 
@@ -116,6 +127,7 @@
         connector,
         functools.partial(answer_ends.StreamEnd, extra_event_fields),
         _record_surplus,
+        _record_held,
     )
     session = aiohttp.ClientSession(
         connector=connector,
@@ -134,6 +146,10 @@
     return session
 
 
+def _record_held(held_bytes: int, end: answer_connections.EndAnswer) -> None:
+    record_held.get()(held_bytes, end)
+
+
 def _record_surplus(surplus: answer_connections.Surplus) -> None:
     metrics.SURPLUS_ANSWERS.inc()
     eliot.log_message(
--- a/packages/daemon/src/yuccarouter/gateway/process_memory.py
+++ b/packages/daemon/src/yuccarouter/gateway/process_memory.py
@@ -84,6 +84,8 @@
     lambda holding: -holding.held_bytes,
     share=1,
     remaining_share=0.5,
+    # Nothing of the others has arrived.
+    min_bytes=1,
 )
 # Callers that go on with their body, or read their answer, are spared.
 STALLED_FIRST: Final = Policy(
--- a/packages/daemon/src/yuccarouter/gateway/streaming.py
+++ b/packages/daemon/src/yuccarouter/gateway/streaming.py
@@ -62,7 +62,7 @@
 _ENDLESS_ERRORS: Final = (
     events.EventTooLongError,
     events.NoProgressError,
-    attempts.MemoryExceededError,
+    *attempts.ENDLESS_ERRORS,
 )
 _STREAM_ERRORS: Final = (
     aiohttp.ClientError,
