Bound the trailers and chunk extensions of callers' bodies

The related path of the trailers of answers: 40 callers that send trailers without end took 782 MB where 128 are allowed, which ends the process with all callers' requests. The limit on a head didn't count while a body was incomplete.

A request whose body is cut there has not run, and its connection is closed; requests before it are answered.

--- a/packages/daemon/src/yuccarouter/gateway/caller_connections.py
+++ b/packages/daemon/src/yuccarouter/gateway/caller_connections.py
@@ -38,9 +38,10 @@
     _waits_for_turn: bool = False
     # Since the last turn. The bytes of one read may be processed in parts.
     _processing_s: float = 0
-    # Since the end of the last request.
-    _head_bytes: int = 0
+    # Since the last request, or the last bytes of its body.
+    _field_bytes: int = 0
     _last_body: streams.StreamReader = streams.EMPTY_PAYLOAD
+    _body_bytes: int = 0
 
     def __init__(
         self, manager: web.Server, turns: read_turns.ReadTurns, **options: Any
@@ -74,30 +75,40 @@
         self._received_s = began_s
         requests = self._request_count
         super().data_received(data)
-        self._limit_head(len(data), self._request_count - requests)
+        self._limit_fields(len(data), self._request_count - requests)
         self._processing_s += self._loop.time() - began_s
         if self._processing_s >= _LONG_PROCESSING_S:
             self._wait_for_turn()
 
-    def _limit_head(self, received_bytes: int, requests: int) -> None:
-        """Take no more of a head that is too long.
+    def _limit_fields(self, received_bytes: int, requests: int) -> None:
+        """Take no more of a head or trailer that is too long.
 
         The parser limits each line and their number. Requests before it are
         still answered, and the connection is closed then.
         """
         if requests:
             self._last_body = self._messages[-1][1]
-        if requests or not self._last_body.is_eof():
-            self._head_bytes = 0
+            self._body_bytes = 0
+        body_bytes = self._last_body.total_bytes
+        if requests or body_bytes > self._body_bytes:
+            self._field_bytes = 0
+            self._body_bytes = body_bytes
             return
-        self._head_bytes += received_bytes
+        self._field_bytes += received_bytes
         limit_bytes = self.max_line_size + self.max_field_size
-        if self._head_bytes > limit_bytes and not self._close:
-            eliot.log_message('head_too_long', received_bytes=self._head_bytes)
+        if self._field_bytes > limit_bytes and not self._close:
+            eliot.log_message('head_too_long', received_bytes=self._field_bytes)
             self.close()
-            if self.transport is not None and self._current_request is None:
+            if self.transport is not None and not self._has_request_before():
                 self.transport.abort()
 
+    def _has_request_before(self) -> bool:
+        """Return whether a request is in progress whose body has ended."""
+        current = self._current_request
+        return current is not None and (
+            self._last_body.is_eof() or current.content is not self._last_body
+        )
+
     def _wait_for_turn(self) -> None:
         """Receive no more until this connection's turn comes."""
         if self._waits_for_turn or self.transport is None:
--- a/packages/daemon/tests/gateway/test_caller_heads.py
+++ b/packages/daemon/tests/gateway/test_caller_heads.py
@@ -14,6 +14,7 @@
 
 
 async def serve(request: web.BaseRequest) -> web.Response:
+    await request.read()
     return web.Response(text='x')
 
 
@@ -51,6 +52,8 @@
 
 HEAD = b'GET / HTTP/1.1\r\nHost: h\r\n'
 LINE = b'X: ' + b'y' * 90 + b'\r\n'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+EXTENDED_CHUNK = b'5;' + b'e' * 500 + b'\r\nhello\r\n'
 
 
 @pytest.mark.parametrize(
@@ -63,6 +66,12 @@
         # Bodies and requests in succession are no head.
         ([HEAD + b'Content-Length: 6000\r\n\r\n', *[b'z' * 600] * 10], 1),
         ([HEAD + LINE * 8 + b'\r\n'] * 5, 5),
+        # Trailers, one of them without end; chunk extensions.
+        ([CHUNKED, b'0\r\n', LINE, b'\r\n', HEAD + b'\r\n'], 2),
+        ([CHUNKED, b'0\r\n', *[LINE] * 50], 0),
+        ([HEAD + b'\r\n', CHUNKED, b'0\r\n', *[LINE] * 50], 1),
+        ([CHUNKED, *[EXTENDED_CHUNK] * 20, b'0\r\n\r\n'], 1),
+        ([CHUNKED, b'5;a=', *[b'b' * 90] * 50], 0),
     ],
 )
 async def test_long_heads(pieces: list[bytes], answers: int) -> None:
