Let no endpoint's failure pass for a promise of the gateway

What callers saw: payouts that an endpoint ran and answered with a sealed 503 were passed on with that status, which states that a request has not run.

Cause: an endpoint's answer with a seal was final on a route whose requests may run once, and below 500 on every route, whatever its status states. Ruled out: answers with the endpoint's statement, and those without a seal, which were tried elsewhere or answered 502 before. 421 is a statement by itself.

One module decides which statuses state that a request has not run, and whether an attempt may have run it. Without the endpoint's statement, such an answer is a failed attempt on every route: tried elsewhere where the request may be repeated, else 502 without a seal, which promises nothing. It counts as a failure of the endpoint; 408 and 429 counted as served before.

--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -25,6 +25,7 @@
     metrics,
     model,
     ports,
+    promises,
     prompt_parts,
     request_digests,
     rollouts,
@@ -549,11 +550,27 @@
             may_have_run=True,
         )
     out.gateway.failure_reports.record_answer(view.name, now_ms)
+    opened = OpenAnswer(response, head, view, progress, held)
+    _reject_unstated_refusal(out, opened)
     generation = out.call.generation
     if generation is not None:
         parts = [part.name for part in generation.parts]
         view.record_cached(progress.model, parts, now_ms)
-    return OpenAnswer(response, head, view, progress, held)
+    return opened
+
+
+def _reject_unstated_refusal(out: OutgoingCall, opened: OpenAnswer) -> None:
+    """Raise ``AttemptError`` for a status that promises too much.
+
+    The endpoint doesn't state that it hasn't run the request, and callers would
+    take the status for the gateway's promise.
+    """
+    if promises.states_not_run(opened.head.status):
+        opened.progress.has_ended = True
+        record_failure(out, opened, 'failed')
+        raise AttemptError(
+            'endpoint failed to answer the request', 'failed', may_have_run=True
+        )
 
 
 def _record_notices(
--- a/packages/daemon/src/yuccarouter/gateway/refusal_responses.py
+++ b/packages/daemon/src/yuccarouter/gateway/refusal_responses.py
@@ -9,6 +9,7 @@
 import orjson
 from aiohttp import web
 
+from yuccarouter.gateway import promises
 from yuccarouter_common import records, refusals
 
 if TYPE_CHECKING:
@@ -78,7 +79,7 @@
 
     ``out`` is ``None`` if the request was not read completely.
     """
-    if out is None or not (out.has_run or out.runs):
+    if out is None or not promises.may_have_run(out):
         return shutting_down()
     return refusals.RefusalError(
         'deadline_exceeded',
@@ -145,7 +146,7 @@
     The refusal says that the call has not run only if no attempt may have run
     it.
     """
-    if out.has_run or (fault is not None and fault.may_have_run):
+    if promises.may_have_run(out):
         code = (
             'upstream_failed' if out.remaining_ms() > 0 else 'deadline_exceeded'
         )
