Weigh crashes late in an answer, and of engines that die together

What callers saw: a stream that crashes engines 0.6 s after its first event came again and again and was never held.

Cause: an answer that had gone on for half a second counted as proof. The crash that ended it was no evidence, and it cleared the request of earlier crashes.

An answer that goes on now clears its request only of crashes that come earlier than half of the time that it went on for; one that ends clears it of all. A crash late in an answer is evidence against the request and against parts that were never answered that late. Crashes are weighed: less where an engine ran many requests, and engines that die together count as one event. The attempts whose suspects met most crashes are kept and sent first: one crash of a busy engine brings more than the 64 that are kept.

--- a/packages/daemon/src/yuccarouter/gateway/answer_progress.py
+++ b/packages/daemon/src/yuccarouter/gateway/answer_progress.py
@@ -7,14 +7,12 @@
 
 import attrs
 
-from yuccarouter.gateway import stream_timeouts
+from yuccarouter.gateway import answer_times, stream_timeouts
 
 if TYPE_CHECKING:
     from yuccarouter.gateway import endpoints
 
 _MS_PER_EVENT: Final = 20.0
-# An engine that crashes on a prompt may send the first events before.
-_PROCEEDED_AFTER_MS: Final = 500.0
 
 
 @attrs.define(eq=False)
@@ -23,8 +21,9 @@
 
     ``model`` is empty for plain services. ``events`` are those received so
     far and ``first_event_ms`` is when the first one arrived. ``is_judged`` is
-    true once the answer has been counted as slow, and ``is_proven`` once it
-    has shown that its request crashes no engine. ``has_ended`` is true once the
+    true once the answer has been counted as slow, and ``proceeded_ms`` is for
+    how long it had gone on, as far as that was recorded, or infinite once it
+    has ended well. ``has_ended`` is true once the
     endpoint has refused the request or ended its answer, and
     ``was_withdrawn`` once this daemon has decided to end the attempt because
     endpoints crash on the request. ``time_factor`` is the factor that was
@@ -41,7 +40,7 @@
     events: int = 0
     first_event_ms: float = math.inf
     is_judged: bool = False
-    is_proven: bool = False
+    proceeded_ms: float = 0
     has_ended: bool = False
     was_withdrawn: bool = False
     time_factor: float | None = None
@@ -53,9 +52,21 @@
             self.first_event_ms = now_ms
         self.events = events
 
-    def has_proceeded(self, now_ms: float) -> bool:
-        """Return whether the answer has gone on after its first event."""
-        return now_ms - self.first_event_ms >= _PROCEEDED_AFTER_MS
+    def ran_ms(self, now_ms: float) -> float:
+        """Return the time since the first event, 0 before it."""
+        return max(0, now_ms - self.first_event_ms)
+
+    def record_proceeding(self, now_ms: float) -> bool:
+        """Record that the answer goes on; return whether that is news."""
+        ran_ms = self.ran_ms(now_ms)
+        reached_ms = max(
+            (each for each in answer_times.PROCEEDED_MS if each <= ran_ms),
+            default=0,
+        )
+        if reached_ms <= self.proceeded_ms:
+            return False
+        self.proceeded_ms = reached_ms
+        return True
 
     @property
     def kinds(self) -> tuple[str, ...]:
--- a/packages/daemon/src/yuccarouter/gateway/attempts.py
+++ b/packages/daemon/src/yuccarouter/gateway/attempts.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import functools
+import math
 from typing import TYPE_CHECKING, Final
 
 import aiohttp
@@ -692,11 +693,10 @@
 
 
 def record_proceeding(out: OutgoingCall, opened: OpenAnswer) -> None:
-    """Record an answer that goes on: its request crashes no endpoint."""
+    """Record an answer that goes on: its request crashed no endpoint so far."""
     progress = opened.progress
-    if not progress.is_proven and progress.has_proceeded(clocks.monotonic_ms()):
-        progress.is_proven = True
-        _record_sound_request(out)
+    if progress.record_proceeding(clocks.monotonic_ms()):
+        _record_sound_request(out, progress)
 
 
 def record_success(out: OutgoingCall, opened: OpenAnswer) -> None:
@@ -709,8 +709,8 @@
             out.service, out.call.session, opened.view.announced.version
         )
     if opened.head.status == _OK:
-        opened.progress.is_proven = True
-        _record_sound_request(out)
+        opened.progress.proceeded_ms = math.inf
+        _record_sound_request(out, opened.progress)
     elapsed_ms = clocks.monotonic_ms() - opened.sent_ms
     observations.record_service(out, opened, elapsed_ms)
     gate.record_answer(
@@ -765,9 +765,14 @@
     out.gateway.failure_reports.report_failure(opened.view.name, now_ms)
 
 
-def _record_sound_request(out: OutgoingCall) -> None:
+def _record_sound_request(
+    out: OutgoingCall, progress: answer_progress.Progress
+) -> None:
     out.gateway.crash_evidence.record_answer(
-        out.service, out.suspects, clocks.monotonic_ms()
+        out.service,
+        out.suspects,
+        clocks.monotonic_ms(),
+        progress.proceeded_ms,
     )
 
 
--- a/packages/daemon/src/yuccarouter/gateway/crash_caution.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_caution.py
@@ -10,11 +10,14 @@
 from collections.abc import Collection, Iterable
 from typing import Final
 
-from yuccarouter.gateway import crash_suspicions
+from yuccarouter.gateway import crash_suspicions, crash_weights
 
 # Most engines are back after this time.
 _CAUTION_MS: Final = 3500.0
 _MIN_ENGINES_LEFT: Final = 2
+# An answer that had gone on for longer has shown that a second crash is not
+# near.
+_MAX_RAN_MS: Final = 500.0
 # If more requests were lost in a crash, each of them is probably sound.
 _MAX_LOST_REQUESTS: Final = 3
 
@@ -41,8 +44,7 @@
         attempt.crashed_ms
         for attempt in recent
         if attempt.repeated_request in suspects
-        and attempt.repeated_request not in attempt.answered
-        and _lost_requests(attempt.engine, recent) <= _MAX_LOST_REQUESTS
+        and _may_be_cause(attempt, recent)
     ]
     if not crashed_ms:
         return 0
@@ -52,6 +54,24 @@
     return max(crashed_ms) + _CAUTION_MS - now_ms
 
 
+def _may_be_cause(
+    attempt: crash_suspicions.CrashedAttempt,
+    recent: list[crash_suspicions.CrashedAttempt],
+) -> bool:
+    """Return whether a request may well have crashed its engine.
+
+    It is unlikely if engines without it crashed at the same moment.
+    """
+    if attempt.ran_ms >= _MAX_RAN_MS:
+        return False
+    if attempt.repeated_request in attempt.answered:
+        return False
+    if _lost_requests(attempt.engine, recent) > _MAX_LOST_REQUESTS:
+        return False
+    weights = crash_weights.weights(recent)
+    return weights[attempt.service].of([attempt]) >= 1
+
+
 def _lost_requests(
     engine: str, attempts: list[crash_suspicions.CrashedAttempt]
 ) -> int:
--- a/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import math
 from collections.abc import Callable, Collection, Iterable, Iterator
 from typing import Any, Final
@@ -43,6 +44,11 @@
 # Attempts without suspects are kept for this time, so that peers learn of it.
 _CLEARED_AGE_MS: Final = 10_000.0
 _MAX_ATTEMPTS: Final = 64
+# Suspected parts of one attempt. Answers mostly clear all but a few of them.
+_MAX_SUSPECTED_PARTS: Final = 32
+# An engine may send the first events before it crashes on the start of an
+# answer.
+_MAX_START_MS: Final = 500.0
 _MAX_ATTEMPTS_PER_SUSPICION: Final = 8
 # Bounds of a message, which must fit a datagram together with others.
 _MAX_SENT_ATTEMPTS: Final = 12
@@ -51,11 +57,17 @@
 _MAX_PART_LENGTH: Final = 16
 
 # The key, the engine and the service, the ages of the send and of the crash in
-# milliseconds, and two lists of suspects: those never answered before, and the
-# others.
+# milliseconds, two lists of suspects: those never answered before, and the
+# others; and the time from the first event to the crash in milliseconds.
 Fields = tuple[
-    tuple[int, int], tuple[str, str], tuple[int, int], tuple[list[str], ...]
+    tuple[int, int],
+    tuple[str, str],
+    tuple[int, int],
+    tuple[list[str], ...],
+    int,
 ]
+# Daemons of earlier versions don't send the last one.
+_FIELDS_WITHOUT_RUN: Final = 4
 
 
 @attrs.frozen(eq=False)
@@ -116,6 +128,27 @@
     _tried_ms: dict[frozenset[str], float] = attrs.field(factory=dict)
     _waiting: set[WaitingRequest] = attrs.field(factory=set)
 
+    def suspects_of_crash(
+        self, service: str, digest: str, parts: Collection[str], ran_ms: float
+    ) -> frozenset[str]:
+        """Return what of a request may have crashed its engine.
+
+        Those are the request and the parts of its prompt that were answered
+        longest ago. After the start of an answer, only parts that were never
+        answered are suspects: most prompts that an engine works on share the
+        others.
+        """
+        rarest = self._answered.rarest(
+            service, parts, _MAX_SUSPECTED_PARTS, ran_ms
+        )
+        if ran_ms >= _MAX_START_MS:
+            rarest = [
+                part
+                for part in rarest
+                if self._answered.last_ms(service, part, ran_ms) == -math.inf
+            ]
+        return frozenset((digest, *rarest))
+
     def record_crash(
         self, attempt: crash_suspicions.CrashedAttempt, now_ms: float
     ) -> crash_suspicions.CrashedAttempt:
@@ -127,18 +160,19 @@
         if is_new and not attempt.suspects:
             # A peer has cleared it before this daemon learned of it.
             return attempt
+        last_ms = functools.partial(
+            self._answered.last_ms, attempt.service, ran_ms=attempt.ran_ms
+        )
         known = self._attempts.setdefault(attempt.key, attrs.evolve(attempt))
         suspects = frozenset(
             part
             for part in known.suspects & attempt.suspects
-            if self._answered.last_ms(attempt.service, part)
-            <= attempt.crashed_ms
+            if last_ms(part) <= attempt.crashed_ms
         )
         answered = known.answered | frozenset(
             part
             for part in attempt.suspects
-            if part in attempt.answered
-            or self._answered.last_ms(attempt.service, part) > -math.inf
+            if part in attempt.answered or last_ms(part) > -math.inf
         )
         if is_new or (suspects, answered) != (
             known.suspects,
@@ -160,15 +194,24 @@
             self.record_crash(attempt, now_ms)
 
     def record_answer(
-        self, service: str, suspects: Collection[str], now_ms: float
+        self,
+        service: str,
+        suspects: Collection[str],
+        now_ms: float,
+        proceeded_ms: float = math.inf,
     ) -> None:
-        """Record an answer that went on: its request caused no crash before."""
+        """Record an answer: its request caused no crash before.
+
+        One that goes on clears it of crashes that come much earlier in an
+        answer, one that has ended of all.
+        """
         for suspect in suspects:
-            self._answered.record(service, suspect, now_ms)
+            self._answered.record(service, suspect, now_ms, proceeded_ms)
         changed = [
             attempt
             for attempt in self._attempts.values()
             if attempt.service == service
+            and answer_times.clears(proceeded_ms, attempt.ran_ms)
             and not attempt.suspects.isdisjoint(suspects)
         ]
         for attempt in changed:
@@ -235,7 +278,8 @@
         self._update(now_ms)
         message: list[Fields] = []
         part_count = 0
-        for attempt in self._by_importance()[:_MAX_SENT_ATTEMPTS]:
+        important = _by_importance(self._attempts.values(), self._suspicions)
+        for attempt in important[:_MAX_SENT_ATTEMPTS]:
             part_count += len(attempt.suspects)
             if part_count > _MAX_SENT_PARTS:
                 break
@@ -324,21 +368,6 @@
         name = '/'.join(sorted(suspicion.parts))
         return senders.is_sender(name, self.name, self.others(), 2**doublings)
 
-    def _by_importance(self) -> list[crash_suspicions.CrashedAttempt]:
-        """Return the newest evidence of each suspicion, then the news."""
-        evidence = [
-            attempt
-            for suspicion in self._suspicions
-            for attempt in _newest(suspicion.attempts, _MAX_SENT_PER_SUSPICION)
-        ]
-        news = sorted(
-            self._attempts.values(),
-            key=lambda each: each.changed_ms,
-            reverse=True,
-        )
-        by_key = {each.key: each for each in (*evidence, *news)}
-        return list(by_key.values())
-
     def _update(self, now_ms: float) -> None:
         """Discard what is outdated or too much, and find the suspicions."""
         kept = [
@@ -367,7 +396,7 @@
         room = max(0, _MAX_ATTEMPTS - len(evidence))
         self._attempts = {
             each.key: each
-            for each in (*evidence[:_MAX_ATTEMPTS], *_newest(others, room))
+            for each in (*evidence[:_MAX_ATTEMPTS], *_repeated(others, room))
         }
         self._report_changes(suspicions)
         self._suspicions = suspicions
@@ -429,6 +458,7 @@
             sorted(attempt.new_suspects),
             sorted(attempt.suspects & attempt.answered),
         ),
+        math.ceil(attempt.ran_ms),
     )
 
 
@@ -436,7 +466,7 @@
     fields: Any, now_ms: float
 ) -> crash_suspicions.CrashedAttempt:
     """Return an attempt; raises ``TypeError`` or ``ValueError``."""
-    key, names, ages_ms, suspects = fields
+    key, names, ages_ms, suspects = fields[:_FIELDS_WITHOUT_RUN]
     engine, service = names
     request, number = map(numbers.integer, key)
     sent_age_ms, crash_age_ms = map(numbers.integer, ages_ms)
@@ -455,9 +485,70 @@
         suspects=frozenset((*new, *answered)),
         answered=frozenset(answered),
         changed_ms=now_ms,
+        ran_ms=max((0, *map(numbers.integer, fields[_FIELDS_WITHOUT_RUN:]))),
     )
 
 
+def _by_importance(
+    attempts: Collection[crash_suspicions.CrashedAttempt],
+    suspicions: list[crash_suspicions.Suspicion],
+) -> list[crash_suspicions.CrashedAttempt]:
+    """Return the newest evidence of each suspicion, then the news.
+
+    Of these, attempts come first that share a suspect with a crash of another
+    engine: a busy engine loses many requests that met it by chance.
+    """
+    evidence = [
+        attempt
+        for suspicion in suspicions
+        for attempt in _newest(suspicion.attempts, _MAX_SENT_PER_SUSPICION)
+    ]
+    counts = _crash_counts(attempts)
+    news = sorted(
+        attempts,
+        key=lambda each: (counts[each.key] > 1, each.changed_ms),
+        reverse=True,
+    )
+    by_key = {each.key: each for each in (*evidence, *news)}
+    return list(by_key.values())
+
+
+def _crash_counts(
+    attempts: Collection[crash_suspicions.CrashedAttempt],
+) -> dict[tuple[int, int], int]:
+    """Return by attempt in how many crashes one of its new suspects was."""
+    engines: dict[tuple[str, str], set[str]] = {}
+    for attempt in attempts:
+        for suspect in attempt.new_suspects:
+            key = (attempt.service, suspect)
+            engines.setdefault(key, set()).add(attempt.engine)
+    return {
+        each.key: max(
+            (len(engines[each.service, name]) for name in each.new_suspects),
+            default=0,
+        )
+        for each in attempts
+    }
+
+
+def _repeated(
+    attempts: list[crash_suspicions.CrashedAttempt], count: int
+) -> list[crash_suspicions.CrashedAttempt]:
+    """Return the attempts whose suspects were in most crashes, then the newest.
+
+    A busy engine loses more requests in one crash than are kept.
+    """
+    if len(attempts) <= count:
+        return attempts
+    counts = _crash_counts(attempts)
+    ranked = sorted(
+        attempts,
+        key=lambda each: (counts[each.key], each.crashed_ms),
+        reverse=True,
+    )
+    return ranked[:count]
+
+
 def _newest(
     attempts: Iterable[crash_suspicions.CrashedAttempt], count: int
 ) -> list[crash_suspicions.CrashedAttempt]:
--- a/packages/daemon/src/yuccarouter/gateway/crash_records.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_records.py
@@ -114,8 +114,8 @@
     """Convert ages to times of the wall clock, or such times to ages."""
     wall_ms = clocks.wall_ms()
     return [
-        (key, names, [max(0, wall_ms - time) for time in times], suspects)
-        for key, names, times, suspects in attempts
+        (key, names, [max(0, wall_ms - time) for time in times], *rest)
+        for key, names, times, *rest in attempts
     ]
 
 
--- a/packages/daemon/src/yuccarouter/gateway/crash_suspicions.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_suspicions.py
@@ -1,8 +1,8 @@
 """Finds the requests and parts of prompts that explain crashes of engines.
 
-An attempt is evidence if its engine crashed before the answer had gone on for a
-while. The whole request, by its digest, and all shared parts of its prompt are
-suspects at first. A suspect that was never answered before is suspected before
+An attempt is evidence if its engine crashed before the answer had ended. The
+whole request, by its digest, and shared parts of its prompt are suspects at
+first. A suspect that was never answered before is suspected before
 one that was, and a request before a part that explains no more crashes.
 """
 
@@ -15,10 +15,12 @@
 
 import attrs
 
-from yuccarouter.gateway import request_digests
+from yuccarouter.gateway import crash_weights, request_digests
 
 # Tolerance for the times of other daemons' attempts.
 _ORDER_TOLERANCE_MS: Final = 50.0
+# Weights are sums of fractions.
+_ROUNDING: Final = 1e-6
 # Requests are held for this time after a crash, which doubles with each one.
 _MIN_HOLD_MS: Final = 20_000.0
 # Most prompts may share an answered part, so that one is tried earlier. No more
@@ -63,13 +65,14 @@
 
 @attrs.define
 class CrashedAttempt:
-    """An attempt whose engine crashed before its answer had gone on.
+    """An attempt whose engine crashed before its answer had ended.
 
     ``request`` and ``number`` identify it, and ``engine`` the engine from its
     start to its crash. ``suspects`` may be the cause: the request, by its
     digest, and the parts of its prompt. They are only ever removed. Those in
     ``answered`` had been answered before the crash. ``changed_ms`` is the time
-    of the latest change.
+    of the latest change, and ``ran_ms`` the time from the first event to the
+    crash, 0 without an event.
     """
 
     request: int
@@ -81,6 +84,7 @@
     suspects: frozenset[str]
     answered: frozenset[str]
     changed_ms: float
+    ran_ms: float = 0
 
     @property
     def key(self) -> tuple[int, int]:
@@ -150,12 +154,14 @@
     that single requests explain do: a part that was answered before may crash
     engines now, in many requests that are each held.
     """
+    attempts = list(attempts)
+    weights = crash_weights.weights(attempts)
     remaining = [attempt for attempt in attempts if attempt.suspects]
-    new = _explanations(remaining, _new_suspects, _NEW)
+    new = _explanations(remaining, weights, _new_suspects, _NEW)
     new_parts = [each for each in new if not each.is_request]
     remaining = _unexplained(remaining, new_parts)
     known = {(each.service, each.parts) for each in new}
-    answered = _explanations(remaining, _all_suspects, _ANSWERED)
+    answered = _explanations(remaining, weights, _all_suspects, _ANSWERED)
     return new + [
         each for each in answered if (each.service, each.parts) not in known
     ]
@@ -179,6 +185,7 @@
 
 def _explanations(
     attempts: list[CrashedAttempt],
+    weights: dict[str, crash_weights.CrashWeights],
     suspects_of: Callable[[CrashedAttempt], frozenset[str]],
     thresholds: _Thresholds,
 ) -> list[Suspicion]:
@@ -192,7 +199,7 @@
     found: list[Suspicion] = []
     remaining = attempts
     while True:
-        best = _best_explanations(remaining, suspects_of, thresholds)
+        best = _best_explanations(remaining, weights, suspects_of, thresholds)
         if not best:
             return found
         found.extend(best)
@@ -201,6 +208,7 @@
 
 def _best_explanations(
     attempts: list[CrashedAttempt],
+    weights: dict[str, crash_weights.CrashWeights],
     suspects_of: Callable[[CrashedAttempt], frozenset[str]],
     thresholds: _Thresholds,
 ) -> list[Suspicion]:
@@ -215,9 +223,11 @@
         for name in suspects_of(attempt):
             by_suspect.setdefault((attempt.service, name), []).append(attempt)
     suspicions = [
-        _suspicion(evidence, suspects_of, thresholds.of(suspect))
-        for (_, suspect), evidence in by_suspect.items()
-        if _reaches(evidence, thresholds.of(suspect))
+        _suspicion(
+            evidence, weights[service], suspects_of, thresholds.of(suspect)
+        )
+        for (service, suspect), evidence in by_suspect.items()
+        if _reaches(evidence, weights[service], thresholds.of(suspect))
     ]
     most = max((each.weight for each in suspicions), default=None)
     best = {
@@ -246,6 +256,7 @@
 
 def _suspicion(
     evidence: list[CrashedAttempt],
+    weights: crash_weights.CrashWeights,
     suspects_of: Callable[[CrashedAttempt], frozenset[str]],
     threshold: Threshold,
 ) -> Suspicion:
@@ -254,31 +265,39 @@
     return Suspicion(
         service=evidence[0].service,
         parts=digests or common,
-        crashes=_crashes(evidence, threshold),
+        crashes=_crashes(evidence, weights, threshold),
         threshold=threshold,
         newest_ms=max(each.crashed_ms for each in evidence),
         attempts=tuple(evidence),
     )
 
 
-def _reaches(attempts: list[CrashedAttempt], threshold: Threshold) -> bool:
+def _reaches(
+    attempts: list[CrashedAttempt],
+    weights: crash_weights.CrashWeights,
+    threshold: Threshold,
+) -> bool:
     # Most suspects have a single attempt, and the rest takes longer.
     if len(attempts) < threshold.crashes:
         return False
     requests = {attempt.repeated_request for attempt in attempts}
     return (
         len(requests) >= threshold.requests
-        and _crashes(attempts, threshold) >= threshold.crashes
+        and _crashes(attempts, weights, threshold) >= threshold.crashes
     )
 
 
-def _crashes(attempts: list[CrashedAttempt], threshold: Threshold) -> int:
+def _crashes(
+    attempts: list[CrashedAttempt],
+    weights: crash_weights.CrashWeights,
+    threshold: Threshold,
+) -> int:
     """Return the number of crashes that count as evidence.
 
     Copies of a request may run at the same time and crash several engines.
     """
     if threshold is NEW_REQUEST:
-        return len({attempt.engine for attempt in attempts})
+        return math.floor(weights.of(attempts) + _ROUNDING)
     return _crashes_in_sequence(attempts)
 
 
--- a/packages/daemon/src/yuccarouter/gateway/lost_answers.py
+++ b/packages/daemon/src/yuccarouter/gateway/lost_answers.py
@@ -29,7 +29,7 @@
     Where endpoints are few, it returns only once peers may have told of other
     crashes on the same request.
     """
-    crashed_ms = clocks.monotonic_ms()
+    attempt = _crashed_attempt(out, progress, clocks.monotonic_ms())
     has_crashed = await out.gateway.crash_evidence.checks.has_crashed(
         progress.view
     )
@@ -41,12 +41,13 @@
         endpoint=progress.view.name,
         has_crashed=has_crashed,
         events=progress.events,
-        parts=out.part_ids,
+        ran_ms=round(attempt.ran_ms),
+        suspects=sorted(attempt.suspects),
     )
-    if not has_crashed or progress.has_proceeded(crashed_ms):
+    if not has_crashed:
         return
     recorded = out.gateway.crash_evidence.record_crash(
-        _crashed_attempt(out, progress, crashed_ms), clocks.monotonic_ms()
+        attempt, clocks.monotonic_ms()
     )
     out.crashes += bool(recorded.new_suspects)
     if out.gateway.gossip is not None:
@@ -71,7 +72,7 @@
 
     The engine may still crash on the request a moment later.
     """
-    if not (progress.is_proven or progress.has_ended):
+    if not (progress.proceeded_ms or progress.has_ended):
         out.gateway.crash_evidence.dropped.record(
             _crashed_attempt(out, progress, clocks.monotonic_ms())
         )
@@ -92,6 +93,7 @@
     progress: answer_progress.Progress,
     crashed_ms: float,
 ) -> crash_suspicions.CrashedAttempt:
+    ran_ms = progress.ran_ms(crashed_ms)
     return crash_suspicions.CrashedAttempt(
         request=_request_number(out),
         number=out.sends,
@@ -99,9 +101,12 @@
         service=out.service,
         sent_ms=progress.sent_ms,
         crashed_ms=crashed_ms,
-        suspects=frozenset(out.suspects),
+        suspects=out.gateway.crash_evidence.suspects_of_crash(
+            out.service, out.digest, out.part_ids, ran_ms
+        ),
         answered=frozenset(),
         changed_ms=crashed_ms,
+        ran_ms=ran_ms,
     )
 
 
