--- a/packages/daemon/src/yuccarouter/gateway/prompt_parts.py
+++ b/packages/daemon/src/yuccarouter/gateway/prompt_parts.py
@@ -13,8 +13,6 @@
 # Callers choose the names. Long or unusual ones are hashed, to bound messages
 # and logs.
 _PLAIN_NAME: Final = re.compile('[0-9A-Za-z_-]{1,16}')
-# Only the last ones of more parts are used: fewer prompts share them.
-_MAX_PARTS: Final = 32
 
 
 def shared_part_ids(call: model.Call) -> tuple[str, ...]:
@@ -24,7 +22,7 @@
     """
     if call.generation is None:
         return ()
-    shared = call.generation.parts[-_MAX_PARTS - 1 : -1]
+    shared = call.generation.parts[:-1]
     return tuple(dict.fromkeys(_part_id(part.name) for part in shared))
 
 
--- a/packages/daemon/tests/gateway/test_crash_checks.py
+++ b/packages/daemon/tests/gateway/test_crash_checks.py
@@ -87,6 +87,10 @@
         (['own'], ()),
         (['aa', 'bb', 'own'], ('aa', 'bb')),
         (['aa', 'aa', 'own'], ('aa',)),
+        (
+            [f'p{number}' for number in range(201)],
+            tuple(f'p{number}' for number in range(200)),
+        ),
         (['\udcff', 'own'], (xxhash.xxh3_64_hexdigest(b'\xff'),)),
         (['a' * 400, 'own'], (xxhash.xxh3_64_hexdigest(b'a' * 400),)),
     ],
--- a/packages/daemon/tests/gateway/test_crash_plays.py
+++ b/packages/daemon/tests/gateway/test_crash_plays.py
@@ -29,6 +29,10 @@
 # Engines, and streams that each of them runs at once.
 SIZES = ((3, 1), (3, 8), (3, 32), (5, 1), (5, 8), (5, 32), (20, 8), (120, 1))
 
+PART_SIZES = ((3, 2), (5, 8), (20, 2))
+PARTS = (1, 33, 200)
+PLACES = (0, 0.5, 1)
+
 
 def scene_id(scene: crash_plays.Scene) -> str:
     """Return a short name of a scene."""
@@ -46,6 +50,19 @@
     for crash_ms in CRASHES_MS
 ]
 
+BAD_PARTS = [
+    crash_plays.Scene(
+        engines=engines,
+        streams=streams,
+        parts=parts,
+        bad='part',
+        bad_place=place,
+    )
+    for engines, streams in PART_SIZES
+    for parts in PARTS
+    for place in PLACES
+]
+
 
 def late_sends(scene: crash_plays.Scene) -> list[int]:
     """Return the bad requests that were sent too late, by seed."""
@@ -64,6 +81,12 @@
     assert max(late_sends(scene)) <= MAX_LATE
 
 
+@pytest.mark.parametrize('scene', BAD_PARTS, ids=scene_id)
+def test_part_that_crashes_engines(scene: crash_plays.Scene) -> None:
+    """Guards against a part that is no suspect because of its place."""
+    assert max(late_sends(scene)) <= MAX_LATE
+
+
 @pytest.mark.parametrize('outages', [POWER_LOSSES, ROLLING_RESTART])
 @pytest.mark.parametrize(
     ('engines', 'streams'),
