Count crashes of overlapping requests with a part a second apart

Requests with a part that crashes engines 10 s into an answer overlap, so that hardly any is sent after the crash of another: crashes counted only in sequence, and the part was held after 19 crashes of 120 engines, with 6 late sends (3 are allowed; model in virtual time).

The order of sends is there to tell a common cause, as a loss of power, from a part. Engines that crash a second or more after the crash before don't share one, so that these count too.

--- a/packages/daemon/src/yuccarouter/gateway/crash_suspicions.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_suspicions.py
@@ -19,6 +19,9 @@
 
 # Tolerance for the times of other daemons' attempts.
 _ORDER_TOLERANCE_MS: Final = 50.0
+# A common cause, as a loss of power, ends all engines that it ends within this
+# time.
+_MAX_OUTAGE_MS: Final = 1000.0
 # Weights are sums of fractions.
 _ROUNDING: Final = 1e-6
 # Requests are held for this time after a crash, which doubles with each one.
@@ -304,13 +307,18 @@
 def _crashes_in_sequence(attempts: list[CrashedAttempt]) -> int:
     """Return the number of crashes of which each followed the one before.
 
-    An attempt counts if it was sent after the previous crash. Engines that
-    crash at the same time, as in a loss of power, count as one.
+    An attempt counts if it was sent after the previous crash, or crashed much
+    later. Engines that crash at the same time, as in a loss of power, count as
+    one.
     """
     count = 0
     previous_ms = -math.inf
     for attempt in sorted(attempts, key=lambda each: each.crashed_ms):
-        if attempt.sent_ms >= previous_ms - _ORDER_TOLERANCE_MS:
+        is_later = (
+            attempt.sent_ms >= previous_ms - _ORDER_TOLERANCE_MS
+            or attempt.crashed_ms >= previous_ms + _MAX_OUTAGE_MS
+        )
+        if is_later:
             count += 1
             previous_ms = attempt.crashed_ms
     return count
--- a/packages/daemon/tests/gateway/test_crash_plays.py
+++ b/packages/daemon/tests/gateway/test_crash_plays.py
@@ -63,6 +63,19 @@
     for place in PLACES
 ]
 
+# Such requests overlap, so that no one is sent after the crash of another.
+OVERLAPPING = [
+    crash_plays.Scene(
+        engines=engines,
+        streams=streams,
+        parts=33,
+        bad='part',
+        crash_ms=crash_ms,
+    )
+    for engines, streams in (*PART_SIZES, (120, 1))
+    for crash_ms in (600, 10_000)
+]
+
 
 def late_sends(scene: crash_plays.Scene) -> list[int]:
     """Return the bad requests that were sent too late, by seed."""
@@ -81,7 +94,7 @@
     assert max(late_sends(scene)) <= MAX_LATE
 
 
-@pytest.mark.parametrize('scene', BAD_PARTS, ids=scene_id)
+@pytest.mark.parametrize('scene', BAD_PARTS + OVERLAPPING, ids=scene_id)
 def test_part_that_crashes_engines(scene: crash_plays.Scene) -> None:
     """Guards against a part that is no suspect because of its place."""
     assert max(late_sends(scene)) <= MAX_LATE
