Send late crashes to peers in a field of their own

A daemon of an earlier version expects four fields of each attempt in a digest, and refuses the rest of the digest with a longer one: during an update, any crash would have kept it from hearing of loads and records. Found by reading the change as a whole; test_messages_during_an_update is new with the fields.

Attempts that crashed at the start of an answer keep their four fields; later ones are sent apart, and left out by daemons that don't know them.

--- a/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
@@ -34,6 +34,8 @@
     senders,
 )
 
+# Field of a digest with the crashes after the start of an answer.
+LATE_CRASHES: Final = 'late_crashes'
 # A single daemon tries a request first; with each such interval without result,
 # twice as many may.
 _TRIAL_INTERVAL_MS: Final = 10_000.0
@@ -57,17 +59,12 @@
 _MAX_PART_LENGTH: Final = 16
 
 # The key, the engine and the service, the ages of the send and of the crash in
-# milliseconds, two lists of suspects: those never answered before, and the
-# others; and the time from the first event to the crash in milliseconds.
-Fields = tuple[
-    tuple[int, int],
-    tuple[str, str],
-    tuple[int, int],
-    tuple[list[str], ...],
-    int,
-]
-# Daemons of earlier versions don't send the last one.
-_FIELDS_WITHOUT_RUN: Final = 4
+# milliseconds, and two lists of suspects: those never answered before, and the
+# others. After the start of an answer, the time from the first event to the
+# crash in milliseconds follows.
+Fields = tuple[Any, ...]
+# Daemons of earlier versions accept no more.
+_START_FIELDS: Final = 4
 
 
 @attrs.frozen(eq=False)
@@ -447,7 +444,7 @@
     attempt: crash_suspicions.CrashedAttempt, now_ms: float
 ) -> Fields:
     """Return an attempt's fields for messages and records."""
-    return (
+    fields = (
         attempt.key,
         (attempt.engine, attempt.service),
         (
@@ -458,15 +455,28 @@
             sorted(attempt.new_suspects),
             sorted(attempt.suspects & attempt.answered),
         ),
-        math.ceil(attempt.ran_ms),
     )
+    if attempt.ran_ms < _MAX_START_MS:
+        return fields
+    return (*fields, math.ceil(attempt.ran_ms))
+
+
+def digest_fields(message: list[Fields]) -> dict[str, list[Fields]]:
+    """Return the fields of a digest that bring a message to peers.
+
+    Crashes after the start of an answer are apart: a daemon of an earlier
+    version would refuse them, with the rest of the digest.
+    """
+    late = [each for each in message if len(each) > _START_FIELDS]
+    start = [each for each in message if len(each) == _START_FIELDS]
+    return {'crashes': start, LATE_CRASHES: late}
 
 
 def decode_attempt(
     fields: Any, now_ms: float
 ) -> crash_suspicions.CrashedAttempt:
     """Return an attempt; raises ``TypeError`` or ``ValueError``."""
-    key, names, ages_ms, suspects = fields[:_FIELDS_WITHOUT_RUN]
+    key, names, ages_ms, suspects = fields[:_START_FIELDS]
     engine, service = names
     request, number = map(numbers.integer, key)
     sent_age_ms, crash_age_ms = map(numbers.integer, ages_ms)
@@ -485,7 +495,7 @@
         suspects=frozenset((*new, *answered)),
         answered=frozenset(answered),
         changed_ms=now_ms,
-        ran_ms=max((0, *map(numbers.integer, fields[_FIELDS_WITHOUT_RUN:]))),
+        ran_ms=max((0, *map(numbers.integer, fields[_START_FIELDS:]))),
     )
 
 
--- a/packages/daemon/src/yuccarouter/gateway/daemon.py
+++ b/packages/daemon/src/yuccarouter/gateway/daemon.py
@@ -12,6 +12,7 @@
 
 from yuccarouter.gateway import (
     connections,
+    crash_evidence,
     crash_records,
     datagram_ports,
     loop_delays,
@@ -460,6 +461,9 @@
         told = digest.get(field)
         if told is not None:
             merge(told)
+    _merge_field(
+        name, digest, crash_evidence.LATE_CRASHES, gateway.crash_evidence.merge
+    )
     _merge_field(name, digest, 'speeds', gateway.speeds.merge)
     _merge_field(name, digest, 'queues', gateway.overload.loads.merge)
     if gateway.orders_topic and gateway.orders_topic.name in digest.get(
@@ -513,7 +517,9 @@
             len(gateway.directory), clocks.monotonic_ms()
         ),
         'rate_limits': gateway.rate_limits.message(),
-        'crashes': gateway.crash_evidence.message(clocks.monotonic_ms()),
+        **crash_evidence.digest_fields(
+            gateway.crash_evidence.message(clocks.monotonic_ms())
+        ),
         'speeds': gateway.speeds.message(clocks.monotonic_ms()),
         'demand': gateway.demand.message(clocks.monotonic_ms()),
         'confidences': gateway.confidences.message(clocks.monotonic_ms()),
--- a/packages/daemon/tests/gateway/test_crash_evidence.py
+++ b/packages/daemon/tests/gateway/test_crash_evidence.py
@@ -180,6 +180,24 @@
     assert (evidence.hold(SERVICE, ('x',), 3100) is not None) is is_held
 
 
+@pytest.mark.parametrize(
+    ('ran_ms', 'field'),
+    [(0, 'crashes'), (499, 'crashes'), (500, 'late_crashes')],
+)
+def test_messages_during_an_update(ran_ms: float, field: str) -> None:
+    """Guards against digests that daemons of an earlier version refuse.
+
+    They expect four fields of each attempt in ``crashes``.
+    """
+    evidence = evidence_of()
+    evidence.record_crash(attrs.evolve(attempt(1), ran_ms=ran_ms), 1000)
+    fields = crash_evidence.digest_fields(evidence.message(1000))
+    assert [name for name, sent in fields.items() if sent] == [field]
+    assert all(len(each) == 4 for each in fields['crashes'])
+    for sent in fields['late_crashes']:
+        assert crash_evidence.decode_attempt(sent, 1000).ran_ms == ran_ms
+
+
 def test_cleared_attempts_are_forgotten() -> None:
     """Guards against cleared attempts that daemons send each other for ever.
 
