Ask one module whether a request may have run before it is sent again

Retries decided by the last failed attempt, and refusals by all attempts of the request. Both gave the same result, but were two places that decide what may be promised.

The tests of the gateway, promises, serving, broken answers and crashing requests pass (run before the commit), no check was changed.

--- a/packages/daemon/src/yuccarouter/gateway/retries.py
+++ b/packages/daemon/src/yuccarouter/gateway/retries.py
@@ -6,7 +6,12 @@
 
 import attrs
 
-from yuccarouter.gateway import attempts, lost_answers, refusal_responses
+from yuccarouter.gateway import (
+    attempts,
+    lost_answers,
+    promises,
+    refusal_responses,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -58,14 +63,9 @@
     failure: web.StreamResponse | None = None
     fault: attempts.AttemptError | None = None
 
-    @property
-    def may_have_run(self) -> bool:
-        """Whether an attempt without an answer may have run the request."""
-        return self.fault is not None and self.fault.may_have_run
-
     def may_continue(self, out: attempts.OutgoingCall) -> bool:
         """Return whether the request may be sent again."""
-        if self.may_have_run and not out.route.is_idempotent:
+        if promises.may_have_run(out) and not out.route.is_idempotent:
             return False
         if out.sends and not out.can_retry_before_stop():
             return False
@@ -83,7 +83,7 @@
     except attempts.AttemptError as fault:
         if fault.lost is not None:
             await lost_answers.investigate(out, fault.lost)
-        if not outcomes.may_have_run:
+        if outcomes.fault is None or not outcomes.fault.may_have_run:
             outcomes.fault = _without_frames(fault)
         return None
     if answer is not None and _is_final(out, answer):
