--- a/packages/daemon/src/yuccarouter/gateway/answer_times.py
+++ b/packages/daemon/src/yuccarouter/gateway/answer_times.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 import math
 from collections.abc import Iterable
@@ -15,8 +16,11 @@
 
 from yuccarouter.gateway import request_digests
 
+# An engine may send the first events before it crashes on the start of an
+# answer.
+START_MS: Final = 500.0
 # Times after its first event at which an answer that goes on is recorded.
-PROCEEDED_MS: Final = (500.0, 1000.0, 2000.0, 4000.0, 8000.0, 16_000.0)
+PROCEEDED_MS: Final = (START_MS, 1000.0, 2000.0, 4000.0, 8000.0, 16_000.0)
 _LEVELS_MS: Final = (*PROCEEDED_MS, math.inf)
 # An answer shows nothing about crashes that come after more than a part of the
 # time that it went on for: engines write at different speeds.
@@ -60,13 +64,22 @@
         now_ms: float,
         proceeded_ms: float = math.inf,
     ) -> None:
-        """Record an answer that has ended, or has gone on for a time."""
+        """Record an answer that has ended, or has gone on for a time.
+
+        Less than the start of an answer shows nothing.
+        """
         times, most = self._parts_ms, _MAX_PARTS
         if request_digests.is_request_digest(suspect):
             times, most = self._requests_ms, _MAX_REQUESTS
-        newest = list(times.get((service, suspect), _NEVER))
-        newest[sum(each <= proceeded_ms for each in _LEVELS_MS) - 1] = now_ms
-        times[service, suspect] = tuple(newest)
+        newest = times.get((service, suspect), _NEVER)
+        level = bisect.bisect_right(_LEVELS_MS, proceeded_ms)
+        if not level:
+            return
+        times[service, suspect] = (
+            *newest[: level - 1],
+            now_ms,
+            *newest[level:],
+        )
         times.move_to_end((service, suspect))
         if len(times) > most:
             times.popitem(last=False)
--- a/packages/daemon/src/yuccarouter/gateway/crash_caution.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_caution.py
@@ -10,14 +10,15 @@
 from collections.abc import Collection, Iterable
 from typing import Final
 
-from yuccarouter.gateway import crash_suspicions, crash_weights
+from yuccarouter.gateway import (
+    answer_times,
+    crash_suspicions,
+    crash_weights,
+)
 
 # Most engines are back after this time.
 _CAUTION_MS: Final = 3500.0
 _MIN_ENGINES_LEFT: Final = 2
-# An answer that had gone on for longer has shown that a second crash is not
-# near.
-_MAX_RAN_MS: Final = 500.0
 # If more requests were lost in a crash, each of them is probably sound.
 _MAX_LOST_REQUESTS: Final = 3
 
@@ -60,9 +61,10 @@
 ) -> bool:
     """Return whether a request may well have crashed its engine.
 
-    It is unlikely if engines without it crashed at the same moment.
+    It is unlikely if engines without it crashed at the same moment. An answer
+    that went on past its start has shown that a second crash is not near.
     """
-    if attempt.ran_ms >= _MAX_RAN_MS:
+    if attempt.ran_ms >= answer_times.START_MS:
         return False
     if attempt.repeated_request in attempt.answered:
         return False
--- a/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
+++ b/packages/daemon/src/yuccarouter/gateway/crash_evidence.py
@@ -48,9 +48,6 @@
 _MAX_ATTEMPTS: Final = 64
 # Suspected parts of one attempt. Answers mostly clear all but a few of them.
 _MAX_SUSPECTED_PARTS: Final = 32
-# An engine may send the first events before it crashes on the start of an
-# answer.
-_MAX_START_MS: Final = 500.0
 _MAX_ATTEMPTS_PER_SUSPICION: Final = 8
 # Bounds of a message, which must fit a datagram together with others.
 _MAX_SENT_ATTEMPTS: Final = 12
@@ -138,7 +135,7 @@
         rarest = self._answered.rarest(
             service, parts, _MAX_SUSPECTED_PARTS, ran_ms
         )
-        if ran_ms >= _MAX_START_MS:
+        if ran_ms >= answer_times.START_MS:
             rarest = [
                 part
                 for part in rarest
@@ -456,7 +453,7 @@
             sorted(attempt.suspects & attempt.answered),
         ),
     )
-    if attempt.ran_ms < _MAX_START_MS:
+    if attempt.ran_ms < answer_times.START_MS:
         return fields
     return (*fields, math.ceil(attempt.ran_ms))
 
